--- a/packages/core/src/consensus/consensus-replica.ts
+++ b/packages/core/src/consensus/consensus-replica.ts
@@ -199,7 +199,7 @@
 	}
 
 	#lead(now: Instant): void {
-		const {self, timings} = this.#options;
+		const {self, timings, voters} = this.#options;
 		this.#campaign.close();
 		this.#setRole('leader', self);
 		this.#leading = new LeaderTerm({
@@ -207,6 +207,7 @@
 			store: this.#store,
 			rules: this.#rules,
 			timings,
+			voters,
 			send: (to, message) => {
 				this.#send(to, message);
 			},
--- a/packages/core/src/consensus/leader-term.ts
+++ b/packages/core/src/consensus/leader-term.ts
@@ -16,6 +16,8 @@
 	readonly store: ReplicaStore;
 	readonly rules: SafetyRules;
 	readonly timings: ConsensusTimings;
+	/** Voters wanted; unbounded when undefined. */
+	readonly voters?: number | undefined;
 	readonly send: (to: ReplicaId, message: ConsensusMessage) => void;
 };
 
@@ -86,12 +88,14 @@
 
 	/** Brings a replica that asked to join one step nearer to voting, when a change is allowed. */
 	changeMembership(seen: ReadonlyMap<string, ReplicaId>, now: Instant): void {
-		const {self, store, rules} = this.parts;
+		const {self, store, rules, voters} = this.parts;
 		if (!rules.mayChangeMembership(store.log, store.hard.commit, this.#firstIndex)) {
 			return;
 		}
 
-		const membership = planMembership(store.log.membership, {self, seen, isCurrent: replica => this.#isCurrent(replica, now)});
+		const membership = planMembership(store.log.membership, {
+			self, seen, voters, isCurrent: replica => this.#isCurrent(replica, now), isSilent: replica => this.#isSilent(replica, now),
+		});
 		if (membership !== undefined) {
 			store.append([{kind: 'membership', membership}], store.log.lastAt);
 			this.#replicate(now);
@@ -188,6 +192,11 @@
 		return this.#progress.matchOf(replica) >= this.parts.store.hard.commit && now - heardAt <= this.parts.timings.electionMinMs;
 	}
 
+	#isSilent(replica: ReplicaId, now: Instant): boolean {
+		const {silentMs} = this.parts.timings;
+		return silentMs !== undefined && now - (this.#seen.get(replica) ?? this.startedAt) > silentMs;
+	}
+
 	#majoritySentAt(now: Instant): number {
 		const {self, store: {log}} = this.parts;
 		return majorityValue(log.membership, id => id === self ? now : this.#progress.ackedSentAtOf(id));
--- a/packages/core/src/consensus/membership.ts
+++ b/packages/core/src/consensus/membership.ts
@@ -31,6 +31,10 @@
 	readonly seen: ReadonlyMap<string, ReplicaId>;
 	/** Whether a replica holds everything accepted and answers. */
 	readonly isCurrent: (replica: ReplicaId) => boolean;
+	/** Voters wanted; a learner beyond them only replaces a silent voter. Unbounded when undefined. */
+	readonly voters?: number | undefined;
+	/** Whether a replica was not heard for so long that another may take its place. */
+	readonly isSilent?: (replica: ReplicaId) => boolean;
 };
 
 const without = (list: readonly ReplicaId[], replica: ReplicaId): readonly ReplicaId[] => list.filter(id => id !== replica);
@@ -46,8 +50,23 @@
 	return undefined;
 };
 
+const silentVoter = ({voters}: ReplicaSet, {self, isSilent}: MembershipFacts): ReplicaId | undefined =>
+	voters.find(id => id !== self && isSilent?.(id) === true);
+
+/** Whether another voter is wanted: too few vote, or one of them is silent. */
+const wantsVoter = (membership: ReplicaSet, facts: MembershipFacts): boolean =>
+	facts.voters === undefined || membership.voters.length < facts.voters || (membership.voters.length === facts.voters && silentVoter(membership, facts) !== undefined);
+
+/** Takes the vote from a silent replica once another was added in its place. */
+const planRemoval = (membership: ReplicaSet, facts: MembershipFacts): ReplicaSet | undefined => {
+	const silent = facts.voters !== undefined && membership.voters.length > facts.voters ? silentVoter(membership, facts) : undefined;
+	return silent === undefined ? undefined : {voters: without(membership.voters, silent), learners: membership.learners};
+};
+
 /** Makes a refilled learner a voter; the voter that lost its disk goes first. */
-const planPromotion = ({voters, learners}: ReplicaSet, {self, isCurrent}: MembershipFacts): ReplicaSet | undefined => {
+const planPromotion = (membership: ReplicaSet, facts: MembershipFacts): ReplicaSet | undefined => {
+	const {voters, learners} = membership;
+	const {self, isCurrent} = facts;
 	for (const learner of learners) {
 		if (!isCurrent(learner)) {
 			continue;
@@ -55,7 +74,11 @@
 
 		const lost = voters.find(id => instanceOf(id) === instanceOf(learner));
 		if (lost === undefined) {
-			return {voters: [...voters, learner], learners: without(learners, learner)};
+			if (wantsVoter(membership, facts)) {
+				return {voters: [...voters, learner], learners: without(learners, learner)};
+			}
+
+			continue;
 		}
 
 		const rest = without(voters, lost);
@@ -74,4 +97,4 @@
  * planMembership(membership, facts); // Undefined when there is nothing to do
  */
 export const planMembership = (membership: ReplicaSet, facts: MembershipFacts): ReplicaSet | undefined =>
-	planLearner(membership, facts) ?? planPromotion(membership, facts);
+	planLearner(membership, facts) ?? planRemoval(membership, facts) ?? planPromotion(membership, facts);
--- a/packages/core/src/consensus/replica-options.ts
+++ b/packages/core/src/consensus/replica-options.ts
@@ -8,6 +8,8 @@
 export type ReplicaOptions = {
 	readonly self: ReplicaId;
 	readonly timings: ConsensusTimings;
+	/** Voters wanted; learners beyond them replace silent voters. Every learner becomes a voter when undefined. */
+	readonly voters?: number | undefined;
 	readonly random: RandomSource;
 	/** Commands that are applied only once this replica would still apply them after a restart alone. */
 	readonly isPinned: (command: ControlCommand) => boolean;
--- a/packages/core/src/consensus/types.ts
+++ b/packages/core/src/consensus/types.ts
@@ -171,6 +171,8 @@
 	readonly leaseMs: number;
 	/** A gap between two steps from which a lease counts as suspect. */
 	readonly freezeMs: number;
+	/** A voter not heard for this long may be replaced by a learner; never when undefined. */
+	readonly silentMs?: number;
 	/** Entries in one message at most. */
 	readonly maxBatch: number;
 };
--- a/packages/core/src/control/control-command.ts
+++ b/packages/core/src/control/control-command.ts
@@ -11,6 +11,7 @@
 import type {ClaimOutcome, ClaimRequest, ClaimVerdict} from '../ledger/claim-ledger.js';
 import type {ShareRenewal, ShareTake} from '../shares/share-table.js';
 import type {StopPlan, StopVerdict} from '../stops/stop-types.js';
+import type {RoutingDocument, RoutingVerdict} from './routing-history.js';
 
 /** Position of an entry in the control log, from 1. */
 export type LogIndex = Branded<number, 'LogIndex'>;
@@ -21,6 +22,7 @@
 /** A change of the control state. Each may be submitted twice: the second gets the first's result. */
 export type ControlCommand =
 	| {readonly kind: 'catalogue.propose'; readonly proposal: CatalogueProposal}
+	| {readonly kind: 'routing.replace'; readonly document: RoutingDocument}
 	| {readonly kind: 'claim.open'; readonly req: ClaimRequest}
 	| {readonly kind: 'claim.settle'; readonly key: ClaimKey; readonly requestId: RequestId; readonly outcome: ClaimOutcome}
 	/** Settles the open claims of an instance as unknown: all of a dead one's, or those before its run `exceptLife`. */
@@ -40,6 +42,7 @@
 /** What each command returns. */
 export type ControlResults = {
 	'catalogue.propose': CatalogueVerdict;
+	'routing.replace': RoutingVerdict;
 	'claim.open': ClaimVerdict;
 	'claim.settle': {readonly settled: boolean};
 	'claim.abandon': {readonly abandoned: number};
--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -9,6 +9,8 @@
 import type {StopCapture} from '../stops/stop-table.js';
 import {CatalogueHistory} from './catalogue-history.js';
 import type {CatalogueCapture} from './catalogue-history.js';
+import {RoutingHistory} from './routing-history.js';
+import type {RoutingDocument} from './routing-history.js';
 import type {
 	ControlEntry,
 	ControlResults,
@@ -20,6 +22,8 @@
 export type ControlCapture = {
 	readonly index: LogIndex;
 	readonly catalogue: CatalogueCapture;
+	/** Absent in captures from before routing configurations were kept. */
+	readonly routing?: RoutingDocument | undefined;
 	readonly claims: ClaimTableCapture;
 	readonly stops: StopCapture;
 	readonly shares: readonly ShareRecord[];
@@ -35,6 +39,7 @@
  */
 export class ControlState {
 	readonly catalogue = new CatalogueHistory();
+	readonly routing = new RoutingHistory();
 	readonly claims: ClaimTable;
 	readonly stops = new StopTable();
 	readonly shares = new ShareTable();
@@ -58,6 +63,10 @@
 				return this.catalogue.propose(command.proposal, at);
 			}
 
+			case 'routing.replace': {
+				return this.routing.replace(command.document);
+			}
+
 			case 'claim.open': {
 				return this.claims.claim(command.req, at);
 			}
@@ -109,7 +118,7 @@
 	/** Takes a copy for a snapshot. */
 	capture(): ControlCapture {
 		return {
-			index: this.#index, catalogue: this.catalogue.capture(), claims: this.claims.capture(), stops: this.stops.capture(), shares: this.shares.capture(),
+			index: this.#index, catalogue: this.catalogue.capture(), routing: this.routing.current, claims: this.claims.capture(), stops: this.stops.capture(), shares: this.shares.capture(),
 		};
 	}
 
@@ -117,6 +126,7 @@
 	restore(capture: ControlCapture): void {
 		this.#index = capture.index;
 		this.catalogue.restore(capture.catalogue);
+		this.routing.restore(capture.routing);
 		this.claims.restore(capture.claims);
 		this.stops.restore(capture.stops);
 		this.shares.restore(capture.shares);
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -29,6 +29,8 @@
 export type Revision = Branded<number, 'Revision'>;
 /** A number that grows with every change of a share's holder. */
 export type FencingNumber = Branded<number, 'FencingNumber'>;
+/** The operator's number of a routing configuration; the highest is in force. */
+export type RoutingVersion = Branded<number, 'RoutingVersion'>;
 /** The id of an operator's order, kept across resends. */
 export type OrderId = Branded<string, 'OrderId'>;
 /** Identifies one life of an engine process; a restart changes it. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,7 @@
 	OwnerName,
 	RequestId,
 	Revision,
+	RoutingVersion,
 	ServiceName,
 } from './ids.js';
 export {invariant, InvariantError} from './invariant.js';
@@ -106,6 +107,8 @@
 	RenewParams,
 	RpcCommand,
 } from './rpc/commands.js';
+export {RoutingHistory} from './control/routing-history.js';
+export type {RoutingDocument, RoutingVerdict} from './control/routing-history.js';
 export {CatalogueHistory} from './control/catalogue-history.js';
 export type {CatalogueCapture, CatalogueChange} from './control/catalogue-history.js';
 export {ControlAuthority} from './control/control-authority.js';
@@ -243,3 +246,25 @@
 } from './shares/share-keeper.js';
 export {shareKey, ShareTable, unheldShare} from './shares/share-table.js';
 export type {ShareRecord, ShareRenewal, ShareTake} from './shares/share-table.js';
+export {checkRouting} from './routing/check-routing.js';
+export {pickTarget, RouteIndex} from './routing/route-index.js';
+export {SecondTryBudget} from './routing/second-try-budget.js';
+export type {SecondTryBounds} from './routing/second-try-budget.js';
+export {chooseServer} from './routing/server-choice.js';
+export type {ServerLoad} from './routing/server-choice.js';
+export type {
+	CallerLimits,
+	EngineTraits,
+	Route,
+	RoutedService,
+	RouteKind,
+	RouteName,
+	RouteTarget,
+	RoutingFault,
+	RoutingTable,
+} from './routing/types.js';
+export {digestOf} from './fleet-list.js';
+export type {ListedServer} from './fleet-list.js';
+export {CONTROL_WATCH} from './rpc/watch-commands.js';
+export type {WatchAnswer, WatchParams} from './rpc/watch-commands.js';
+export type {ForecastOptions} from './placement/forecast.js';
--- a/packages/core/src/placement/forecast-policy.ts
+++ b/packages/core/src/placement/forecast-policy.ts
@@ -6,7 +6,7 @@
 import type {Instant} from '../time.js';
 import {findEngine, maxExamined} from './find-engine.js';
 import {Forecast} from './forecast.js';
-import type {Prediction} from './forecast.js';
+import type {ForecastOptions, Prediction} from './forecast.js';
 import type {
 	Admission, EngineIndex, EngineView, PlacementDecision, PlacementPolicy, PlacementRequest, PolicyEvent, QueueView,
 } from './types.js';
@@ -32,9 +32,11 @@
  * const pool = new EnginePool(self, policy, service.limits, timings);
  */
 export class ForecastPolicy implements PlacementPolicy {
-	readonly #forecast = new Forecast();
+	readonly #forecast: Forecast;
 
-	constructor(private readonly targets: Pick<LatencyTargets, 'betweenOutputsMs'>) {}
+	constructor(private readonly targets: Pick<LatencyTargets, 'betweenOutputsMs'>, options?: ForecastOptions) {
+		this.#forecast = new Forecast(options);
+	}
 
 	get name(): string {
 		return 'forecast';
--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -36,6 +36,14 @@
 	changedAt: Instant;
 };
 
+/** What is known of a deployment's engines beforehand. */
+export type ForecastOptions = {
+	/** `ample` where each engine has a link on which transfers hardly wait; else all transfers share one. */
+	readonly links?: 'shared' | 'ample';
+	/** Usual rate of a prefill until completions teach it, in tokens per millisecond. */
+	readonly prefillTokensPerMs?: number;
+};
+
 /** When the parts of one request are expected. */
 export type Prediction = {
 	readonly prefillStartsAt: Instant;
@@ -56,19 +64,25 @@
 	readonly #streams = new Map<string, Stream>();
 	readonly #prefillLines = new Map<EngineId, WorkLine>();
 	readonly #link = new WorkLine(initialLinkTokensPerMs);
+	readonly #isLinkShared: boolean;
 	readonly #batches = new Map<EngineId, Batch>();
-	#usualTokensPerMs = initialPrefillTokensPerMs;
+	#usualTokensPerMs: number;
 	#drainedTokens = 0;
 	#drainMs = 0;
 	#grantedAt: Instant | undefined;
 
+	constructor(private readonly options: ForecastOptions = {}) {
+		this.#isLinkShared = options.links !== 'ample';
+		this.#usualTokensPerMs = options.prefillTokensPerMs ?? initialPrefillTokensPerMs;
+	}
+
 	/** Predicts a prefill of `tokens` that is ordered now. */
 	predict(prefill: EngineId, tokens: number, now: Instant): Prediction {
 		const line = this.#line(prefill);
 		const prefillStartsAt = line.endsAt(now);
 		const prefillEndsAt = after(prefillStartsAt, line.durationMs(tokens));
-		const transferStartsAt = Math.max(prefillEndsAt, this.#link.endsAt(now)) as Instant;
-		const transferEndsAt = after(transferStartsAt, this.#link.durationMs(tokens));
+		const transferStartsAt = this.#isLinkShared ? Math.max(prefillEndsAt, this.#link.endsAt(now)) as Instant : prefillEndsAt;
+		const transferEndsAt = after(transferStartsAt, this.#linkMs(tokens));
 		return {
 			prefillStartsAt, prefillEndsAt, transferStartsAt, transferEndsAt,
 		};
@@ -76,7 +90,7 @@
 
 	/** How long a prefill of `tokens` and its transfer take on idle engines, in milliseconds. */
 	aloneMs(tokens: number): number {
-		return (tokens / this.#usualTokensPerMs) + this.#link.durationMs(tokens);
+		return (tokens / this.#usualTokensPerMs) + this.#linkMs(tokens);
 	}
 
 	/** How long a queue of `tokens` takes to drain, in milliseconds; 0 while unknown. */
@@ -128,7 +142,10 @@
 		this.#learnDrain(req, waiting, now);
 		const {prefillEndsAt} = this.predict(prefill, req.promptTokens, now);
 		this.#line(prefill).add(req, req.promptTokens, now);
-		this.#link.add(req, req.promptTokens, prefillEndsAt);
+		if (this.#isLinkShared) {
+			this.#link.add(req, req.promptTokens, prefillEndsAt);
+		}
+
 		this.#streams.set(holdKey(req), {
 			decode, prefill, tokens: req.promptTokens, startedArea: undefined, startedAt: undefined,
 		});
@@ -185,8 +202,12 @@
 		}
 	}
 
+	#linkMs(tokens: number): number {
+		return this.#isLinkShared ? this.#link.durationMs(tokens) : 0;
+	}
+
 	#line(prefill: EngineId): WorkLine {
-		const line = this.#prefillLines.get(prefill) ?? new WorkLine(initialPrefillTokensPerMs);
+		const line = this.#prefillLines.get(prefill) ?? new WorkLine(this.options.prefillTokensPerMs ?? initialPrefillTokensPerMs);
 		this.#prefillLines.set(prefill, line);
 		return line;
 	}
--- /dev/null
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -0,0 +1,226 @@
+/** Wires the parts of a control instance: its replica, the operators' configuration, the list, and the engine pools it leads. */
+import {
+	createSeededRandom, ForecastPolicy, hashText, toId,
+} from '@baobabpier/core';
+import type {
+	DataCentreId, FencingNumber, Instant, InstanceId, ListedServer, RoutingDocument, RoutingTable, RoutingVerdict, ShareMap,
+} from '@baobabpier/core';
+import {ReplicatedControlLog} from '../control/replicated-control-log.js';
+import {GatewayMetrics, serveMetrics} from '../gateway/gateway-metrics.js';
+import {placeTimings, prefillTokensPerMs} from '../gateway/gateway.js';
+import {ListReader} from '../gateway/list-reader.js';
+import {createModelServices, createPoolCatalogue, leavingEngines} from '../gateway/model-services.js';
+import {ServerTransport} from '../gateway/server-transport.js';
+import type {ListDialect, RoutingCodec} from '../gateway/types.js';
+import {openPort} from '../listen.js';
+import {createLog} from '../log.js';
+import {monotonicClock} from '../monotonic-clock.js';
+import {PoolHost} from '../pools/pool-host.js';
+import {Peers} from '../rpc/peers.js';
+import {RpcServer} from '../rpc/rpc-server.js';
+import {WatchDesk} from './watch-desk.js';
+
+const log = createLog('control-node');
+/** How often a failed disk is tried again, in milliseconds. */
+const reopenMs = 1000;
+/** How often the list is read, in milliseconds: a leaving server must be known within seconds, and readings are paid for. */
+const listMs = 700;
+/** Connections to the platform's list. */
+const listConnections = 2;
+/** How long a new leader waits for the places that entry instances hold before it gives out more, in milliseconds. */
+const settleMs = 1200;
+const leadCheckMs = 100;
+
+/** Settings of a control instance. */
+export type ControlNodeSettings = {
+	/** Its peer address: instances that nobody lists are named by where they are reached. */
+	readonly id: InstanceId;
+	readonly dataCentre: DataCentreId;
+	readonly listen: {readonly peers: string; readonly metrics: string};
+	readonly seeds: readonly InstanceId[];
+	/** Whether the deployment starts for the first time, on empty disks. */
+	readonly isFirstStart: boolean;
+	/** Voters of the control log. */
+	readonly voters: number;
+	readonly folder: string;
+	readonly list: string;
+	readonly secret: string;
+};
+
+/** What an adapter translates for a control instance. */
+export type ControlNodeDialect = {
+	readonly list: ListDialect;
+	readonly routing: RoutingCodec;
+};
+
+/** A running control instance. */
+export type ControlNode = {
+	/** Accepts a routing configuration durably. Throws `ControlUnavailableError`. */
+	replaceRouting(document: RoutingDocument): Promise<RoutingVerdict>;
+	/** The newest routing configuration, confirmed by a majority. Throws `ControlUnavailableError`. */
+	readRouting(): Promise<RoutingDocument | undefined>;
+	reload(settings: ControlNodeSettings): void;
+	stop(): Promise<void>;
+};
+
+/** Leads the engine pools while this instance leads the control log, after a pause in which holders come forward. */
+class LeaderShares implements ShareMap {
+	#leadingSince: Instant | undefined;
+
+	constructor(private readonly self: InstanceId, private readonly control: ReplicatedControlLog) {}
+
+	get fencing(): FencingNumber {
+		return toId<FencingNumber>(this.control.status.term ?? 0);
+	}
+
+	/** Notes whether this instance leads; true when it changed. */
+	check(now: Instant): boolean {
+		const {role, hearsQuorum} = this.control.status;
+		const isLeading = role === 'leader' && hearsQuorum;
+		const isChanged = isLeading !== (this.#leadingSince !== undefined);
+		this.#leadingSince = isLeading ? (this.#leadingSince ?? now) : undefined;
+		return isChanged;
+	}
+
+	find(id: Parameters<ShareMap['find']>[0]) {
+		const holder = this.control.position.leader;
+		return holder === undefined ? undefined : {
+			...id, holder, fencing: this.fencing, until: undefined,
+		};
+	}
+
+	holds(_id: Parameters<ShareMap['holds']>[0], now: Instant): boolean {
+		return this.#leadingSince !== undefined && this.control.position.leader === this.self && now >= this.#leadingSince;
+	}
+
+	/** Whether places may be given out: entry instances had the time to tell of those that they hold. */
+	isSettled(now: Instant): boolean {
+		return this.#leadingSince !== undefined && now - this.#leadingSince >= settleMs;
+	}
+}
+
+/**
+ * Starts a control instance.
+ *
+ * @throws Error when an address can't be listened on.
+ * @example
+ * const node = await startControlNode(settings, dialect);
+ * await node.replaceRouting({version, text});
+ */
+export const startControlNode = async (first: ControlNodeSettings, dialect: ControlNodeDialect): Promise<ControlNode> => {
+	let settings = first;
+	let servers: readonly ListedServer[] = [];
+	let decoded: {readonly document: RoutingDocument; readonly table: RoutingTable | undefined} | undefined;
+	const clock = monotonicClock;
+	const random = createSeededRandom(hashText(`${first.id}/${Date.now()}`));
+	const peers = new Peers([], first.secret, id => id);
+	const rpc = new RpcServer(first.secret);
+	const metrics = new GatewayMetrics();
+	const self = {
+		id: first.id, dataCentre: first.dataCentre, peers: first.listen.peers, replica: true,
+	};
+	const control = new ReplicatedControlLog({
+		self,
+		instances: [self],
+		folder: first.folder,
+		peers,
+		clock,
+		random,
+		founders: first.isFirstStart ? first.seeds : [],
+		discovered: () => settings.seeds,
+		voters: first.voters,
+		reopenMs,
+	});
+	const shares = new LeaderShares(first.id, control);
+	const pools = new PoolHost({
+		self: first.id,
+		clock,
+		shares,
+		createPolicy: targets => new ForecastPolicy(targets, {links: 'ample', prefillTokensPerMs}),
+		// A holder that is gone has closed its connections, on which engines end its requests
+		engines: {report: async () => undefined, cancel: async () => undefined}, // eslint-disable-line unicorn/no-useless-undefined
+		mayGrant: () => shares.isSettled(clock.now()),
+		timings: placeTimings,
+	});
+	const transport = new ServerTransport(() => listConnections);
+	const list = new ListReader({
+		address: first.list, dialect: dialect.list, transport, clock, pauseMs: listMs, isWanted: () => true, onList(read) {
+			servers = read;
+			desk.setList(read);
+			applyPools();
+		},
+	});
+	const desk: WatchDesk = new WatchDesk({
+		dataCentre: first.dataCentre, control, clock, listAgeMs: () => list.ageMs,
+	});
+	const tableInForce = (): RoutingTable | undefined => {
+		const {current} = control.state.routing;
+		if (current !== undefined && decoded?.document !== current) {
+			const result = dialect.routing.decode(current.text);
+			decoded = {document: current, table: result.ok ? result.val : undefined};
+		}
+
+		return decoded?.table;
+	};
+
+	const applyPools = (): void => {
+		const table = tableInForce();
+		if (table !== undefined) {
+			pools.applyCatalogue(createPoolCatalogue(createModelServices(table, servers), table.version));
+			pools.setLeaving(leavingEngines(servers));
+		}
+	};
+
+	const peerPort = await openPort(rpc.app, first.listen.peers);
+	const metricsPort = await serveMetrics(metrics.registry, first.listen.metrics);
+	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => control.state.routing.current?.version ?? 0);
+	metrics.registerGauge('control_term', 'Term of the control log', () => control.status.term ?? 0);
+	metrics.registerGauge('control_leads', 'Whether this instance leads the control log', () => control.status.role === 'leader' ? 1 : 0);
+	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => desk.entries);
+	desk.start(rpc);
+	pools.start(rpc);
+	list.start();
+	control.registerListener(applyPools);
+	const leadTimer = setInterval(() => {
+		if (shares.check(clock.now())) {
+			log('The lead of the engine pools changed.', {leads: control.status.role === 'leader', term: control.status.term, leader: control.position.leader});
+			applyPools();
+		}
+	}, leadCheckMs);
+	void control.start(rpc);
+	log('The control instance is up.', {id: first.id, dataCentre: first.dataCentre, seeds: first.seeds.join(' '), firstStart: first.isFirstStart});
+	let stopping: Promise<void> | undefined;
+
+	const close = async (): Promise<void> => {
+		log('A stop begins.', {leads: control.status.role === 'leader'});
+		clearInterval(leadTimer);
+		await control.stop();
+		pools.stop();
+		list.stop();
+		desk.stop();
+		peerPort.closeAllConnections();
+		peerPort.close();
+		metricsPort.closeAllConnections();
+		metricsPort.close();
+		await Promise.all([transport.close(), peers.close()]);
+		log('The control instance stopped.');
+	};
+
+	return {
+		async replaceRouting(document) {
+			return control.submit<'routing.replace'>({kind: 'routing.replace', document});
+		},
+		async readRouting() {
+			await control.barrier();
+			return control.state.routing.current;
+		},
+		reload(next) {
+			settings = next;
+			log('Settings were read again.', {seeds: next.seeds.join(' ')});
+		},
+		async stop() {
+			stopping ??= close();
+			await stopping;
+		},
+	};
+};
--- a/packages/daemon/src/control/control-timings.ts
+++ b/packages/daemon/src/control/control-timings.ts
@@ -14,6 +14,7 @@
 	electionMaxMs: 1100,
 	leaseMs: 500,
 	freezeMs: 300,
+	silentMs: 2500,
 	maxBatch: 256,
 };
 
--- a/packages/daemon/src/control/replica-joiner.ts
+++ b/packages/daemon/src/control/replica-joiner.ts
@@ -16,9 +16,11 @@
 /** What a joiner works with. */
 export type JoinerParts = {
 	readonly self: InstanceId;
-	/** The instances that hold replicas by the settings. */
-	readonly replicas: readonly InstanceId[];
-	readonly instances: readonly InstanceId[];
+	/** The instances that begin the log; none where it surely exists. */
+	readonly founders: readonly InstanceId[];
+	/** The instances known to hold replicas. */
+	readonly replicas: () => readonly InstanceId[];
+	readonly instances: () => readonly InstanceId[];
 	readonly peers: Peers;
 	readonly task: ReplicaTask;
 };
@@ -51,14 +53,14 @@
 	async #tryJoin(): Promise<void> {
 		const positions = await this.#askAll();
 		const isBegun = [...positions.values()].some(({index, replica, isFresh}) => index > 0 || (replica !== undefined && !isFresh));
-		if (isBegun || !this.parts.task.isFresh) {
+		if (isBegun || !this.parts.task.isFresh || !this.parts.founders.includes(this.parts.self)) {
 			this.#warnIfLost(positions);
-			await this.#callAll(this.parts.replicas, async id => this.parts.peers.get(id).call(CONTROL_JOIN, {replica: this.parts.task.id}, askMs));
+			await this.#callAll(this.parts.replicas(), async id => this.parts.peers.get(id).call(CONTROL_JOIN, {replica: this.parts.task.id}, askMs));
 			return;
 		}
 
-		const fresh = this.parts.replicas.map(id => id === this.parts.self ? this.parts.task.id : positions.get(id)?.replica);
-		const isFirst = this.parts.replicas.toSorted()[0] === this.parts.self;
+		const fresh = this.parts.founders.map(id => id === this.parts.self ? this.parts.task.id : positions.get(id)?.replica);
+		const isFirst = this.parts.founders.toSorted()[0] === this.parts.self;
 		if (isFirst && fresh.every(id => id !== undefined)) {
 			await this.#begin(fresh);
 		}
@@ -81,8 +83,9 @@
 	}
 
 	#warnIfLost(positions: ReadonlyMap<InstanceId, ControlPosition>): void {
-		const replicas = this.parts.replicas.map(id => positions.get(id)).filter(position => position?.replica !== undefined);
-		if (!this.#warned && replicas.length === this.parts.replicas.length - 1 && replicas.every(position => position!.isFresh)) {
+		const known = this.parts.replicas();
+		const replicas = known.map(id => positions.get(id)).filter(position => position?.replica !== undefined);
+		if (!this.#warned && replicas.length === known.length - 1 && replicas.every(position => position!.isFresh)) {
 			this.#warned = true;
 			log('Every replica is empty but others hold a state: no log begins. See the operators\' page on lost disks.');
 		}
@@ -90,7 +93,7 @@
 
 	async #askAll(): Promise<ReadonlyMap<InstanceId, ControlPosition>> {
 		const positions = new Map<InstanceId, ControlPosition>();
-		await this.#callAll(this.parts.instances, async id => {
+		await this.#callAll(this.parts.instances(), async id => {
 			positions.set(id, await this.parts.peers.get(id).call(CONTROL_POSITION, {}, askMs));
 		});
 		return positions;
--- a/packages/daemon/src/control/replica-task.ts
+++ b/packages/daemon/src/control/replica-task.ts
@@ -52,6 +52,8 @@
 	readonly applied: AppliedLog;
 	readonly clock: Clock;
 	readonly random: RandomSource;
+	/** Voters wanted; unbounded when undefined. */
+	readonly voters?: number | undefined;
 	/** Called when the storage failed and the replica stopped for good. */
 	readonly onFailure: (error: Error) => void;
 };
@@ -195,10 +197,10 @@
 	}
 
 	#createReplica(): ConsensusReplica {
-		const {storage, random, clock} = this.parts;
+		const {storage, random, clock, voters} = this.parts;
 		const {hard, snapshot, entries} = storage.recovered;
 		return new ConsensusReplica({
-			self: this.id, timings: consensusTimings, random, isPinned: ({kind}) => kind === 'catalogue.propose',
+			self: this.id, timings: consensusTimings, voters, random, isPinned: ({kind}) => kind === 'catalogue.propose' || kind === 'routing.replace',
 		}, {hard, snapshot, entries: [...entries]}, clock.now());
 	}
 
--- a/packages/daemon/src/control/replicated-control-log.ts
+++ b/packages/daemon/src/control/replicated-control-log.ts
@@ -55,6 +55,14 @@
 	readonly peers: Peers;
 	readonly clock: Clock;
 	readonly random: RandomSource;
+	/** The instances that begin the log together; the listed replicas when undefined, none where it surely exists. */
+	readonly founders?: readonly InstanceId[];
+	/** Further instances that may hold replicas, found at run time. */
+	readonly discovered?: () => readonly InstanceId[];
+	/** Voters wanted; unbounded when undefined. */
+	readonly voters?: number;
+	/** Opens a failed storage again this often, in milliseconds; never when undefined. */
+	readonly reopenMs?: number;
 };
 
 /**
@@ -67,19 +75,26 @@
 export class ReplicatedControlLog implements ControlLog {
 	readonly #applied = new AppliedLog();
 	readonly #learner: LearnerTask;
-	readonly #replicas: readonly InstanceId[];
+	readonly #listed: readonly InstanceId[];
 	#task: ReplicaTask | undefined;
 	#joiner: ReplicaJoiner | undefined;
 	#failure: string | undefined;
 	#isFollowing = false;
 	#leaderHint: InstanceId | undefined;
+	#reopening: NodeJS.Timeout | undefined;
 
 	constructor(private readonly parts: ControlLogParts) {
 		const {self, instances, peers} = parts;
-		this.#replicas = instances.filter(({replica}) => replica).map(({id}) => id);
+		this.#listed = instances.filter(({replica}) => replica).map(({id}) => id);
 		const distance = ({dataCentre, replica}: InstanceEntry): number => (dataCentre === self.dataCentre ? 0 : 1) + (replica ? 0 : 2);
 		const sources = instances.filter(({id}) => id !== self.id).toSorted((a, b) => distance(a) - distance(b)).map(({id}) => id);
-		this.#learner = new LearnerTask(sources.filter(id => this.#replicas.includes(id)), peers, this.#applied);
+		this.#learner = new LearnerTask(sources.filter(id => this.#listed.includes(id)), peers, this.#applied);
+	}
+
+	/** The instances that hold replicas, as far as is known. */
+	get replicas(): readonly InstanceId[] {
+		const {voters = [], learners = []} = this.#task?.view.membership ?? {};
+		return [...new Set([...this.#listed, ...[...voters, ...learners].map(id => instanceOf(id)), ...this.parts.discovered?.() ?? []])];
 	}
 
 	get state(): ControlState {
@@ -132,6 +147,7 @@
 	/** Hands over the lead and stops. */
 	async stop(): Promise<void> {
 		this.#learner.stop();
+		clearTimeout(this.#reopening);
 		this.#joiner?.stop();
 		if (this.#task?.view.role === 'leader') {
 			this.#task.step({kind: 'transfer'});
@@ -172,7 +188,7 @@
 	}
 
 	async #startReplica(folder: string | undefined): Promise<void> {
-		const {self, instances, peers, clock, random} = this.parts;
+		const {self, peers, clock, random, voters} = this.parts;
 		if (folder === undefined) {
 			this.#onFailure(new Error('the settings name no storage folder'));
 			return;
@@ -181,10 +197,11 @@
 		try {
 			const storage = await ReplicaStorage.open(nodeFileSystem, folder, self.id);
 			this.#task = new ReplicaTask({
-				self: self.id, storage, peers, applied: this.#applied, clock, random, onFailure: error => {
+				self: self.id, storage, peers, applied: this.#applied, clock, random, voters, onFailure: error => {
 					this.#onFailure(error);
 				},
 			});
+			this.#failure = undefined;
 		} catch (error) {
 			this.#onFailure(error as Error);
 			return;
@@ -192,7 +209,7 @@
 
 		this.#task.start();
 		this.#joiner = new ReplicaJoiner({
-			self: self.id, replicas: this.#replicas, instances: instances.map(({id}) => id), peers, task: this.#task,
+			self: self.id, founders: this.parts.founders ?? this.#listed, replicas: () => this.replicas, instances: () => this.#instances(), peers, task: this.#task,
 		});
 		void this.#joiner.run();
 	}
@@ -203,7 +220,18 @@
 		this.#failure = error.message;
 		this.#joiner?.stop();
 		this.#task = undefined;
-		this.#follow();
+		if (this.parts.reopenMs === undefined) {
+			this.#follow();
+			return;
+		}
+
+		this.#reopening = setTimeout(() => {
+			void this.#startReplica(this.parts.folder);
+		}, this.parts.reopenMs);
+	}
+
+	#instances(): readonly InstanceId[] {
+		return [...new Set([...this.parts.instances.map(({id}) => id), ...this.replicas])];
 	}
 
 	#follow(): void {
@@ -307,7 +335,7 @@
 	#likelyLeader(turn: number): InstanceId | undefined {
 		const isGuess = turn % 2 === 1;
 		const known = this.#leaderHint ?? this.position.leader;
-		return !isGuess && known !== undefined ? known : this.#replicas[Math.floor(turn / 2) % this.#replicas.length];
+		return !isGuess && known !== undefined ? known : this.replicas[Math.floor(turn / 2) % this.replicas.length];
 	}
 
 	/** Learns what a majority holds, or else the newest of what those that answer hold. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -115,7 +115,15 @@
 		},
 	});
 	const host: PoolHost = new PoolHost({
-		self, clock, shares, createPolicy: targets => new ForecastPolicy(targets), clients, canceller,
+		self, clock, shares, createPolicy: targets => new ForecastPolicy(targets), engines: {
+			async report(engine) {
+				const report = await clients.get(engine.id, engine.address).report();
+				return report.ok ? report.val : undefined;
+			},
+			async cancel(engine, hold) {
+				await canceller.cancel(engine.id, engine.address, hold);
+			},
+		},
 	});
 	const stops: StopDriver = new StopDriver({
 		self: {id: self, dataCentre},
--- /dev/null
+++ b/packages/daemon/src/gateway/caller-port.ts
@@ -0,0 +1,316 @@
+/** The callers' port: reads calls whole, finds their route, and writes the answers. */
+import {Buffer} from 'node:buffer';
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {
+	after, errorAnswers, pickTarget, RouteIndex, routerError, toErrorBody,
+} from '@baobabpier/core';
+import type {
+	Clock, ErrorAnswer, ErrorKind, RandomSource, RouterError, RoutingTable,
+} from '@baobabpier/core';
+import {splitAddress} from '../listen.js';
+import {createLog} from '../log.js';
+import {CallScope} from './call-scope.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
+import type {PlainRoute} from './plain-route.js';
+import {passedHeaders} from './raw-headers.js';
+import type {Reply} from './reply.js';
+import type {StreamOutput, StreamRoute} from './stream-route.js';
+import type {AnswerHead, Call, CallerDialect} from './types.js';
+
+const log = createLog('callers');
+/** Bytes of bodies held at a time; a quarter of the smallest instance's memory. */
+const maxBufferedBytes = 40 * 1024 * 1024;
+/** Bytes of a stream that wait for a slow caller; beyond them the stream is broken off. */
+const maxUnreadBytes = 1024 * 1024;
+const connectionCheckMs = 500;
+/** Used until the first routing configuration. */
+const firstLimits = {headerBytes: 16 * 1024, bodyBytes: 4 * 1024 * 1024, headersTimeoutMs: 3000, idleTimeoutMs: 15_000};
+/** Backlog of connections that wait to be accepted. */
+const backlog = 1024;
+
+/** What the callers' port works with. */
+export type CallerPortParts = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly dialect: CallerDialect;
+	readonly plain: PlainRoute;
+	readonly streams: StreamRoute;
+	readonly metrics: GatewayMetrics;
+	readonly table: () => RoutingTable | undefined;
+};
+
+/** Serves callers. */
+export class CallerPort {
+	readonly #server: Server;
+	readonly #open = new Set<CallScope>();
+	#index: {readonly table: RoutingTable; readonly routes: RouteIndex} | undefined;
+	#bufferedBytes = 0;
+	#isClosing = false;
+
+	constructor(private readonly parts: CallerPortParts) {
+		this.#server = createServer({
+			maxHeaderSize: firstLimits.headerBytes, headersTimeout: firstLimits.headersTimeoutMs, requestTimeout: 0, keepAliveTimeout: firstLimits.idleTimeoutMs, connectionsCheckingInterval: connectionCheckMs, noDelay: true,
+		}, (req, res) => {
+			void this.#take(req, res);
+		});
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+			this.#refuseMalformed(error, socket);
+		});
+	}
+
+	/** Calls in progress. */
+	get inProgress(): number {
+		return this.#open.size;
+	}
+
+	async listen(address: string): Promise<void> {
+		const {host, port} = splitAddress(address);
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen({port, host, backlog}, () => {
+				this.#server.off('error', reject);
+				resolve();
+			});
+		});
+	}
+
+	/** Takes a routing table into force for the calls that follow. */
+	apply(table: RoutingTable): void {
+		this.#index = {table, routes: new RouteIndex(table.routes)};
+		this.#server.keepAliveTimeout = table.limits.idleTimeoutMs;
+		this.#server.headersTimeout = table.limits.headersTimeoutMs;
+	}
+
+	/** Asks callers to use other instances: each answer closes its connection. */
+	startClosing(): void {
+		this.#isClosing = true;
+		this.#server.closeIdleConnections();
+	}
+
+	/** Takes no more connections; those without a call in progress are closed. */
+	stopAccepting(): void {
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	/** Ends the calls in progress, and closes. */
+	destroy(): void {
+		for (const scope of this.#open) {
+			scope.end('stopping');
+		}
+
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #take(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const arrivedAt = this.parts.clock.now();
+		try {
+			const body = await this.#readBody(req);
+			if (body === 'gone') {
+				return;
+			}
+
+			await ('kind' in body ? this.#refuse(req, res, body) : this.#route(req, res, body, arrivedAt));
+		} catch (error) {
+			log('A call failed within the instance.', {error: (error as Error).stack ?? String(error)});
+			this.#refuse(req, res, routerError('internal'));
+		}
+	}
+
+	/** Reads a body whole within the limits. */
+	async #readBody(req: IncomingMessage): Promise<Buffer | RouterError | 'gone'> {
+		const bodyBytes = this.#index?.table.limits.bodyBytes ?? firstLimits.bodyBytes;
+		const chunks: Buffer[] = [];
+		let bytes = 0;
+		try {
+			for await (const chunk of req as AsyncIterable<Buffer>) {
+				bytes += chunk.length;
+				this.#bufferedBytes += chunk.length;
+				if (bytes > bodyBytes) {
+					return routerError('bodyTooLarge', `over ${bodyBytes} bytes`);
+				}
+
+				if (this.#bufferedBytes > maxBufferedBytes) {
+					return routerError('overloaded', 'too many bodies are being read');
+				}
+
+				chunks.push(chunk);
+			}
+		} catch (error) {
+			log('A caller left before its call was read.', {detail: (error as Error).message, bytes});
+			return 'gone';
+		} finally {
+			this.#bufferedBytes -= bytes;
+		}
+
+		return Buffer.concat(chunks);
+	}
+
+	async #route(req: IncomingMessage, res: ServerResponse, body: Buffer, arrivedAt: ReturnType<Clock['now']>): Promise<void> {
+		const target = req.url ?? '/';
+		const path = target.split('?', 1)[0]!;
+		const index = this.#index;
+		if (index === undefined) {
+			this.#refuse(req, res, routerError('shuttingDown', 'no configuration is in force yet'));
+			return;
+		}
+
+		const route = index.routes.find(req.headers.host ?? '', path);
+		const service = route === undefined ? undefined : pickTarget(route, this.parts.random.next());
+		if (route === undefined || service === undefined) {
+			log('A call has no route.', {requestId: this.#idOf(req), host: req.headers.host, version: index.table.version});
+			this.#refuse(req, res, routerError('unknownService', `no route for ${req.headers.host ?? ''}${path}`));
+			return;
+		}
+
+		const facts = this.parts.dialect.readFacts(req.headers);
+		if (facts.err) {
+			this.#refuse(req, res, facts.val);
+			return;
+		}
+
+		const waitMs = Math.min(route.timeoutMs, facts.val.patienceMs ?? route.timeoutMs);
+		const call: Call = {
+			...facts.val, method: req.method ?? 'GET', target, rawHeaders: req.rawHeaders, body, route, arrivedAt, deadlineAt: after(arrivedAt, waitMs),
+		};
+		await this.#serve(call, service, req, res);
+	}
+
+	async #serve(call: Call, service: Parameters<PlainRoute['serve']>[1], req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const {clock, plain, streams, metrics} = this.parts;
+		const scope = new CallScope(clock, call.deadlineAt);
+		this.#open.add(scope);
+		res.once('close', () => {
+			if (!res.writableFinished) {
+				scope.end('callerGone');
+			}
+		});
+		try {
+			const reply = call.route.kind === 'stream' ? await streams.serve(call, service, scope, this.#output(call, req, res, scope)) : await plain.serve(call, service, scope);
+			this.#write(call, req, res, reply, scope);
+			const outcome = this.#outcomeOf(reply, res, scope);
+			log('A call ended.', {
+				requestId: call.requestId, route: call.route.name, service, outcome, status: res.statusCode, ms: Math.round(clock.now() - call.arrivedAt), ended: scope.reason,
+			});
+			metrics.observeCall(call.route.kind, outcome, clock.now() - call.arrivedAt);
+		} finally {
+			scope.close();
+			this.#open.delete(scope);
+		}
+	}
+
+	#outcomeOf(reply: Reply, res: ServerResponse, scope: CallScope): string {
+		if (scope.reason === 'callerGone') {
+			return 'callerGone';
+		}
+
+		if (reply.kind === 'error') {
+			return reply.error.kind;
+		}
+
+		return reply.kind === 'relay' || res.writableEnded ? 'answered' : 'brokenOff';
+	}
+
+	#write(call: Call, req: IncomingMessage, res: ServerResponse, reply: Reply, scope: CallScope): void {
+		if (reply.kind === 'streamed' || scope.reason === 'callerGone') {
+			return;
+		}
+
+		if (reply.kind === 'error') {
+			this.#refuse(req, res, reply.error, call.requestId);
+			return;
+		}
+
+		const {head, body} = reply;
+		const headers = passedHeaders(head.rawHeaders, new Set(['content-length']));
+		const isBodiless = call.method === 'HEAD' || head.status === 204 || head.status === 304;
+		this.#markClosing(res);
+		res.writeHead(head.status, isBodiless ? headers : [...headers, 'content-length', String(body.length)]);
+		res.end(isBodiless ? undefined : body);
+	}
+
+	#output(call: Call, _req: IncomingMessage, res: ServerResponse, scope: CallScope): StreamOutput {
+		const markClosing = (): void => {
+			this.#markClosing(res);
+		};
+
+		return {
+			get isBegun() {
+				return res.headersSent;
+			},
+			begin(head: AnswerHead) {
+				markClosing();
+				res.writeHead(head.status, passedHeaders(head.rawHeaders, new Set(['content-length'])));
+			},
+			write(bytes: Buffer) {
+				res.write(bytes);
+				if (res.writableLength > maxUnreadBytes) {
+					log('A caller does not read its stream.', {requestId: call.requestId, unreadBytes: res.writableLength});
+					scope.end('callerGone');
+					res.destroy();
+				}
+			},
+			end() {
+				res.end();
+			},
+			breakOff() {
+				res.destroy();
+			},
+		};
+	}
+
+	#markClosing(res: ServerResponse): void {
+		if (this.#isClosing && !res.headersSent) {
+			res.setHeader('connection', 'close');
+			res.shouldKeepAlive = false;
+		}
+	}
+
+	#idOf(req: IncomingMessage): string | undefined {
+		const facts = this.parts.dialect.readFacts(req.headers);
+		return facts.ok ? facts.val.requestId : undefined;
+	}
+
+	#refuse(req: IncomingMessage, res: ServerResponse, error: RouterError, requestId = this.#idOf(req)): void {
+		if (res.headersSent || res.destroyed) {
+			res.destroy();
+			return;
+		}
+
+		const answer: ErrorAnswer = errorAnswers[error.kind];
+		const text = JSON.stringify(toErrorBody(error));
+		this.#markClosing(res);
+		if (!req.complete) {
+			res.setHeader('connection', 'close');
+		}
+
+		res.writeHead(answer.status, {
+			'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...this.parts.dialect.errorHeaders(requestId, error.retryAfterMs ?? answer.retryAfterMs),
+		});
+		res.end(text);
+		if (!req.complete) {
+			req.resume();
+		}
+
+		log('A call is refused.', {requestId, kind: error.kind, status: answer.status, retryAfterMs: error.retryAfterMs, detail: error.detail});
+		this.parts.metrics.countRefusal(error.kind);
+	}
+
+	#refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (!socket.writable || error.code === 'ECONNRESET') {
+			socket.destroy();
+			return;
+		}
+
+		const kinds: Readonly<Record<string, ErrorKind>> = {
+			HPE_HEADER_OVERFLOW: 'headersTooLarge', // eslint-disable-line @typescript-eslint/naming-convention
+			ERR_HTTP_REQUEST_TIMEOUT: 'requestTimeout', // eslint-disable-line @typescript-eslint/naming-convention
+		};
+		const kind = kinds[error.code ?? ''] ?? 'malformedRequest';
+		log('What a connection sent is no call.', {kind, detail: error.message});
+		socket.end(`HTTP/1.1 ${errorAnswers[kind].status} ${kind}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/event-splitter.ts
@@ -0,0 +1,46 @@
+/** Splits a stream of server-sent events into whole events, so that a stream can go on elsewhere after any of them. */
+import {Buffer} from 'node:buffer';
+
+/** One whole event as its server sent it. */
+export type StreamEvent = {
+	/** Undefined for a comment or an event without an id. */
+	readonly id: string | undefined;
+	/** With the blank line that ends it. */
+	readonly bytes: Buffer;
+};
+
+const eventEnd = Buffer.from('\n\n');
+
+const idOf = (bytes: Buffer): string | undefined => /^id: ?(?<id>.*)$/mv.exec(bytes.toString('latin1'))?.groups?.id;
+
+/**
+ * Takes chunks and gives back the events that are complete.
+ *
+ * @see WHATWG HTML, section 9.2, "Server-sent events".
+ * @example
+ * const splitter = new EventSplitter();
+ * splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2')); // One event, with id '1'
+ * splitter.rest; // 5 bytes of the next
+ */
+export class EventSplitter {
+	#buffer: Buffer = Buffer.alloc(0);
+
+	/** Bytes of an event that is not complete. */
+	get rest(): number {
+		return this.#buffer.length;
+	}
+
+	push(chunk: Buffer): readonly StreamEvent[] {
+		this.#buffer = this.#buffer.length === 0 ? chunk : Buffer.concat([this.#buffer, chunk]);
+		const events: StreamEvent[] = [];
+		let end = this.#buffer.indexOf(eventEnd);
+		while (end !== -1) {
+			const bytes = this.#buffer.subarray(0, end + eventEnd.length);
+			events.push({id: idOf(bytes), bytes});
+			this.#buffer = this.#buffer.subarray(end + eventEnd.length);
+			end = this.#buffer.indexOf(eventEnd);
+		}
+
+		return events;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -0,0 +1,74 @@
+/** Counters and latency histograms of a process, served as text for scrapers. */
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import {splitAddress} from '../listen.js';
+import {createLog} from '../log.js';
+
+const log = createLog('metrics');
+const secondBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 5, 15];
+
+/** What entry instances count. */
+export class GatewayMetrics {
+	readonly registry = new Registry();
+	readonly #calls = new Counter({
+		name: 'baobabpier_calls_total', help: 'Calls of callers by kind of route and outcome', labelNames: ['kind', 'outcome'], registers: [this.registry],
+	});
+
+	readonly #seconds = new Histogram({
+		name: 'baobabpier_call_seconds', help: 'Time from a call\'s arrival to the end of its answer', labelNames: ['kind'], buckets: secondBuckets, registers: [this.registry],
+	});
+
+	readonly #refusals = new Counter({
+		name: 'baobabpier_refusals_total', help: 'Calls answered with an error of the closed table', labelNames: ['error'], registers: [this.registry],
+	});
+
+	/** Counts a call that ended. */
+	observeCall(kind: string, outcome: string, ms: number): void {
+		this.#calls.inc({kind, outcome});
+		this.#seconds.observe({kind}, ms / 1000);
+	}
+
+	countRefusal(error: string): void {
+		this.#refusals.inc({error});
+	}
+
+	/** Shows a value that is read when scraped. */
+	registerGauge(name: string, help: string, read: () => number): void {
+		this.registry.registerMetric(new Gauge({
+			name: `baobabpier_${name}`,
+			help,
+			registers: [],
+			collect() {
+				this.set(read());
+			},
+		}));
+	}
+}
+
+/**
+ * Serves a registry at `/metrics`.
+ *
+ * @example
+ * const server = await serveMetrics(metrics.registry, '127.0.0.1:9464');
+ */
+export const serveMetrics = async (registry: Registry, address: string): Promise<Server> => {
+	const server = createServer((_req, res) => {
+		registry.metrics().then(text => {
+			res.writeHead(200, {'content-type': registry.contentType});
+			res.end(text);
+		}, (error: unknown) => {
+			log('Metrics could not be collected.', {error: (error as Error).message});
+			res.writeHead(500).end();
+		});
+	});
+	const {host, port} = splitAddress(address);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+	return server;
+};
+
--- /dev/null
+++ b/packages/daemon/src/gateway/places.ts
@@ -0,0 +1,202 @@
+/** Places on engines for streams: from the pool's owner, or by own knowledge while the owner does not answer. */
+import {
+	countPieces, POOL_RENEW, routerError, toId,
+} from '@baobabpier/core';
+import type {
+	AttemptNumber, Clock, EngineAddress, EngineId, InstanceId, ModelService, PlaceAnswer, PlaceParams, RouterError, ServiceName,
+} from '@baobabpier/core';
+import {createLog} from '../log.js';
+import type {PlaceClient, PoolAddress} from '../pools/place-client.js';
+import type {PoolHost} from '../pools/pool-host.js';
+import type {Peers} from '../rpc/peers.js';
+import type {CallScope} from './call-scope.js';
+import {pieceTokens, poolDataCentre} from './model-services.js';
+import type {Call} from './types.js';
+
+const log = createLog('places');
+/** An owner that has not answered for this long is asked whether it is there, in milliseconds. */
+const patienceMs = 150;
+/** How long the owner may take to say that it is there, in milliseconds. */
+const pingMs = 250;
+/** An owner that was silent is not asked for this long, in milliseconds. */
+const downMs = 1000;
+/** Part of the remaining time that a request may wait for a place. */
+const waitPart = 0.4;
+/** Longest wait for a place, in milliseconds. */
+const maxWaitMs = 4000;
+
+/** A place on engines that is held until it is released. */
+export type Place = {
+	readonly decode: EngineAddress;
+	readonly prefill: EngineAddress;
+	/** Tells that the prefill's engine has room for the next one. */
+	prefillDone(): void;
+	/** Tells that the memory has reached the decode engine. */
+	transferDone(): void;
+	release(): void;
+};
+
+/** Whether there is a place. */
+export type PlaceOutcome =
+	| {readonly kind: 'placed'; readonly place: Place}
+	| {readonly kind: 'refused'; readonly error: RouterError};
+
+/** What the places work with. */
+export type PlacesParts = {
+	readonly self: InstanceId;
+	readonly clock: Clock;
+	readonly peers: Peers;
+	/** Asks the pool's owner. */
+	readonly client: PlaceClient;
+	/** Decides by what this instance knows alone. */
+	readonly alone: PoolHost;
+	readonly owner: () => InstanceId | undefined;
+	readonly modelService: (name: ServiceName) => ModelService | undefined;
+	readonly usableEngines: (service: ServiceName) => ReadonlySet<EngineId>;
+};
+
+type Wish = Omit<PlaceParams, 'dataCentre' | 'holder' | 'service'>;
+
+/** Asks for places on behalf of streams. */
+export class Places {
+	readonly #asking = new Map<AbortController, number>();
+	readonly #timer: NodeJS.Timeout;
+	#downUntil = 0;
+	#isPinging = false;
+
+	constructor(private readonly parts: PlacesParts) {
+		this.#timer = setInterval(() => {
+			void this.#watchOwner();
+		}, patienceMs);
+	}
+
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	/** Waits for a place; `attempt` counts the places that this call asked for. */
+	async place(call: Call, name: ServiceName, attempt: number, excluded: readonly EngineId[], scope: CallScope): Promise<PlaceOutcome> {
+		const service = this.parts.modelService(name);
+		if (service === undefined) {
+			return {kind: 'refused', error: routerError('noBackend', `no engine of ${name} is listed`)};
+		}
+
+		const wish = this.#wish(call, attempt, excluded, scope);
+		const isDown = this.parts.owner() === undefined || this.parts.clock.now() < this.#downUntil;
+		const asked = isDown ? undefined : await this.#askOwner(service, wish, scope);
+		return asked ?? this.#placeAlone(service, wish, scope);
+	}
+
+	#wish(call: Call, attempt: number, excluded: readonly EngineId[], scope: CallScope): Wish {
+		const {clock} = this.parts;
+		const dueMs = call.arrivedAt + call.route.targetMs - clock.now();
+		return {
+			requestId: call.requestId,
+			attempt: toId<AttemptNumber>(attempt),
+			class: call.route.rank === 0 ? 'urgent' : 'patient',
+			promptTokens: call.promptTokens,
+			maxTokens: call.maxTokens,
+			pieces: countPieces(call.promptTokens + call.maxTokens, pieceTokens),
+			prefix: '',
+			waitMs: Math.min(scope.remainingMs() * waitPart, maxWaitMs),
+			firstOutputMs: Math.max(0, dueMs),
+			excluded,
+		};
+	}
+
+	/** Undefined when the owner does not answer, or has no engine that would do. */
+	async #askOwner(service: ModelService, wish: Wish, scope: CallScope): Promise<PlaceOutcome | undefined> {
+		const abort = new AbortController();
+		const end = (): void => {
+			abort.abort();
+		};
+
+		scope.signal.addEventListener('abort', end, {once: true});
+		this.#asking.set(abort, this.parts.clock.now());
+		const {answer, pool} = await this.parts.client.place(service, wish, abort.signal);
+		this.#asking.delete(abort);
+		scope.signal.removeEventListener('abort', end);
+		if (answer.kind === 'placed') {
+			return {kind: 'placed', place: this.#ownedPlace(answer, pool!, wish)};
+		}
+
+		return answer.error.kind === 'noBackend' && scope.reason === undefined ? undefined : {kind: 'refused', error: answer.error};
+	}
+
+	#ownedPlace({placement}: Extract<PlaceAnswer, {kind: 'placed'}>, pool: PoolAddress, {requestId, attempt}: Wish): Place {
+		const {client} = this.parts;
+		const hold = {requestId, attempt};
+		return {
+			decode: placement.decode,
+			prefill: placement.prefill,
+			prefillDone() {
+				void client.prefillDone(pool, hold);
+			},
+			transferDone() {
+				void client.transferDone(pool, hold);
+			},
+			release() {
+				void client.release(pool, hold);
+			},
+		};
+	}
+
+	async #placeAlone(service: ModelService, wish: Wish, scope: CallScope): Promise<PlaceOutcome> {
+		const {alone, self} = this.parts;
+		const pool = {service: service.name, dataCentre: poolDataCentre};
+		const usable = this.parts.usableEngines(service.name);
+		const excluded = [...wish.excluded, ...service.engines.map(({id}) => id).filter(id => !usable.has(id))];
+		const answer = await alone.place({
+			...wish, ...pool, excluded, holder: self,
+		}, scope.signal);
+		log('A place was sought without the pool\'s owner.', {requestId: wish.requestId, outcome: answer.kind});
+		if (answer.kind === 'refused') {
+			return answer;
+		}
+
+		const {placement} = answer;
+		const hold = {requestId: wish.requestId, attempt: wish.attempt};
+		return {
+			kind: 'placed',
+			place: {
+				decode: placement.decode,
+				prefill: placement.prefill,
+				prefillDone() {
+					alone.note(pool, {kind: 'prefillDone', hold});
+				},
+				transferDone() {
+					alone.note(pool, {kind: 'transferDone', hold});
+				},
+				release() {
+					alone.note(pool, {kind: 'release', hold});
+				},
+			},
+		};
+	}
+
+	/** Gives up the wishes at an owner that went silent. */
+	async #watchOwner(): Promise<void> {
+		const {clock, peers} = this.parts;
+		const owner = this.parts.owner();
+		const oldest = Math.min(...this.#asking.values());
+		if (this.#isPinging || owner === undefined || clock.now() - oldest < patienceMs) {
+			return;
+		}
+
+		this.#isPinging = true;
+		try {
+			// A renewal of no place only asks whether the owner is there
+			await peers.get(owner).call(POOL_RENEW, {
+				service: toId<ServiceName>(''), dataCentre: poolDataCentre, holder: this.parts.self, places: [],
+			}, pingMs);
+		} catch (error) {
+			this.#downUntil = clock.now() + downMs;
+			log('The pool\'s owner does not answer.', {owner, detail: (error as Error).message, waiting: this.#asking.size});
+			for (const abort of this.#asking.keys()) {
+				abort.abort();
+			}
+		} finally {
+			this.#isPinging = false;
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -0,0 +1,355 @@
+/** Serves streams of model services: a place, a prefill, the memory's move, the events, and going on elsewhere. */
+import {Buffer} from 'node:buffer';
+import {routerError, toId} from '@baobabpier/core';
+import type {
+	Clock, EngineAddress, EngineId, ListedServer, BackendId, RouterError, ServiceName,
+} from '@baobabpier/core';
+import {createLog} from '../log.js';
+import type {CallScope} from './call-scope.js';
+import {EventSplitter} from './event-splitter.js';
+import type {FleetView} from './fleet-view.js';
+import type {Place, Places} from './places.js';
+import {findFault} from './plain-route.js';
+import {errorReply} from './reply.js';
+import type {Reply} from './reply.js';
+import type {SecondTries} from './second-tries.js';
+import type {OpenAnswer, SendFault, ServerTransport} from './server-transport.js';
+import type {
+	AnswerHead, Call, KvSource, SendPurpose, ServerDialect,
+} from './types.js';
+
+const log = createLog('stream');
+/** Rounds of place, prefill and decode for one call at most. */
+const maxRounds = 4;
+/** Longest time for a prefill that has its engine's turn, in milliseconds: several of the longest prompts. */
+const prefillMs = 1500;
+/** Longest time to a resumable stream's first event, in milliseconds. */
+const firstEventMs = 2000;
+/** Silence after which a resumable stream goes on elsewhere, in milliseconds: several pauses that still count as steady. */
+const silentMs = 1200;
+/** Longest time to free a prefill's result, in milliseconds. */
+const freeMs = 1000;
+/** Time to come back after an engine rejected a placed request, in milliseconds: about one prefill. */
+const rejectedComeBackMs = 200;
+
+/** Where the events of a stream go. */
+export type StreamOutput = {
+	/** Whether the head went out. */
+	readonly isBegun: boolean;
+	/** Sends the head of the answer. */
+	begin(head: AnswerHead): void;
+	write(bytes: Buffer): void;
+	/** Ends a complete stream. */
+	end(): void;
+	/** Ends a stream so that it does not look complete. */
+	breakOff(): void;
+};
+
+/** What a stream route works with. */
+export type StreamRouteParts = {
+	readonly fleet: FleetView;
+	readonly transport: ServerTransport;
+	readonly dialect: ServerDialect;
+	readonly tries: SecondTries;
+	readonly places: Places;
+	readonly clock: Clock;
+};
+
+type DecodeOutcome =
+	| {readonly kind: 'complete'}
+	| {readonly kind: 'relay'; readonly head: AnswerHead; readonly body: Buffer}
+	| {readonly kind: 'notRun'}
+	| SendFault;
+
+/** What is known of one stream on its way. */
+type Progress = {
+	readonly call: Call;
+	readonly service: ServiceName;
+	readonly scope: CallScope;
+	readonly out: StreamOutput;
+	readonly excluded: Set<EngineId>;
+	/** Sends that may have run. */
+	sent: number;
+	/** Prefills that were sent. */
+	prefills: number;
+	lastEventId: string | undefined;
+};
+
+/** Serves one stream after the other; each call of `serve` is independent. */
+export class StreamRoute {
+	constructor(private readonly parts: StreamRouteParts) {}
+
+	/** Serves a call; resolves once its answer is out or known. */
+	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
+		this.parts.tries.noteCall(service);
+		const progress: Progress = {
+			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined,
+		};
+		let reply: Reply = errorReply(routerError('noBackend', undefined, rejectedComeBackMs));
+		for (let round = 1; round <= maxRounds && scope.reason === undefined; round++) {
+			// eslint-disable-next-line no-await-in-loop
+			const result = await this.#round(progress, round);
+			if (result.isFinal) {
+				return result.reply;
+			}
+
+			reply = result.reply;
+		}
+
+		return this.#giveUp(progress, reply);
+	}
+
+	#giveUp({scope, out, sent}: Progress, reply: Reply): Reply {
+		if (out.isBegun) {
+			out.breakOff();
+			return {kind: 'streamed'};
+		}
+
+		if (scope.reason === 'deadline') {
+			return errorReply(sent > 0 ? routerError('timeout') : routerError('queueTimeout'));
+		}
+
+		return reply;
+	}
+
+	async #round(progress: Progress, round: number): Promise<{readonly isFinal: boolean; readonly reply: Reply}> {
+		const {call, service, scope, out} = progress;
+		if (out.isBegun) {
+			return this.#goOn(progress);
+		}
+
+		const asked = await this.parts.places.place(call, service, round, [...progress.excluded], scope);
+		if (asked.kind === 'refused') {
+			log('A stream got no place.', {requestId: call.requestId, round, kind: asked.error.kind, retryAfterMs: asked.error.retryAfterMs, leftMs: Math.round(scope.remainingMs())});
+			return asked.error.kind === 'noBackend' ? this.#withoutPrefill(progress, asked.error) : {isFinal: true, reply: errorReply(asked.error)};
+		}
+
+		const {place} = asked;
+		log('A stream got a place.', {
+			requestId: call.requestId, round, prefill: place.prefill.id, decode: place.decode.id, waitedMs: Math.round(this.parts.clock.now() - call.arrivedAt),
+		});
+		try {
+			return await this.#usePlace(progress, place);
+		} finally {
+			place.release();
+		}
+	}
+
+	async #usePlace(progress: Progress, place: Place): Promise<{readonly isFinal: boolean; readonly reply: Reply}> {
+		const {scope} = progress;
+		if (scope.reason !== undefined) {
+			return {isFinal: true, reply: this.#giveUp(progress, {kind: 'streamed'})};
+		}
+
+		const source = await this.#prefill(progress, place);
+		if ('error' in source) {
+			progress.excluded.add(place.prefill.id);
+			return {isFinal: false, reply: errorReply(source.error)};
+		}
+
+		const decode = this.#listed(place.decode);
+		const outcome = decode === undefined || scope.reason !== undefined
+			? {kind: 'unsent' as const, detail: 'the engine is no longer listed'}
+			: await this.#run(progress, decode, {kind: 'decode', source}, () => {
+				place.transferDone();
+			});
+		if (outcome.kind === 'unsent' || outcome.kind === 'notRun') {
+			void this.#free(source);
+		}
+
+		return this.#conclude(progress, place.decode.id, outcome);
+	}
+
+	/** Reads the prompt on the prefill engine. */
+	async #prefill(progress: Progress, place: Place): Promise<KvSource | {readonly error: RouterError}> {
+		const {call, service, scope} = progress;
+		const server = this.#listed(place.prefill);
+		if (server === undefined) {
+			return {error: routerError('noBackend', 'the prefill engine is no longer listed', rejectedComeBackMs)};
+		}
+
+		if (progress.prefills > 0 && !this.parts.tries.tryTake(service)) {
+			return {error: routerError('overloaded', 'no second try is left', rejectedComeBackMs)};
+		}
+
+		const {transport, dialect, fleet} = this.parts;
+		const limit = scope.limit(Math.min(prefillMs, scope.remainingMs()));
+		const end = fleet.begin(server.id);
+		const startedAt = this.parts.clock.now();
+		const answer = await transport.open({
+			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'prefill'}, scope.remainingMs()), body: call.body, signal: limit.signal,
+		});
+		progress.prefills += answer.kind === 'unsent' ? 0 : 1;
+		const body = answer.kind === 'head' ? await transport.readBody(answer) : answer;
+		limit.release();
+		place.prefillDone();
+		const handle = answer.kind === 'head' && answer.status === 200 && Buffer.isBuffer(body) ? dialect.readPrefill(body) : undefined;
+		end(handle === undefined ? (answer.kind === 'unsent' ? 'unreachable' : 'failed') : 'good');
+		log('A prompt was read.', {
+			requestId: call.requestId, engine: server.id, tokens: call.promptTokens, ms: Math.round(this.parts.clock.now() - startedAt), isRead: handle !== undefined,
+			status: answer.kind === 'head' ? answer.status : undefined, detail: 'detail' in answer ? answer.detail : undefined,
+		});
+		return handle === undefined ? {error: routerError('overloaded', 'the prompt could not be read', rejectedComeBackMs)} : {address: server.address, handle};
+	}
+
+	/** Sends the call to an engine that reads the prompt itself, where no prefill engine can be had. */
+	async #withoutPrefill(progress: Progress, error: RouterError): Promise<{readonly isFinal: boolean; readonly reply: Reply}> {
+		const server = this.#leastLoaded(progress);
+		if (server === undefined) {
+			return {isFinal: true, reply: errorReply({...error, retryAfterMs: error.retryAfterMs ?? rejectedComeBackMs})};
+		}
+
+		const outcome = await this.#run(progress, server, {kind: 'run'}, () => undefined);
+		return this.#conclude(progress, toId<EngineId>(server.id), outcome);
+	}
+
+	/** Goes on with a broken stream at another engine, after the last event that the caller has. */
+	async #goOn(progress: Progress): Promise<{readonly isFinal: boolean; readonly reply: Reply}> {
+		const server = this.#leastLoaded(progress);
+		if (server === undefined) {
+			return {isFinal: true, reply: this.#giveUp(progress, {kind: 'streamed'})};
+		}
+
+		const lastEventId = progress.lastEventId ?? progress.call.lastEventId;
+		const purpose: SendPurpose = lastEventId === undefined ? {kind: 'run'} : {kind: 'resume', lastEventId};
+		const outcome = await this.#run(progress, server, purpose, () => undefined);
+		return this.#conclude(progress, toId<EngineId>(server.id), outcome);
+	}
+
+	/** What follows from the outcome at one engine. */
+	#conclude(progress: Progress, engine: EngineId, outcome: DecodeOutcome): {readonly isFinal: boolean; readonly reply: Reply} {
+		const {call, service, scope} = progress;
+		progress.excluded.add(engine);
+		if (outcome.kind === 'complete') {
+			return {isFinal: true, reply: {kind: 'streamed'}};
+		}
+
+		if (outcome.kind === 'relay') {
+			return {isFinal: true, reply: outcome};
+		}
+
+		if (outcome.kind === 'unsent') {
+			return {isFinal: false, reply: errorReply(routerError('noBackend', outcome.detail, rejectedComeBackMs))};
+		}
+
+		const mayRun = outcome.kind === 'broken';
+		const mayRepeat = scope.reason === undefined && progress.sent < call.route.maxAttempts && (!mayRun || call.route.resumable) && this.parts.tries.tryTake(service);
+		const reply = errorReply(mayRun ? routerError(scope.reason === 'deadline' ? 'timeout' : 'answerLost', outcome.detail) : routerError('overloaded', 'the engine had no room', rejectedComeBackMs));
+		return mayRepeat ? {isFinal: false, reply} : {isFinal: true, reply: this.#giveUp(progress, reply)};
+	}
+
+	/** Sends the call to an engine and passes its events on. */
+	async #run(progress: Progress, server: ListedServer, purpose: SendPurpose, onHead: () => void): Promise<DecodeOutcome> {
+		const {call, scope} = progress;
+		const {transport, dialect, fleet, clock} = this.parts;
+		const limit = scope.limit(call.route.resumable ? Math.min(firstEventMs, scope.remainingMs()) : scope.remainingMs());
+		const end = fleet.begin(server.id);
+		const startedAt = clock.now();
+		const answer = await transport.open({
+			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal,
+		});
+		progress.sent += answer.kind === 'unsent' ? 0 : 1;
+		const outcome = answer.kind === 'head' ? await this.#pass(progress, answer, limit, onHead) : answer;
+		limit.release();
+		end(outcome.kind === 'complete' || outcome.kind === 'notRun' ? 'good' : (outcome.kind === 'unsent' ? 'unreachable' : (scope.reason === 'callerGone' ? 'none' : 'failed')));
+		log('A stream got an outcome at an engine.', {
+			requestId: call.requestId, engine: server.id, purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: answer.kind === 'head' ? answer.status : undefined,
+			detail: 'detail' in outcome ? outcome.detail : undefined, lastEventId: progress.lastEventId, ms: Math.round(clock.now() - startedAt), ended: scope.reason,
+		});
+		return outcome;
+	}
+
+	async #pass(progress: Progress, answer: OpenAnswer, limit: ReturnType<CallScope['limit']>, onHead: () => void): Promise<DecodeOutcome> {
+		const {call, out} = progress;
+		const head = this.parts.dialect.readHead(answer.status, answer.rawHeaders);
+		const fault = findFault(call, head);
+		if (fault !== undefined) {
+			answer.body.destroy();
+			return {kind: 'broken', detail: fault};
+		}
+
+		if (head.isNotRun) {
+			answer.body.resume();
+			return {kind: 'notRun'};
+		}
+
+		if (head.status !== 200) {
+			const body = await this.parts.transport.readBody(answer);
+			return 'kind' in body ? body : {kind: 'relay', head, body};
+		}
+
+		const splitter = new EventSplitter();
+		let isFirst = true;
+		try {
+			for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+				for (const event of splitter.push(chunk)) {
+					if (isFirst) {
+						isFirst = false;
+						onHead();
+					}
+
+					this.#passEvent(progress, head, event);
+				}
+
+				if (call.route.resumable) {
+					limit.extend(silentMs);
+				}
+			}
+		} catch (error) {
+			return {kind: 'broken', detail: limit.isOver() ? 'the engine is silent' : (error as Error).message};
+		}
+
+		if (splitter.rest > 0) {
+			return {kind: 'broken', detail: 'the stream ended within an event'};
+		}
+
+		if (!out.isBegun) {
+			out.begin(head);
+		}
+
+		out.end();
+		return {kind: 'complete'};
+	}
+
+	/** Passes an event on, unless the caller has it from an engine before. */
+	#passEvent(progress: Progress, head: AnswerHead, event: {readonly id: string | undefined; readonly bytes: Buffer}): void {
+		const {out} = progress;
+		if (progress.lastEventId !== undefined && event.id !== undefined && Number(event.id) <= Number(progress.lastEventId)) {
+			return;
+		}
+
+		if (!out.isBegun) {
+			out.begin(head);
+		}
+
+		progress.lastEventId = event.id ?? progress.lastEventId;
+		out.write(event.bytes);
+	}
+
+	#listed({id}: EngineAddress): ListedServer | undefined {
+		const server = this.parts.fleet.find(toId<BackendId>(id));
+		return server?.leaving === false ? server : undefined;
+	}
+
+	/** The decode engine with the fewest own requests. */
+	#leastLoaded({service, excluded}: Progress): ListedServer | undefined {
+		const {fleet} = this.parts;
+		const loads = fleet.loads(service).filter(({id}) => fleet.find(id)?.role === 'decode' && !excluded.has(toId<EngineId>(id)));
+		const [least] = loads.toSorted((a, b) => a.inFlight + a.failing - b.inFlight - b.failing);
+		return least === undefined ? undefined : fleet.find(least.id);
+	}
+
+	/** Frees a prefill's result that nobody will use. */
+	async #free({address, handle}: KvSource): Promise<void> {
+		const {transport, dialect} = this.parts;
+		const answer = await transport.open({
+			address, method: 'DELETE', target: dialect.freePath(handle), headers: [], body: undefined, signal: AbortSignal.timeout(freeMs),
+		});
+		if (answer.kind === 'head') {
+			answer.body.resume();
+			return;
+		}
+
+		log('A prefill\'s result could not be freed; it expires.', {address, detail: answer.detail});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/types.ts
@@ -0,0 +1,111 @@
+/** The vocabulary of the gateway: a caller's call, the answers to it, and what an adapter must translate. */
+import type {Buffer} from 'node:buffer';
+import type {
+	Instant, ListedServer, RequestId, Route, RouterError, RoutingFault, RoutingTable, Result,
+} from '@baobabpier/core';
+
+/** What a caller says of its call besides method, path and body. */
+export type CallFacts = {
+	readonly requestId: RequestId;
+	/** How long the caller waits, in milliseconds; undefined when it does not say. */
+	readonly patienceMs: number | undefined;
+	/** Tokens of the prompt; 0 for a plain call. */
+	readonly promptTokens: number;
+	/** Output tokens at most; 0 for a plain call. */
+	readonly maxTokens: number;
+	/** Id of the last event of the stream that the caller has; undefined at a stream's beginning. */
+	readonly lastEventId: string | undefined;
+};
+
+/** A caller's call, read whole. */
+export type Call = CallFacts & {
+	readonly method: string;
+	/** Path and query as the caller sent them. */
+	readonly target: string;
+	/** Header names and values in turn, as the caller sent them. */
+	readonly rawHeaders: readonly string[];
+	readonly body: Buffer;
+	readonly route: Route;
+	readonly arrivedAt: Instant;
+	/** When the caller or the route gives up. */
+	readonly deadlineAt: Instant;
+};
+
+/** What a call is sent to a server for. */
+export type SendPurpose =
+	| {readonly kind: 'run'}
+	/** Only the prompt is read. */
+	| {readonly kind: 'prefill'}
+	/** The stream goes on from memory that another engine holds. */
+	| {readonly kind: 'decode'; readonly source: KvSource}
+	/** A broken stream goes on after an event. */
+	| {readonly kind: 'resume'; readonly lastEventId: string};
+
+/** A prefill's result on its engine. */
+export type KvSource = {
+	readonly address: string;
+	readonly handle: string;
+};
+
+/** The head of a server's answer. */
+export type AnswerHead = {
+	readonly status: number;
+	/** Header names and values in turn. */
+	readonly rawHeaders: readonly string[];
+	/** The request that the answer belongs to, as the server says. */
+	readonly requestId: string | undefined;
+	/** Whether the server vouches for the answer. */
+	readonly isVouched: boolean;
+	/** Whether the server says that it did not and will not run the request. */
+	readonly isNotRun: boolean;
+	/** Whether the body is encoded, which callers did not ask for. */
+	readonly isEncoded: boolean;
+	/** Requests running and waiting at the server; undefined when it does not say. */
+	readonly load: number | undefined;
+};
+
+/** Translates the calls of callers. */
+export type CallerDialect = {
+	readFacts(headers: Readonly<Record<string, string | string[] | undefined>>): Result<CallFacts, RouterError>;
+	/** Headers of an error answer: the request's id and the time to come back. */
+	errorHeaders(requestId: string | undefined, retryAfterMs: number | undefined): Record<string, string>;
+};
+
+/** Translates calls to servers and their answers. */
+export type ServerDialect = {
+	/** Header names and values in turn for a call to a server that must end within `remainingMs`. */
+	sendHeaders(call: Call, server: ListedServer, purpose: SendPurpose, remainingMs: number): string[];
+	readHead(status: number, rawHeaders: readonly string[]): AnswerHead;
+	/** The handle of a prefill's result; undefined when the answer holds none. */
+	readPrefill(body: Buffer): string | undefined;
+	/** Path of the DELETE call that frees a prefill's result. */
+	freePath(handle: string): string;
+};
+
+/** One page of the platform's list. */
+export type ListPage = {
+	readonly servers: readonly ListedServer[];
+	/** Token of the next page; undefined on the last. */
+	readonly next: string | undefined;
+	/** Entries that could not be read. */
+	readonly unreadable: number;
+};
+
+/** Translates the platform's list. */
+export type ListDialect = {
+	pagePath(token: string | undefined): string;
+	readPage(body: Buffer): Result<ListPage, string>;
+};
+
+/** Translates routing configurations. */
+export type RoutingCodec = {
+	decode(text: string): Result<RoutingTable, readonly RoutingFault[]>;
+};
+
+/** Everything that an adapter translates for an entry instance. */
+export type GatewayDialect = {
+	readonly caller: CallerDialect;
+	readonly server: ServerDialect;
+	readonly list: ListDialect;
+	readonly routing: RoutingCodec;
+};
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -24,3 +24,14 @@
 export {ReplicatedControlLog} from './control/replicated-control-log.js';
 export {Peers} from './rpc/peers.js';
 export {HedgedTries} from './requests/hedged-tries.js';
+export {startControlNode} from './control-node/control-node.js';
+export type {ControlNode, ControlNodeDialect, ControlNodeSettings} from './control-node/control-node.js';
+export {startGateway} from './gateway/gateway.js';
+export type {Gateway, GatewaySettings} from './gateway/gateway.js';
+export {headerValue, passedHeaders} from './gateway/raw-headers.js';
+export type {
+	AnswerHead, Call, CallerDialect, CallFacts, GatewayDialect, KvSource, ListDialect, ListPage, RoutingCodec, SendPurpose, ServerDialect,
+} from './gateway/types.js';
+export {splitAddress} from './listen.js';
+export {createLog} from './log.js';
+export {startStructuredLog} from './structured-log.js';
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -23,6 +23,19 @@
 	.map(([key, value]) => `${key}=${quote(value)}`)
 	.join(' ');
 
+/** Takes log lines; must not block. */
+export type LogSink = (part: string, sentence: string, fields: LogFields) => void;
+
+let sink: LogSink | undefined;
+
+/** Sends the lines of all parts to a sink, in place of `debug`; returns the teardown. */
+export const registerLogSink = (next: LogSink): (() => void) => {
+	sink = next;
+	return () => {
+		sink = undefined;
+	};
+};
+
 /**
  * Creates the log of a part, written under `baobabpier:<part>`.
  *
@@ -33,6 +46,11 @@
 export const createLog = (part: string): Log => {
 	const debug = createDebug(`baobabpier:${part}`);
 	return (sentence, fields = {}) => {
+		if (sink !== undefined) {
+			sink(part, sentence, fields);
+			return;
+		}
+
 		debug('%s %s', sentence, formatFields(fields));
 	};
 };
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -10,6 +10,7 @@
 	EngineEntry,
 	EngineHold,
 	EngineId,
+	EngineReport,
 	FencingNumber,
 	InstanceId,
 	InstanceStatus,
@@ -20,11 +21,10 @@
 	PlacementPolicy,
 	PoolEffect,
 	PoolEvent,
+	PoolTimings,
 	ServiceName,
 	ShareMap,
 } from '@baobabpier/core';
-import type {EngineCanceller} from '../engine/engine-canceller.js';
-import type {EngineClients} from '../engine/engine-clients.js';
 import {createLog} from '../log.js';
 import type {RpcServer} from '../rpc/rpc-server.js';
 
@@ -60,8 +60,19 @@
 	readonly shares: ShareMap;
 	/** Makes the policy of one pool; the targets follow the catalogue in force. */
 	readonly createPolicy: (targets: LatencyTargets) => PlacementPolicy;
-	readonly clients: EngineClients;
-	readonly canceller: EngineCanceller;
+	readonly engines: PoolEngines;
+	/** Whether places may be given out, where an owner first lets holders of an earlier owner's places come forward. */
+	readonly mayGrant?: () => boolean;
+	/** Leases of the places; those of a deployment whose engines report their holds by default. */
+	readonly timings?: PoolTimings;
+};
+
+/** How a pool's owner reaches engines. */
+export type PoolEngines = {
+	/** An engine's account of its holds; undefined where engines give none or it did not come. */
+	report(engine: EngineEntry): Promise<EngineReport | undefined>;
+	/** Frees a hold; resolves once it is free. */
+	cancel(engine: EngineAddress, hold: EngineHold): Promise<void>;
 };
 
 /** The task that owns this instance's pools. */
@@ -74,12 +85,12 @@
 	constructor(private readonly parts: PoolHostParts) {}
 
 	/** Registers the pool methods and starts the timers. */
-	start(server: RpcServer): void {
-		server.registerMethod(POOL_PLACE, async (params, {signal}) => this.place(params, signal));
-		server.registerMethod(POOL_RELEASE, params => this.#feed(params.service, params.dataCentre, {kind: 'release', hold: params, betweenMs: params.betweenMs}));
-		server.registerMethod(POOL_PREFILL_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'prefillDone', hold: params}));
-		server.registerMethod(POOL_TRANSFER_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'transferDone', hold: params}));
-		server.registerMethod(POOL_RENEW, params => this.#feed(params.service, params.dataCentre, {kind: 'renew', holder: params.holder, places: params.places}));
+	start(server?: RpcServer): void {
+		server?.registerMethod(POOL_PLACE, async (params, {signal}) => this.place(params, signal));
+		server?.registerMethod(POOL_RELEASE, params => this.#feed(params.service, params.dataCentre, {kind: 'release', hold: params, betweenMs: params.betweenMs}));
+		server?.registerMethod(POOL_PREFILL_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'prefillDone', hold: params}));
+		server?.registerMethod(POOL_TRANSFER_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'transferDone', hold: params}));
+		server?.registerMethod(POOL_RENEW, params => this.#feed(params.service, params.dataCentre, {kind: 'renew', holder: params.holder, places: params.places}));
 		this.#timers.push(
 			setInterval(() => {
 				this.#tick();
@@ -127,7 +138,7 @@
 	/** Waits for a place until there is one, the wait is over, or the asker goes. */
 	async place(params: PlaceParams, signal: AbortSignal): Promise<PlaceAnswer> {
 		const hosted = this.#pools.get(poolKey(params.service, params.dataCentre));
-		if (hosted === undefined || !this.#holds(hosted)) {
+		if (hosted === undefined || !this.#holds(hosted) || this.parts.mayGrant?.() === false) {
 			return noOwner;
 		}
 
@@ -152,6 +163,11 @@
 		});
 	}
 
+	/** Feeds what became of a place that was asked for in this process. */
+	note(pool: {readonly service: ServiceName; readonly dataCentre: DataCentreId}, event: PoolEvent): void {
+		this.#feed(pool.service, pool.dataCentre, event);
+	}
+
 	/** The pools for the status report. */
 	status(): InstanceStatus['pools'] {
 		return [...this.#pools.values()].filter(hosted => this.#holds(hosted)).map(({service, dataCentre, pool}) => ({
@@ -207,7 +223,7 @@
 			dataCentre,
 			fencing,
 			current,
-			pool: new EnginePool(this.parts.self, policy, limits, {leaseMs, orphanMs, adoptMs: leaseMs}),
+			pool: new EnginePool(this.parts.self, policy, limits, this.parts.timings ?? {leaseMs, orphanMs, adoptMs: leaseMs}),
 			engines: [],
 			waiting: new Map(),
 			polling: new Set(),
@@ -272,10 +288,10 @@
 		}
 
 		hosted.polling.add(engine.id);
-		const report = await this.parts.clients.get(engine.id, engine.address).report();
+		const report = await this.parts.engines.report(engine);
 		hosted.polling.delete(engine.id);
-		if (report.ok) {
-			this.#perform(hosted, hosted.pool.step({kind: 'report', report: report.val}, this.parts.clock.now()));
+		if (report !== undefined) {
+			this.#perform(hosted, hosted.pool.step({kind: 'report', report}, this.parts.clock.now()));
 		}
 	}
 
@@ -300,7 +316,7 @@
 
 	async #cancel(hosted: HostedPool, engine: EngineAddress, hold: EngineHold): Promise<void> {
 		log('Memory without a live holder is freed.', {engine: engine.id, requestId: hold.requestId, attempt: hold.attempt});
-		await this.parts.canceller.cancel(engine.id, engine.address, hold);
+		await this.parts.engines.cancel(engine, hold);
 		this.#perform(hosted, hosted.pool.step({kind: 'freed', hold}, this.parts.clock.now()));
 	}
 }
--- a/packages/daemon/src/rpc/peers.ts
+++ b/packages/daemon/src/rpc/peers.ts
@@ -8,7 +8,8 @@
 	readonly #clients = new Map<InstanceId, RpcClient>();
 	readonly #entries: ReadonlyMap<InstanceId, InstanceEntry>;
 
-	constructor(instances: readonly InstanceEntry[], private readonly secret: string) {
+	/** `addressOf` resolves instances that the settings don't list. */
+	constructor(instances: readonly InstanceEntry[], private readonly secret: string, private readonly addressOf: (id: InstanceId) => string | undefined = () => undefined) {
 		this.#entries = new Map(instances.map(entry => [entry.id, entry]));
 	}
 
@@ -19,12 +20,12 @@
 			return known;
 		}
 
-		const entry = this.#entries.get(id);
-		if (entry === undefined) {
+		const address = this.#entries.get(id)?.peers ?? this.addressOf(id);
+		if (address === undefined) {
 			throw new RpcCallError(`instance "${id}" is not in the settings`, false);
 		}
 
-		const client = new RpcClient(entry.peers, this.secret);
+		const client = new RpcClient(address, this.secret);
 		this.#clients.set(id, client);
 		return client;
 	}
