--- a/packages/core/src/placement/forecast-policy.ts
+++ b/packages/core/src/placement/forecast-policy.ts
@@ -21,6 +21,8 @@
  * Urgent requests take the risk of a wasted prefill, patient ones wait for a free link.
  */
 const linkWaitPart: Readonly<Record<ServiceClass, number>> = {urgent: 0.8, patient: 0.3};
+/** A prompt is read by a decode engine itself when the prefill engines are busy for longer than this, in milliseconds. */
+const directAfterMs = 80;
 /** The part of the time to the first output that a new request's predicted wait may take. */
 const admittedPart = 0.8;
 
@@ -56,7 +58,7 @@
 	decide(req: PlacementRequest, engines: EngineIndex, now: Instant, late = false): PlacementDecision {
 		const isUsable = (engine: EngineView): boolean => !req.excluded.includes(engine.id);
 		const choice = this.#choosePrefill(req, engines, isUsable, now);
-		if (choice === undefined || findEngine(engines.byLoad('decode'), isUsable) === undefined) {
+		if (findEngine(engines.byLoad('decode'), isUsable) === undefined) {
 			return {kind: 'refuse', error: routerError('noBackend')};
 		}
 
@@ -64,6 +66,16 @@
 			return {kind: 'refuse', error: routerError('promptTooLong', `${req.promptTokens} tokens need ${req.pieces} pieces`)};
 		}
 
+		const isPrefillBusy = choice === undefined || choice.prediction.prefillStartsAt - now > directAfterMs;
+		const direct = isPrefillBusy ? this.#chooseDirect(req, engines, isUsable, choice?.prediction, now) : undefined;
+		if (direct !== undefined) {
+			return {kind: 'reserve', decode: direct, prefill: direct};
+		}
+
+		if (choice === undefined) {
+			return this.#forecast.canReadDirectly ? {kind: 'wait', lacks: 'memory'} : {kind: 'refuse', error: routerError('noBackend')};
+		}
+
 		const firstOutputAt = after(choice.prediction.transferEndsAt, this.targets.betweenOutputsMs);
 		if (!late && req.firstOutputBy !== undefined && firstOutputAt > req.firstOutputBy) {
 			return req.class === 'urgent' ? {kind: 'refuse', error: routerError('overloaded')} : {kind: 'defer'};
@@ -86,6 +98,16 @@
 		return this.#forecast.maxStreams(engine, this.targets.betweenOutputsMs);
 	}
 
+	/** A decode engine that reads the prompt itself, if it has room, reads no other prompt, and answers sooner than a prefill engine. */
+	#chooseDirect(req: PlacementRequest, engines: EngineIndex, isUsable: (engine: EngineView) => boolean, busy: Prediction | undefined, now: Instant): EngineView | undefined {
+		const apartAt = busy === undefined ? Number.POSITIVE_INFINITY : after(busy.transferEndsAt, this.targets.betweenOutputsMs);
+		return findEngine(engines.byLoad('decode'), engine => {
+			const direct = this.#forecast.predictDirect(engine.id, req.promptTokens, now);
+			return direct !== undefined && isUsable(engine) && engine.freePieces >= req.pieces && engine.running < engine.maxStreams
+				&& direct.startsAt - now <= orderAheadMs && direct.firstOutputAt < apartAt;
+		});
+	}
+
 	/** The engine that ends the prefill first, among the least loaded. */
 	#choosePrefill(req: PlacementRequest, engines: EngineIndex, isUsable: (engine: EngineView) => boolean, now: Instant): {engine: EngineView; prediction: Prediction} | undefined {
 		let best: {engine: EngineView; prediction: Prediction} | undefined;
--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -6,7 +6,9 @@
 import {BatchModel} from './batch-model.js';
 import {holdKey} from './hold-table.js';
 import type {PlacementRequest, PolicyEvent} from './types.js';
+import {PipelinedLine} from './pipelined-line.js';
 import {WorkLine} from './work-line.js';
+import type {Line} from './work-line.js';
 
 const initialPrefillTokensPerMs = 20;
 const initialLinkTokensPerMs = 50;
@@ -42,6 +44,10 @@
 	readonly links?: 'shared' | 'ample';
 	/** Usual rate of a prefill until completions teach it, in tokens per millisecond. */
 	readonly prefillTokensPerMs?: number;
+	/** Time from the end of a prefill's work to its answer, in which the engine works on the next one, in milliseconds. */
+	readonly prefillLatencyMs?: number;
+	/** Usual rate at which a decode engine reads a prompt itself, in tokens per millisecond; undefined where it can't. */
+	readonly directTokensPerMs?: number;
 };
 
 /** When the parts of one request are expected. */
@@ -62,9 +68,10 @@
  */
 export class Forecast {
 	readonly #streams = new Map<string, Stream>();
-	readonly #prefillLines = new Map<EngineId, WorkLine>();
+	readonly #prefillLines = new Map<EngineId, Line>();
 	readonly #link = new WorkLine(initialLinkTokensPerMs);
 	readonly #isLinkShared: boolean;
+	readonly #latencyMs: number;
 	readonly #batches = new Map<EngineId, Batch>();
 	#usualTokensPerMs: number;
 	#drainedTokens = 0;
@@ -73,6 +80,7 @@
 
 	constructor(private readonly options: ForecastOptions = {}) {
 		this.#isLinkShared = options.links !== 'ample';
+		this.#latencyMs = options.prefillLatencyMs ?? 0;
 		this.#usualTokensPerMs = options.prefillTokensPerMs ?? initialPrefillTokensPerMs;
 	}
 
@@ -80,7 +88,7 @@
 	predict(prefill: EngineId, tokens: number, now: Instant): Prediction {
 		const line = this.#line(prefill);
 		const prefillStartsAt = line.endsAt(now);
-		const prefillEndsAt = after(prefillStartsAt, line.durationMs(tokens));
+		const prefillEndsAt = after(prefillStartsAt, line.durationMs(tokens) + this.#latencyMs);
 		const transferStartsAt = this.#isLinkShared ? Math.max(prefillEndsAt, this.#link.endsAt(now)) as Instant : prefillEndsAt;
 		const transferEndsAt = after(transferStartsAt, this.#linkMs(tokens));
 		return {
@@ -88,9 +96,14 @@
 		};
 	}
 
+	/** Whether decode engines can read prompts themselves. */
+	get canReadDirectly(): boolean {
+		return this.options.directTokensPerMs !== undefined;
+	}
+
 	/** How long a prefill of `tokens` and its transfer take on idle engines, in milliseconds. */
 	aloneMs(tokens: number): number {
-		return (tokens / this.#usualTokensPerMs) + this.#linkMs(tokens);
+		return (tokens / this.#usualTokensPerMs) + this.#latencyMs + this.#linkMs(tokens);
 	}
 
 	/** How long a queue of `tokens` takes to drain, in milliseconds; 0 while unknown. */
@@ -120,7 +133,9 @@
 				if (stream !== undefined) {
 					const line = this.#line(stream.prefill);
 					line.remove(event.hold, now, true);
-					this.#usualTokensPerMs += usualWeight * (line.tokensPerMs - this.#usualTokensPerMs);
+					if (stream.prefill !== stream.decode) {
+						this.#usualTokensPerMs += usualWeight * (line.tokensPerMs - this.#usualTokensPerMs);
+					}
 				}
 
 				break;
@@ -140,8 +155,9 @@
 
 	#granted({req, decode, prefill, waiting}: Extract<PolicyEvent, {kind: 'granted'}>, now: Instant): void {
 		this.#learnDrain(req, waiting, now);
+		const isDirect = prefill === decode;
 		const {prefillEndsAt} = this.predict(prefill, req.promptTokens, now);
-		this.#line(prefill).add(req, req.promptTokens, now);
+		this.#line(prefill, isDirect ? this.options.directTokensPerMs : undefined).add(req, req.promptTokens, now);
 		if (this.#isLinkShared) {
 			this.#link.add(req, req.promptTokens, prefillEndsAt);
 		}
@@ -206,9 +222,20 @@
 		return this.#isLinkShared ? this.#link.durationMs(tokens) : 0;
 	}
 
-	#line(prefill: EngineId): WorkLine {
-		const line = this.#prefillLines.get(prefill) ?? new WorkLine(this.options.prefillTokensPerMs ?? initialPrefillTokensPerMs);
-		this.#prefillLines.set(prefill, line);
+	/** Predicts the first output of a decode engine that reads a prompt itself; undefined where engines can't. */
+	predictDirect(decode: EngineId, tokens: number, now: Instant): {readonly startsAt: Instant; readonly firstOutputAt: Instant} | undefined {
+		if (this.options.directTokensPerMs === undefined) {
+			return undefined;
+		}
+
+		const line = this.#line(decode, this.options.directTokensPerMs);
+		const startsAt = line.endsAt(now);
+		return {startsAt, firstOutputAt: after(startsAt, line.durationMs(tokens) + this.#latencyMs)};
+	}
+
+	#line(engine: EngineId, tokensPerMs = this.options.prefillTokensPerMs ?? initialPrefillTokensPerMs): Line {
+		const line = this.#prefillLines.get(engine) ?? (this.#latencyMs > 0 ? new PipelinedLine(tokensPerMs, this.#latencyMs) : new WorkLine(tokensPerMs));
+		this.#prefillLines.set(engine, line);
 		return line;
 	}
 
--- /dev/null
+++ b/packages/core/src/placement/pipelined-line.ts
@@ -0,0 +1,87 @@
+/** The prefills of one engine that works on a prompt for a time and answers a fixed time after it. */
+import type {EngineHold} from '../engine/engine-client.js';
+import {after} from '../time.js';
+import type {Instant} from '../time.js';
+import {holdKey} from './hold-table.js';
+import type {Line} from './work-line.js';
+
+/** Weight of the newest completion in the learned rate. */
+const learningWeight = 0.1;
+/** A completion teaches a rate within this factor of the learned one: what is beyond was held up by something else. */
+const maxRateChange = 3;
+
+type Job = {
+	readonly tokens: number;
+	readonly startsAt: Instant;
+	readonly endsAt: Instant;
+};
+
+/**
+ * Predicts when an engine can begin its next prefill. The time between the end of the work and the answer
+ * (`latencyMs`) does not occupy the engine, so that the next prefill starts before the last one is answered.
+ *
+ * @example
+ * const line = new PipelinedLine(45, 120);
+ * line.add(hold, 4500, now);
+ * line.endsAt(now); // 100 ms later, though the answer comes after 220 ms
+ */
+export class PipelinedLine implements Line {
+	readonly #jobs = new Map<string, Job>();
+	#freeAt: Instant | undefined;
+	#tokensPerMs: number;
+
+	constructor(initialTokensPerMs: number, private readonly latencyMs: number) {
+		this.#tokensPerMs = initialTokensPerMs;
+	}
+
+	get tokensPerMs(): number {
+		return this.#tokensPerMs;
+	}
+
+	durationMs(tokens: number): number {
+		return tokens / this.#tokensPerMs;
+	}
+
+	add(hold: EngineHold, tokens: number, readyAt: Instant): void {
+		const startsAt = Math.max(readyAt, this.#freeAt ?? readyAt) as Instant;
+		const endsAt = after(startsAt, this.durationMs(tokens));
+		this.#jobs.set(holdKey(hold), {tokens, startsAt, endsAt});
+		this.#freeAt = endsAt;
+	}
+
+	remove(hold: EngineHold, now: Instant, completed: boolean): void {
+		const key = holdKey(hold);
+		const job = this.#jobs.get(key);
+		if (job === undefined) {
+			return;
+		}
+
+		this.#jobs.delete(key);
+		if (!completed) {
+			this.#giveBack(job, now);
+			return;
+		}
+
+		const endedAt = now - this.latencyMs;
+		const lateMs = endedAt - job.endsAt;
+		if (this.#jobs.size > 0 && lateMs > 0) {
+			this.#freeAt = after(this.#freeAt!, lateMs);
+		}
+
+		const rate = job.tokens / Math.max(1, endedAt - job.startsAt);
+		const taught = Math.min(this.#tokensPerMs * maxRateChange, Math.max(this.#tokensPerMs / maxRateChange, rate));
+		this.#tokensPerMs += learningWeight * (taught - this.#tokensPerMs);
+	}
+
+	endsAt(now: Instant): Instant {
+		return Math.max(now, this.#freeAt ?? now) as Instant;
+	}
+
+	/** Takes back the time of a prefill that was given up before it began. */
+	#giveBack(job: Job, now: Instant): void {
+		const unusedMs = job.endsAt - Math.max(job.startsAt, now);
+		if (unusedMs > 0 && this.#freeAt !== undefined) {
+			this.#freeAt = (this.#freeAt - unusedMs) as Instant;
+		}
+	}
+}
--- a/packages/core/src/placement/work-line.ts
+++ b/packages/core/src/placement/work-line.ts
@@ -13,6 +13,20 @@
 	readonly readyAt: Instant;
 };
 
+/** A line of work on one engine or link. */
+export type Line = {
+	/** The learned rate. */
+	readonly tokensPerMs: number;
+	/** How long `tokens` take, in milliseconds. */
+	durationMs(tokens: number): number;
+	/** Appends a job that can start at `readyAt`. */
+	add(hold: EngineHold, tokens: number, readyAt: Instant): void;
+	/** Removes a job: `completed` ones teach the rate, others were given up. */
+	remove(hold: EngineHold, now: Instant, completed: boolean): void;
+	/** When the next job can start. */
+	endsAt(now: Instant): Instant;
+};
+
 /**
  * Predicts when a line of jobs ends: the prefills of one engine, or the transfers over one link.
  *
@@ -21,7 +35,7 @@
  * line.add(hold, 4000, now);
  * line.endsAt(now); // 200 ms later
  */
-export class WorkLine {
+export class WorkLine implements Line {
 	readonly #jobs = new Map<string, Job>();
 	#tokens = 0;
 	#tokensPerMs: number;
--- a/packages/core/src/routing/second-try-budget.ts
+++ b/packages/core/src/routing/second-try-budget.ts
@@ -28,7 +28,8 @@
 	#tries: Instant[] = [];
 	#startedAt: Instant | undefined;
 
-	constructor(private readonly bounds: SecondTryBounds) {}
+	/** `isFirstLife` is true where no earlier life of the instance can have used the budget. */
+	constructor(private readonly bounds: SecondTryBounds, private readonly isFirstLife = false) {}
 
 	/** Counts a call for the service. */
 	noteCall(now: Instant): void {
@@ -41,7 +42,7 @@
 	tryTake(now: Instant, instances: number): boolean {
 		this.#startedAt ??= now;
 		this.#trim(now);
-		const age = Math.min(1, (now - this.#startedAt) / this.bounds.windowMs);
+		const age = this.isFirstLife ? 1 : Math.min(1, (now - this.#startedAt) / this.bounds.windowMs);
 		const allowed = usedPart * ((this.bounds.ratio * this.#calls.length) + ((this.bounds.slack * age) / Math.max(1, instances)));
 		if (this.#tries.length + 1 > Math.max(allowed, 0)) {
 			return false;
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -7,7 +7,7 @@
 } from '@baobabpier/core';
 import {ReplicatedControlLog} from '../control/replicated-control-log.js';
 import {GatewayMetrics, serveMetrics} from '../gateway/gateway-metrics.js';
-import {placeTimings, prefillTokensPerMs} from '../gateway/gateway.js';
+import {engineSpeeds, placeTimings} from '../gateway/gateway.js';
 import {ListReader} from '../gateway/list-reader.js';
 import {createModelServices, createPoolCatalogue, leavingEngines} from '../gateway/model-services.js';
 import {ServerTransport} from '../gateway/server-transport.js';
@@ -136,7 +136,7 @@
 		self: first.id,
 		clock,
 		shares,
-		createPolicy: targets => new ForecastPolicy(targets, {links: 'ample', prefillTokensPerMs}),
+		createPolicy: targets => new ForecastPolicy(targets, engineSpeeds),
 		// A holder that is gone has closed its connections, on which engines end its requests
 		engines: {report: async () => undefined, cancel: async () => undefined}, // eslint-disable-line unicorn/no-useless-undefined
 		mayGrant: () => shares.isSettled(clock.now()),
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -6,7 +6,7 @@
 	createSeededRandom, digestOf, ForecastPolicy, hashText, StaticShareMap, toId,
 } from '@baobabpier/core';
 import type {
-	DataCentreId, FencingNumber, InstanceId, ListedServer, ModelService, RoutingDocument, RoutingTable, SecondTryBounds, ServiceName, ShareMap, EngineId,
+	DataCentreId, FencingNumber, ForecastOptions, InstanceId, ListedServer, ModelService, RoutingDocument, RoutingTable, SecondTryBounds, ServiceName, ShareMap, EngineId,
 } from '@baobabpier/core';
 import {splitAddress} from '../listen.js';
 import {createLog} from '../log.js';
@@ -44,8 +44,10 @@
 const otherConnections = 4;
 /** Leases of the places that this instance gives itself. */
 export const placeTimings = {leaseMs: 4000, orphanMs: 6000} as const;
-/** Usual speed of a prefill until the first ones teach it, in tokens per millisecond: that of the engines served today. */
-export const prefillTokensPerMs = 45;
+/** Usual speeds of today's engines, until calls teach them. */
+export const engineSpeeds: ForecastOptions = {
+	links: 'ample', prefillTokensPerMs: 45, prefillLatencyMs: 120, directTokensPerMs: 20,
+};
 
 /** Settings of an entry instance. */
 export type GatewaySettings = {
@@ -60,6 +62,8 @@
 	/** Secret that peers share. */
 	readonly secret: string;
 	readonly secondTries: SecondTryBounds;
+	/** Whether the deployment starts for the first time. */
+	readonly isFirstStart: boolean;
 	/** Time from a stop's signal to the end of the process at the latest, in milliseconds. */
 	readonly stopMs: number;
 };
@@ -113,7 +117,7 @@
 		self: first.id,
 		clock,
 		shares: new StaticShareMap(first.id, [{id: first.id, dataCentre: poolDataCentre}]),
-		createPolicy: targets => new ForecastPolicy(targets, {links: 'ample', prefillTokensPerMs}),
+		createPolicy: targets => new ForecastPolicy(targets, engineSpeeds),
 		engines: {report: async () => undefined, cancel: async () => undefined}, // eslint-disable-line unicorn/no-useless-undefined
 		timings: {leaseMs: Number.POSITIVE_INFINITY, orphanMs: Number.POSITIVE_INFINITY},
 	});
@@ -172,7 +176,7 @@
 		modelService: name => services.get(name),
 		usableEngines: service => new Set(fleet.usable(service).filter(({id}) => !fleet.isUnreachable(id)).map(({id}) => toId<EngineId>(id))),
 	});
-	const tries = new SecondTries(first.secondTries, clock, () => watch.entries);
+	const tries = new SecondTries(first.secondTries, clock, first.isFirstStart, () => watch.entries);
 	const callers: CallerPort = new CallerPort({
 		clock,
 		random,
--- a/packages/daemon/src/gateway/second-tries.ts
+++ b/packages/daemon/src/gateway/second-tries.ts
@@ -7,7 +7,7 @@
 	readonly #budgets = new Map<ServiceName, SecondTryBudget>();
 
 	/** `instances` tells how many instances share the bounds. */
-	constructor(private readonly bounds: SecondTryBounds, private readonly clock: Clock, private readonly instances: () => number) {}
+	constructor(private readonly bounds: SecondTryBounds, private readonly clock: Clock, private readonly isFirstLife: boolean, private readonly instances: () => number) {}
 
 	/** Counts a caller's call for a service. */
 	noteCall(service: ServiceName): void {
@@ -20,7 +20,7 @@
 	}
 
 	#budget(service: ServiceName): SecondTryBudget {
-		const budget = this.#budgets.get(service) ?? new SecondTryBudget(this.bounds);
+		const budget = this.#budgets.get(service) ?? new SecondTryBudget(this.bounds, this.isFirstLife);
 		this.#budgets.set(service, budget);
 		return budget;
 	}
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -141,6 +141,10 @@
 			return {isFinal: true, reply: this.#giveUp(progress, {kind: 'streamed'})};
 		}
 
+		if (place.prefill.id === place.decode.id) {
+			return this.#useDirectly(progress, place);
+		}
+
 		const source = await this.#prefill(progress, place);
 		if ('error' in source) {
 			progress.excluded.add(place.prefill.id);
@@ -160,6 +164,17 @@
 		return this.#conclude(progress, place.decode.id, outcome);
 	}
 
+	/** Lets the decode engine read the prompt itself. */
+	async #useDirectly(progress: Progress, place: Place): Promise<{readonly isFinal: boolean; readonly reply: Reply}> {
+		const server = this.#listed(place.decode);
+		const outcome = server === undefined
+			? {kind: 'unsent' as const, detail: 'the engine is no longer listed'}
+			: await this.#run(progress, server, {kind: 'run'}, () => {
+				place.prefillDone();
+			});
+		return this.#conclude(progress, place.decode.id, outcome);
+	}
+
 	/** Reads the prompt on the prefill engine. */
 	async #prefill(progress: Progress, place: Place): Promise<KvSource | {readonly error: RouterError}> {
 		const {call, service, scope} = progress;
