--- a/packages/core/src/rpc/commands.ts
+++ b/packages/core/src/rpc/commands.ts
@@ -75,6 +75,8 @@
 /** A place given back, with the stream's mean time between outputs where it had several. */
 export type PoolReleaseParams = PoolHoldParams & {
 	readonly betweenMs?: number;
+	/** Engines that could not be reached, or were not the listed ones. */
+	readonly unreachable?: readonly EngineId[];
 };
 
 /** The places that a holder still uses in one pool. */
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -9,8 +9,10 @@
 const newestWeight = 0.2;
 /** A server whose calls failed is tried again after this long, in milliseconds. */
 const failureMemoryMs = 3000;
-/** A server that could not be reached gets no calls for this long, in milliseconds. */
-const unreachableMs = 1000;
+/** A server that could not be reached, or is not the listed one, gets no calls for this long at first, in milliseconds. */
+const suspectMs = 1000;
+/** Longest such time, in milliseconds; the list drops a lost server after some seconds. */
+const maxSuspectMs = 5000;
 
 type Record = {
 	inFlight: number;
@@ -19,10 +21,12 @@
 	failedAt: number;
 	usualMs: number | undefined;
 	unreachableUntil: number;
+	/** Failures to reach it in a row. */
+	misses: number;
 };
 
 /** How a call to a server went, as far as it tells of the server. */
-export type CallResult = 'good' | 'failed' | 'unreachable' | 'none';
+export type CallResult = 'good' | 'failed' | 'unreachable' | 'misplaced' | 'none';
 
 /** Holds the newest list and the records of own calls. */
 export class FleetView {
@@ -117,6 +121,7 @@
 			return;
 		}
 
+		const isMiss = result === 'unreachable' || result === 'misplaced';
 		const wasFailing = record.failing > 0.5;
 		record.failing += newestWeight * ((result === 'good' ? 0 : 1) - record.failing);
 		if (result === 'good') {
@@ -125,11 +130,14 @@
 			record.failedAt = now;
 		}
 
-		if (result === 'unreachable') {
-			record.unreachableUntil = now + unreachableMs;
+		if (isMiss) {
+			record.unreachableUntil = now + Math.min(maxSuspectMs, suspectMs * (2 ** record.misses));
+			record.misses += 1;
+		} else if (result === 'good') {
+			record.misses = 0;
 		}
 
-		if (result === 'unreachable' || (record.failing > 0.5) !== wasFailing) {
+		if (isMiss || (record.failing > 0.5) !== wasFailing) {
 			log('A server is judged anew.', {
 				server: id, result, failing: Number(record.failing.toFixed(2)), usualMs: record.usualMs === undefined ? undefined : Math.round(record.usualMs),
 			});
@@ -154,7 +162,7 @@
 		let record = this.#records.get(id);
 		if (record === undefined) {
 			record = {
-				inFlight: 0, told: undefined, failing: 0, failedAt: Number.NEGATIVE_INFINITY, usualMs: undefined, unreachableUntil: 0,
+				inFlight: 0, told: undefined, failing: 0, failedAt: Number.NEGATIVE_INFINITY, usualMs: undefined, unreachableUntil: 0, misses: 0,
 			};
 			this.#records.set(id, record);
 		}
--- a/packages/daemon/src/gateway/places.ts
+++ b/packages/daemon/src/gateway/places.ts
@@ -20,10 +20,12 @@
 const pingMs = 250;
 /** An owner that was silent is not asked for this long, in milliseconds. */
 const downMs = 1000;
-/** Part of the remaining time that a request may wait for a place. */
-const waitPart = 0.4;
-/** Longest wait for a place, in milliseconds. */
-const maxWaitMs = 4000;
+/** Part of the time that callers wait for the first event that may be spent on the wait for a place. */
+const waitPart = 0.6;
+/** Callers leave a stream that is silent for this many times its target to the first event, as the platform's clients do. */
+const patienceTargets = 4;
+/** Part of the most output tokens that a stream is expected to make: few come near the most. */
+const expectedOutputPart = 0.5;
 
 /** A place on engines that is held until it is released. */
 export type Place = {
@@ -33,7 +35,10 @@
 	prefillDone(): void;
 	/** Tells that the memory has reached the decode engine. */
 	transferDone(): void;
-	release(): void;
+	/** Gives the place back; names engines that could not be reached. */
+	release(unreachable?: readonly EngineId[]): void;
+	/** Whether the pool's owner gave it: it knows of all other places. */
+	readonly isOwned: boolean;
 };
 
 /** Whether there is a place. */
@@ -96,9 +101,9 @@
 			class: call.route.rank === 0 ? 'urgent' : 'patient',
 			promptTokens: call.promptTokens,
 			maxTokens: call.maxTokens,
-			pieces: countPieces(call.promptTokens + call.maxTokens, pieceTokens),
+			pieces: countPieces(call.promptTokens + Math.ceil(call.maxTokens * expectedOutputPart), pieceTokens),
 			prefix: '',
-			waitMs: Math.min(scope.remainingMs() * waitPart, maxWaitMs),
+			waitMs: Math.max(0, Math.min(scope.remainingMs(), (call.route.targetMs * patienceTargets * waitPart) - (clock.now() - call.arrivedAt))),
 			firstOutputMs: Math.max(0, dueMs),
 			excluded,
 		};
@@ -135,9 +140,10 @@
 			transferDone() {
 				void client.transferDone(pool, hold);
 			},
-			release() {
-				void client.release(pool, hold);
+			release(unreachable) {
+				void client.release(pool, {...hold, unreachable});
 			},
+			isOwned: true,
 		};
 	}
 
@@ -170,6 +176,7 @@
 				release() {
 					alone.note(pool, {kind: 'release', hold});
 				},
+				isOwned: false,
 			},
 		};
 	}
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -39,7 +39,7 @@
 	/** The whole answer of the server to this call. */
 	| {readonly kind: 'answer'; readonly head: AnswerHead; readonly body: Buffer}
 	/** The server says that it did not run the call. */
-	| {readonly kind: 'notRun'}
+	| {readonly kind: 'notRun'; readonly isMisplaced: boolean}
 	| SendFault;
 
 /** Sends calls whose answers are read whole before they are passed on. */
@@ -129,8 +129,8 @@
 			return {kind: 'broken', detail: fault};
 		}
 
-		end(head.status >= serverFailureFrom && !head.isNotRun ? 'failed' : 'good', head.load);
-		return head.isNotRun ? {kind: 'notRun'} : {kind: 'answer', head, body};
+		end(head.isMisplaced ? 'misplaced' : (head.status >= serverFailureFrom && !head.isNotRun ? 'failed' : 'good'), head.load);
+		return head.isNotRun ? {kind: 'notRun', isMisplaced: head.isMisplaced} : {kind: 'answer', head, body};
 	}
 
 	#comeBackMs(): number {
--- a/packages/daemon/src/gateway/server-transport.ts
+++ b/packages/daemon/src/gateway/server-transport.ts
@@ -3,9 +3,10 @@
 import type {Readable} from 'node:stream';
 import {Pool} from 'undici';
 import {isConnectFailure} from '../connect-failure.js';
+import {createTimedConnect} from '../timed-connect.js';
 
-/** Longest time for a new connection, in milliseconds: a machine without power does not answer at all. */
-const connectTimeoutMs = 600;
+/** Longest time for a new connection, in milliseconds: a machine without power does not answer at all, others within a few. */
+const connectTimeoutMs = 250;
 /** Longest time that an idle connection is kept, in milliseconds; servers close theirs after some seconds. */
 const keepAliveMs = 4000;
 /** A connection is given up this long before the server would close it, in milliseconds. */
@@ -125,7 +126,7 @@
 		const pool = new Pool(`http://${address}`, {
 			connections: this.connectionsTo(address),
 			pipelining: 1,
-			connect: {timeout: connectTimeoutMs},
+			connect: createTimedConnect(connectTimeoutMs),
 			headersTimeout: 0,
 			bodyTimeout: 0,
 			keepAliveTimeout: keepAliveMs,
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -7,7 +7,7 @@
 import {createLog} from '../log.js';
 import type {CallScope} from './call-scope.js';
 import {EventSplitter} from './event-splitter.js';
-import type {FleetView} from './fleet-view.js';
+import type {CallResult, FleetView} from './fleet-view.js';
 import type {Place, Places} from './places.js';
 import {findFault} from './plain-route.js';
 import {errorReply} from './reply.js';
@@ -27,6 +27,12 @@
 const firstEventMs = 2000;
 /** Silence after which a resumable stream goes on elsewhere, in milliseconds: several pauses that still count as steady. */
 const silentMs = 1200;
+/** How long a prefill's result may be offered to another engine, in milliseconds: engines keep it for half a second. */
+const resultUsableMs = 350;
+/** How long a lease on an engine's room lasts, in milliseconds: a prefill and the way of the request. */
+const leaseMs = 1500;
+/** Longest time for an engine to answer a lease call, in milliseconds. */
+const leaseAnswerMs = 250;
 /** Longest time to free a prefill's result, in milliseconds. */
 const freeMs = 1000;
 /** Time to come back after an engine rejected a placed request, in milliseconds: about one prefill. */
@@ -58,9 +64,15 @@
 type DecodeOutcome =
 	| {readonly kind: 'complete'}
 	| {readonly kind: 'relay'; readonly head: AnswerHead; readonly body: Buffer}
-	| {readonly kind: 'notRun'}
+	| {readonly kind: 'notRun'; readonly isMisplaced: boolean}
 	| SendFault;
 
+/** What one round came to: the final reply, or what is said when no other round follows. */
+type RoundResult = {
+	readonly isFinal: boolean;
+	readonly reply: Reply;
+};
+
 /** What is known of one stream on its way. */
 type Progress = {
 	readonly call: Call;
@@ -112,7 +124,7 @@
 		return reply;
 	}
 
-	async #round(progress: Progress, round: number): Promise<{readonly isFinal: boolean; readonly reply: Reply}> {
+	async #round(progress: Progress, round: number): Promise<RoundResult> {
 		const {call, service, scope, out} = progress;
 		if (out.isBegun) {
 			return this.#goOn(progress);
@@ -131,11 +143,11 @@
 		try {
 			return await this.#usePlace(progress, place);
 		} finally {
-			place.release();
+			place.release([place.decode, place.prefill].map(({id}) => id).filter(id => this.parts.fleet.isUnreachable(toId<BackendId>(id))));
 		}
 	}
 
-	async #usePlace(progress: Progress, place: Place): Promise<{readonly isFinal: boolean; readonly reply: Reply}> {
+	async #usePlace(progress: Progress, place: Place): Promise<RoundResult> {
 		const {scope} = progress;
 		if (scope.reason !== undefined) {
 			return {isFinal: true, reply: this.#giveUp(progress, {kind: 'streamed'})};
@@ -145,27 +157,87 @@
 			return this.#useDirectly(progress, place);
 		}
 
+		const lease = place.isOwned ? undefined : await this.#takeLease(progress, place);
+		if (lease === 'none') {
+			return {isFinal: false, reply: errorReply(routerError('overloaded', 'the engine has no room', rejectedComeBackMs))};
+		}
+
 		const source = await this.#prefill(progress, place);
 		if ('error' in source) {
 			progress.excluded.add(place.prefill.id);
 			return {isFinal: false, reply: errorReply(source.error)};
 		}
 
-		const decode = this.#listed(place.decode);
-		const outcome = decode === undefined || scope.reason !== undefined
-			? {kind: 'unsent' as const, detail: 'the engine is no longer listed'}
-			: await this.#run(progress, decode, {kind: 'decode', source}, () => {
-				place.transferDone();
-			});
+		return this.#decode(progress, place, source, lease);
+	}
+
+	/** Lets an engine decode from a prefill's result; another where the one that was meant can't be had. */
+	async #decode(progress: Progress, place: Place, source: KvSource, lease: string | undefined): Promise<RoundResult> {
+		const {scope} = progress;
+		const readAt = this.parts.clock.now();
+		let server = this.#listed(place.decode);
+		let outcome: DecodeOutcome = {kind: 'unsent', detail: 'the engine is no longer listed'};
+		let isFirst = true;
+		while (scope.reason === undefined) {
+			if (server !== undefined) {
+				// One engine after the other
+				// eslint-disable-next-line no-await-in-loop
+				outcome = await this.#run(progress, server, {kind: 'decode', source, lease: isFirst ? lease : undefined}, () => {
+					place.transferDone();
+				});
+			}
+
+			const isUnused = outcome.kind === 'unsent' || outcome.kind === 'notRun';
+			if (!isUnused || this.parts.clock.now() - readAt > resultUsableMs || !this.#maySendOn(progress, outcome)) {
+				break;
+			}
+
+			progress.excluded.add(toId<EngineId>(server?.id ?? place.decode.id));
+			server = this.#leastLoaded(progress);
+			isFirst = false;
+			if (server === undefined) {
+				break;
+			}
+		}
+
 		if (outcome.kind === 'unsent' || outcome.kind === 'notRun') {
 			void this.#free(source);
 		}
 
-		return this.#conclude(progress, place.decode.id, outcome);
+		return this.#conclude(progress, toId<EngineId>(server?.id ?? place.decode.id), outcome);
+	}
+
+	/** Whether a prefill's result may be offered to another engine. */
+	#maySendOn({call, service, sent}: Progress, outcome: DecodeOutcome): boolean {
+		return outcome.kind === 'unsent' || (sent < call.route.maxAttempts && this.parts.tries.tryTake(service));
+	}
+
+	/** Reserves room at an engine whose other load this instance does not know; `none` when it has no room. */
+	async #takeLease({call, scope, excluded}: Progress, place: Place): Promise<string | undefined> {
+		const server = this.#listed(place.decode);
+		if (server === undefined) {
+			excluded.add(place.decode.id);
+			return 'none';
+		}
+
+		const {transport, dialect, fleet} = this.parts;
+		const limit = scope.limit(Math.min(leaseAnswerMs, scope.remainingMs()));
+		const end = fleet.begin(server.id);
+		const answer = await transport.open({address: server.address, ...dialect.leaseCall(call.promptTokens + call.maxTokens, leaseMs), signal: limit.signal});
+		const body = answer.kind === 'head' ? await transport.readBody(answer) : answer;
+		limit.release();
+		const lease = answer.kind === 'head' && Buffer.isBuffer(body) ? dialect.readLease(answer.status, body) : undefined;
+		end(answer.kind === 'unsent' ? 'unreachable' : 'none');
+		if (lease === undefined) {
+			log('An engine leases no room.', {requestId: call.requestId, engine: server.id, status: answer.kind === 'head' ? answer.status : undefined, detail: 'detail' in answer ? answer.detail : undefined});
+			excluded.add(place.decode.id);
+		}
+
+		return lease ?? 'none';
 	}
 
 	/** Lets the decode engine read the prompt itself. */
-	async #useDirectly(progress: Progress, place: Place): Promise<{readonly isFinal: boolean; readonly reply: Reply}> {
+	async #useDirectly(progress: Progress, place: Place): Promise<RoundResult> {
 		const server = this.#listed(place.decode);
 		const outcome = server === undefined
 			? {kind: 'unsent' as const, detail: 'the engine is no longer listed'}
@@ -199,7 +271,8 @@
 		limit.release();
 		place.prefillDone();
 		const handle = answer.kind === 'head' && answer.status === 200 && Buffer.isBuffer(body) ? dialect.readPrefill(body) : undefined;
-		end(handle === undefined ? (answer.kind === 'unsent' ? 'unreachable' : 'failed') : 'good');
+		const isMisplaced = answer.kind === 'head' && dialect.readHead(answer.status, answer.rawHeaders).isMisplaced;
+		end(handle === undefined ? (answer.kind === 'unsent' ? 'unreachable' : (isMisplaced ? 'misplaced' : (scope.reason === undefined ? 'failed' : 'none'))) : 'good');
 		log('A prompt was read.', {
 			requestId: call.requestId, engine: server.id, tokens: call.promptTokens, ms: Math.round(this.parts.clock.now() - startedAt), isRead: handle !== undefined,
 			status: answer.kind === 'head' ? answer.status : undefined, detail: 'detail' in answer ? answer.detail : undefined,
@@ -208,7 +281,7 @@
 	}
 
 	/** Sends the call to an engine that reads the prompt itself, where no prefill engine can be had. */
-	async #withoutPrefill(progress: Progress, error: RouterError): Promise<{readonly isFinal: boolean; readonly reply: Reply}> {
+	async #withoutPrefill(progress: Progress, error: RouterError): Promise<RoundResult> {
 		const server = this.#leastLoaded(progress);
 		if (server === undefined) {
 			return {isFinal: true, reply: errorReply({...error, retryAfterMs: error.retryAfterMs ?? rejectedComeBackMs})};
@@ -219,7 +292,7 @@
 	}
 
 	/** Goes on with a broken stream at another engine, after the last event that the caller has. */
-	async #goOn(progress: Progress): Promise<{readonly isFinal: boolean; readonly reply: Reply}> {
+	async #goOn(progress: Progress): Promise<RoundResult> {
 		const server = this.#leastLoaded(progress);
 		if (server === undefined) {
 			return {isFinal: true, reply: this.#giveUp(progress, {kind: 'streamed'})};
@@ -232,7 +305,7 @@
 	}
 
 	/** What follows from the outcome at one engine. */
-	#conclude(progress: Progress, engine: EngineId, outcome: DecodeOutcome): {readonly isFinal: boolean; readonly reply: Reply} {
+	#conclude(progress: Progress, engine: EngineId, outcome: DecodeOutcome): RoundResult {
 		const {call, service, scope} = progress;
 		progress.excluded.add(engine);
 		if (outcome.kind === 'complete') {
@@ -266,7 +339,7 @@
 		progress.sent += answer.kind === 'unsent' ? 0 : 1;
 		const outcome = answer.kind === 'head' ? await this.#pass(progress, answer, limit, onHead) : answer;
 		limit.release();
-		end(outcome.kind === 'complete' || outcome.kind === 'notRun' ? 'good' : (outcome.kind === 'unsent' ? 'unreachable' : (scope.reason === 'callerGone' ? 'none' : 'failed')));
+		end(resultOf(outcome, scope));
 		log('A stream got an outcome at an engine.', {
 			requestId: call.requestId, engine: server.id, purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: answer.kind === 'head' ? answer.status : undefined,
 			detail: 'detail' in outcome ? outcome.detail : undefined, lastEventId: progress.lastEventId, ms: Math.round(clock.now() - startedAt), ended: scope.reason,
@@ -285,7 +358,7 @@
 
 		if (head.isNotRun) {
 			answer.body.resume();
-			return {kind: 'notRun'};
+			return {kind: 'notRun', isMisplaced: head.isMisplaced};
 		}
 
 		if (head.status !== 200) {
@@ -368,3 +441,25 @@
 		log('A prefill\'s result could not be freed; it expires.', {address, detail: answer.detail});
 	}
 }
+
+/** What a run's outcome says of its engine. */
+const resultOf = (outcome: DecodeOutcome, scope: CallScope): CallResult => {
+	switch (outcome.kind) {
+		case 'complete': {
+			return 'good';
+		}
+
+		case 'notRun': {
+			return outcome.isMisplaced ? 'misplaced' : 'none';
+		}
+
+		case 'unsent': {
+			return 'unreachable';
+		}
+
+		case 'relay':
+		case 'broken': {
+			return scope.reason === undefined ? 'failed' : 'none';
+		}
+	}
+};
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -37,7 +37,7 @@
 	/** Only the prompt is read. */
 	| {readonly kind: 'prefill'}
 	/** The stream goes on from memory that another engine holds. */
-	| {readonly kind: 'decode'; readonly source: KvSource}
+	| {readonly kind: 'decode'; readonly source: KvSource; readonly lease: string | undefined}
 	/** A broken stream goes on after an event. */
 	| {readonly kind: 'resume'; readonly lastEventId: string};
 
@@ -56,6 +56,8 @@
 	readonly requestId: string | undefined;
 	/** Whether the server vouches for the answer. */
 	readonly isVouched: boolean;
+	/** Whether another server than the one that was meant has the address. */
+	readonly isMisplaced: boolean;
 	/** Whether the server says that it did not and will not run the request. */
 	readonly isNotRun: boolean;
 	/** Whether the body is encoded, which callers did not ask for. */
@@ -78,6 +80,10 @@
 	readHead(status: number, rawHeaders: readonly string[]): AnswerHead;
 	/** The handle of a prefill's result; undefined when the answer holds none. */
 	readPrefill(body: Buffer): string | undefined;
+	/** The call that reserves memory and a slot at an engine for one request. */
+	leaseCall(tokens: number, ms: number): {readonly method: string; readonly target: string; readonly headers: string[]; readonly body: Buffer};
+	/** The lease of an answer to that call; undefined when the engine has no room. */
+	readLease(status: number, body: Buffer): string | undefined;
 	/** Path of the DELETE call that frees a prefill's result. */
 	freePath(handle: string): string;
 };
--- a/packages/daemon/src/pools/place-client.ts
+++ b/packages/daemon/src/pools/place-client.ts
@@ -12,6 +12,7 @@
 	ModelService,
 	PlaceAnswer,
 	PlaceParams,
+	PoolReleaseParams,
 	RpcCommand,
 	ShareMap,
 } from '@baobabpier/core';
@@ -55,6 +56,9 @@
 	return groups;
 };
 
+/** What a release tells besides its hold. */
+export type ReleaseFacts = Pick<PoolReleaseParams, 'betweenMs' | 'unreachable'>;
+
 /** What a place client needs. */
 export type PlaceClientParts = {
 	readonly self: InstanceId;
@@ -106,7 +110,7 @@
 	}
 
 	/** Gives a place back. */
-	async release(pool: PoolAddress, hold: EngineHold & {readonly betweenMs?: number}): Promise<void> {
+	async release(pool: PoolAddress, hold: EngineHold & ReleaseFacts): Promise<void> {
 		this.#held.delete(holdKey(hold));
 		await this.#tell(POOL_RELEASE, pool, hold);
 	}
@@ -172,7 +176,7 @@
 		}
 	}
 
-	async #tell<Result>(command: RpcCommand<EngineHold & PoolAddress, Result>, pool: PoolAddress, hold: EngineHold & {readonly betweenMs?: number}): Promise<void> {
+	async #tell<Result>(command: RpcCommand<EngineHold & PoolAddress, Result>, pool: PoolAddress, hold: EngineHold & ReleaseFacts): Promise<void> {
 		const owner = this.#owner(pool);
 		if (owner === undefined) {
 			return;
@@ -185,6 +189,7 @@
 				requestId: hold.requestId,
 				attempt: hold.attempt,
 				betweenMs: hold.betweenMs,
+				unreachable: hold.unreachable,
 			}, callMs);
 		} catch {
 			// The owner takes the place back when its lease ends
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -12,6 +12,7 @@
 	EngineId,
 	EngineReport,
 	FencingNumber,
+	Instant,
 	InstanceId,
 	InstanceStatus,
 	LatencyTargets,
@@ -34,6 +35,8 @@
 const reportMs = 500;
 const leaseMs = 5000;
 const orphanMs = 6000;
+/** How long an engine that a holder could not reach gets no work, in milliseconds. */
+const suspectMs = 1500;
 const log = createLog('pool');
 
 type HostedPool = {
@@ -80,6 +83,8 @@
 	readonly #pools = new Map<string, HostedPool>();
 	readonly #timers: NodeJS.Timeout[] = [];
 	#leaving: ReadonlySet<EngineId> = new Set();
+	/** Engines that holders could not reach, and until when they get no work. */
+	readonly #suspects = new Map<EngineId, Instant>();
 	#snapshot: CatalogueSnapshot | undefined;
 
 	constructor(private readonly parts: PoolHostParts) {}
@@ -87,7 +92,10 @@
 	/** Registers the pool methods and starts the timers. */
 	start(server?: RpcServer): void {
 		server?.registerMethod(POOL_PLACE, async (params, {signal}) => this.place(params, signal));
-		server?.registerMethod(POOL_RELEASE, params => this.#feed(params.service, params.dataCentre, {kind: 'release', hold: params, betweenMs: params.betweenMs}));
+		server?.registerMethod(POOL_RELEASE, params => {
+			this.#suspect(params.unreachable ?? []);
+			return this.#feed(params.service, params.dataCentre, {kind: 'release', hold: params, betweenMs: params.betweenMs});
+		});
 		server?.registerMethod(POOL_PREFILL_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'prefillDone', hold: params}));
 		server?.registerMethod(POOL_TRANSFER_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'transferDone', hold: params}));
 		server?.registerMethod(POOL_RENEW, params => this.#feed(params.service, params.dataCentre, {kind: 'renew', holder: params.holder, places: params.places}));
@@ -130,6 +138,43 @@
 	/** Takes the engines that the platform marks as leaving. */
 	setLeaving(leaving: ReadonlySet<EngineId>): void {
 		this.#leaving = leaving;
+		this.#applyLeaving();
+	}
+
+	/** Keeps work from engines that holders could not reach, for a while. */
+	#suspect(engines: readonly EngineId[]): void {
+		const until = after(this.parts.clock.now(), suspectMs);
+		const fresh = engines.filter(id => !this.#suspects.has(id));
+		for (const id of engines) {
+			this.#suspects.set(id, until);
+		}
+
+		if (fresh.length > 0) {
+			log('Engines can\'t be reached; they get no work for a while.', {engines: fresh.join(' '), forMs: suspectMs});
+			this.#applyLeaving();
+		}
+	}
+
+	/** Gives suspects work again once their time is over. */
+	#clearSuspects(): void {
+		const now = this.parts.clock.now();
+		const over = [...this.#suspects].filter(([, until]) => until <= now).map(([id]) => id);
+		for (const id of over) {
+			this.#suspects.delete(id);
+		}
+
+		if (over.length > 0) {
+			log('Engines get work again after they could not be reached.', {engines: over.join(' ')});
+			this.#applyLeaving();
+		}
+	}
+
+	get #unusable(): ReadonlySet<EngineId> {
+		return this.#suspects.size === 0 ? this.#leaving : new Set([...this.#leaving, ...this.#suspects.keys()]);
+	}
+
+	#applyLeaving(): void {
+		const leaving = this.#unusable;
 		for (const hosted of this.#pools.values()) {
 			this.#perform(hosted, hosted.pool.step({kind: 'engines', engines: hosted.engines, leaving}, this.parts.clock.now()));
 		}
@@ -198,7 +243,7 @@
 			hosted.current.service = service;
 			hosted.engines = engines;
 			this.#pools.set(key, hosted);
-			this.#perform(hosted, hosted.pool.step({kind: 'engines', engines, leaving: this.#leaving}, this.parts.clock.now()));
+			this.#perform(hosted, hosted.pool.step({kind: 'engines', engines, leaving: this.#unusable}, this.parts.clock.now()));
 			void this.#pollReports([hosted]);
 		}
 	}
@@ -262,6 +307,7 @@
 	}
 
 	#tick(): void {
+		this.#clearSuspects();
 		for (const hosted of this.#pools.values()) {
 			this.#perform(hosted, hosted.pool.step({kind: 'tick'}, this.parts.clock.now()));
 		}
--- a/packages/daemon/src/rpc/rpc-client.ts
+++ b/packages/daemon/src/rpc/rpc-client.ts
@@ -5,9 +5,10 @@
 import {Pool} from 'undici';
 import {traceHeaders} from '../observability/tracing.js';
 import {isConnectFailure} from '../connect-failure.js';
+import {createTimedConnect} from '../timed-connect.js';
 
 const connections = 32;
-const connectTimeoutMs = 1000;
+const connectTimeoutMs = 500;
 
 /** A call that got no result; `sent` is false when it surely did not reach the peer. */
 export class RpcCallError extends Error {
@@ -25,7 +26,7 @@
 
 	constructor(address: string, private readonly secret: string) {
 		this.#pool = new Pool(`http://${address}`, {
-			connections, pipelining: 1, connectTimeout: connectTimeoutMs, headersTimeout: 0, bodyTimeout: 0,
+			connections, pipelining: 1, connect: createTimedConnect(connectTimeoutMs), headersTimeout: 0, bodyTimeout: 0,
 		});
 	}
 
