Tell a reset from a close, close connections after answers of a stop, and leave a deposed leader at once

Causes: an answer without a length counted as whole when its reset came together with data (undici and libuv report a close then); a stream that began before a stop kept its connection, on which a call came 5 s after SIGTERM and was cut; a follower went on asking the leader that it had found before, though its own replica followed another. Ruled out: an error code of undici alone (mapping ECONNRESET left the case, trial 'how answers without a length end'). Tests: server-transport and caller-port, failing first on the earlier code (the reset cases by run, the others by reading).

--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/caller-port.test.ts
@@ -0,0 +1,137 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+import {
+	createSeededRandom, ok, toId,
+} from '@baobabpier/core';
+import type {
+	RequestId, RouteName, RoutingTable, RoutingVersion, ServiceName,
+} from '@baobabpier/core';
+import {afterEach, expect, test} from 'vitest';
+import {CallerPort} from '../../gateway/caller-port.js';
+import {GatewayMetrics} from '../../gateway/gateway-metrics.js';
+import type {PlainRoute} from '../../gateway/plain-route.js';
+import type {StreamOutput, StreamRoute} from '../../gateway/stream-route.js';
+import type {AnswerHead, Call} from '../../gateway/types.js';
+import {monotonicClock} from '../../monotonic-clock.js';
+
+const service = toId<ServiceName>('desk');
+const table: RoutingTable = {
+	version: toId<RoutingVersion>(1),
+	routes: (['stream', 'unsafe'] as const).map(kind => ({
+		name: toId<RouteName>(kind), host: 'a.example', prefix: `/${kind}/`, kind, timeoutMs: 2000, targetMs: 500, rank: 1, targets: [{service, weight: 1}], maxAttempts: 1, resumable: false, gapMs: 300,
+	})),
+	services: new Map(),
+	limits: {
+		headerBytes: 16_384, bodyBytes: 1000, headersTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+};
+const head: AnswerHead = {
+	status: 200, rawHeaders: ['x-server', 's1'], requestId: 'r', isVouched: true, isNotRun: false, isMisplaced: false, isEncoded: false, load: undefined,
+};
+
+let port: CallerPort;
+let taken: Call[] = [];
+let outputs: StreamOutput[] = [];
+let finish: (() => void) | undefined;
+
+const open = async (): Promise<Socket> => {
+	const address = '127.0.0.1:0';
+	taken = [];
+	outputs = [];
+	port = new CallerPort({
+		clock: monotonicClock,
+		random: createSeededRandom(1),
+		dialect: {
+			readFacts: headers => ok({
+				requestId: toId<RequestId>(String(headers['x-id'])), patienceMs: undefined, promptTokens: 0, maxTokens: 0, lastEventId: undefined,
+			}),
+			errorHeaders: (_id, retryAfterMs): Record<string, string> => retryAfterMs === undefined ? {} : {'retry-after': String(retryAfterMs / 1000)},
+		},
+		plain: {
+			async serve(call: Call) {
+				taken.push(call);
+				return {kind: 'relay', head, body: Buffer.from('done')};
+			},
+		} as unknown as PlainRoute,
+		streams: {
+			async serve(call: Call, _service: ServiceName, _scope: unknown, out: StreamOutput) {
+				taken.push(call);
+				outputs.push(out);
+				out.begin(head);
+				out.write(Buffer.from('id: 1\n\n'));
+				await new Promise<void>(resolve => {
+					finish = resolve;
+				});
+				out.end();
+				return {kind: 'streamed'};
+			},
+		} as unknown as StreamRoute,
+		metrics: new GatewayMetrics(),
+		table: () => table,
+	});
+	await port.listen(address);
+	port.apply(table);
+	const socket = connect(port.port, '127.0.0.1');
+	socket.on('error', () => undefined);
+	await once(socket, 'connect');
+	return socket;
+};
+
+const send = (socket: Socket, path: string, id = 'r', body = ''): void => {
+	socket.write(`POST ${path} HTTP/1.1\r\nhost: a.example\r\nx-id: ${id}\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+};
+
+const received = async (socket: Socket, isEnough: (text: string) => boolean): Promise<string> => {
+	let text = '';
+	const deadline = Date.now() + 2000;
+	socket.on('data', (chunk: Buffer) => {
+		text += chunk.toString();
+	});
+	while (!isEnough(text) && Date.now() < deadline) {
+		// eslint-disable-next-line no-await-in-loop
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+
+	return text;
+};
+
+afterEach(() => {
+	finish?.();
+	port.destroy();
+});
+
+test('closes the connection of a stream that began before the stop', async () => {
+	const socket = await open();
+	send(socket, '/stream/1');
+	await received(socket, text => text.includes('id: 1'));
+	port.startClosing();
+	finish!();
+	await once(socket, 'close');
+	expect(taken).toHaveLength(1);
+});
+
+test('passes on nothing that comes late in a stop', async () => {
+	const socket = await open();
+	send(socket, '/unsafe/1', 'first');
+	expect(await received(socket, text => text.includes('done'))).toContain('200 OK');
+	port.stopAccepting();
+	send(socket, '/unsafe/2', 'second');
+	await received(socket, text => text.includes('shuttingDown') || text === '');
+	expect(taken.map(({requestId}) => requestId)).toEqual(['first']);
+});
+
+const refusals = [
+	{name: 'a path without a route', path: '/none/1', body: '', status: 404},
+	{name: 'a body over the limit', path: '/unsafe/1', body: 'x'.repeat(1001), status: 413},
+];
+
+test.each(refusals)('refuses $name with $status and passes on nothing', async ({path, body, status}) => {
+	const socket = await open();
+	send(socket, path, 'r', body);
+	expect(await received(socket, text => text.includes('\r\n\r\n'))).toContain(`HTTP/1.1 ${status} `);
+	expect(taken).toEqual([]);
+});
--- a/packages/daemon/src/control/replicated-control-log.ts
+++ b/packages/daemon/src/control/replicated-control-log.ts
@@ -25,6 +25,7 @@
 	InstanceId,
 	LogIndex,
 	RandomSource,
+	RpcCommand,
 	SubmitAnswer,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
@@ -269,12 +270,29 @@
 		return outcome.kind === 'notSubmitted' ? {kind: 'notSubmitted', leader: this.position.leader} : outcome;
 	}
 
+	/** Calls a leader; gives up as soon as this instance's replica hears of another one. */
+	async #callLeader<Params, Result>(leader: InstanceId, command: RpcCommand<Params, Result>, params: Params): Promise<Result> {
+		const abort = new AbortController();
+		const before = this.position.leader;
+		const timer = setInterval(() => {
+			const {leader: now} = this.position;
+			if (now !== undefined && now !== before) {
+				abort.abort();
+			}
+		}, retryMs);
+		try {
+			return await this.parts.peers.get(leader).call(command, params, attemptMs + callGraceMs, abort.signal);
+		} finally {
+			clearInterval(timer);
+		}
+	}
+
 	async #submitAt(leader: InstanceId, command: ControlCommand): Promise<SubmitAnswer> {
 		if (leader === this.parts.self.id) {
 			return this.#submitHere(command);
 		}
 
-		const answer = await this.parts.peers.get(leader).call(CONTROL_SUBMIT, {command}, attemptMs + callGraceMs);
+		const answer = await this.#callLeader(leader, CONTROL_SUBMIT, {command});
 		this.#leaderHint = answer.kind === 'notSubmitted' ? answer.leader : leader;
 		return answer;
 	}
@@ -296,7 +314,7 @@
 			return {index: await this.#task?.readIndex(attemptMs)};
 		}
 
-		const answer = await this.parts.peers.get(leader).call(CONTROL_BARRIER, {}, attemptMs + callGraceMs);
+		const answer = await this.#callLeader(leader, CONTROL_BARRIER, {});
 		this.#leaderHint = answer.index === undefined ? answer.leader : leader;
 		return answer;
 	}
@@ -334,7 +352,8 @@
 
 	#likelyLeader(turn: number): InstanceId | undefined {
 		const isGuess = turn % 2 === 1;
-		const known = this.#leaderHint ?? this.position.leader;
+		// A replica hears of a new leader from the leader itself, sooner than from those that it asked before
+		const known = this.#task?.view.leader === undefined ? this.#leaderHint ?? this.position.leader : this.position.leader;
 		return !isGuess && known !== undefined ? known : this.replicas[Math.floor(turn / 2) % this.replicas.length];
 	}
 
--- a/packages/daemon/src/gateway/caller-port.ts
+++ b/packages/daemon/src/gateway/caller-port.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {
 	after, errorAnswers, pickTarget, RouteIndex, routerError, toErrorBody,
 } from '@baobabpier/core';
@@ -48,6 +48,7 @@
 	#index: {readonly table: RoutingTable; readonly routes: RouteIndex} | undefined;
 	#bufferedBytes = 0;
 	#isClosing = false;
+	#isClosed = false;
 
 	constructor(private readonly parts: CallerPortParts) {
 		this.#server = createServer({
@@ -65,6 +66,11 @@
 		return this.#open.size;
 	}
 
+	/** The port that it listens on. */
+	get port(): number {
+		return (this.#server.address() as AddressInfo).port;
+	}
+
 	async listen(address: string): Promise<void> {
 		const {host, port} = splitAddress(address);
 		await new Promise<void>((resolve, reject) => {
@@ -89,8 +95,9 @@
 		this.#server.closeIdleConnections();
 	}
 
-	/** Takes no more connections; those without a call in progress are closed. */
+	/** Takes no more connections and no more calls on open ones; those without a call in progress are closed. */
 	stopAccepting(): void {
+		this.#isClosed = true;
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
@@ -107,12 +114,23 @@
 
 	async #take(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const arrivedAt = this.parts.clock.now();
+		res.once('finish', () => {
+			// An answer that began before the stop did not announce the end of its connection
+			if (this.#isClosing) {
+				req.socket.end();
+			}
+		});
 		try {
 			const body = await this.#readBody(req);
 			if (body === 'gone') {
 				return;
 			}
 
+			if (this.#isClosed) {
+				this.#refuse(req, res, routerError('shuttingDown'));
+				return;
+			}
+
 			await ('kind' in body ? this.#refuse(req, res, body) : this.#route(req, res, body, arrivedAt));
 		} catch (error) {
 			log('A call failed within the instance.', {error: (error as Error).stack ?? String(error)});
--- a/packages/daemon/src/gateway/server-transport.ts
+++ b/packages/daemon/src/gateway/server-transport.ts
@@ -39,11 +39,15 @@
 	readonly status: number;
 	readonly rawHeaders: readonly string[];
 	readonly body: Readable;
+	/** Whether the end of the body, which only its connection's end marks, may have been a reset. */
+	readonly mayBeCut: () => boolean;
 };
 
 type PoolEntry = {
 	readonly pool: Pool;
 	usedAt: number;
+	/** Connections that the server reset. */
+	resets: number;
 };
 
 const toText = (value: string | Buffer): string => typeof value === 'string' ? value : value.toString('latin1');
@@ -68,13 +72,16 @@
 	/** Sends a call; resolves with the head of the answer. */
 	async open({address, method, target, headers, body, signal}: OutgoingCall): Promise<OpenAnswer | SendFault> {
 		try {
-			const answer = await this.#pool(address).request({
+			const entry = this.#entry(address);
+			const answer = await entry.pool.request({
 				method: method as 'GET', path: target, headers, body: body === undefined || body.length === 0 ? null : body, signal, // eslint-disable-line @typescript-eslint/no-restricted-types
 			});
 			// A body that breaks off is read, or destroyed, by who opened it
 			answer.body.on('error', () => undefined);
+			const isFramed = answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined;
+			const resetsBefore = entry.resets;
 			return {
-				kind: 'head', status: answer.statusCode, rawHeaders: flatten(answer.headers), body: answer.body,
+				kind: 'head', status: answer.statusCode, rawHeaders: flatten(answer.headers), body: answer.body, mayBeCut: () => !isFramed && entry.resets > resetsBefore,
 			};
 		} catch (error) {
 			const detail = (error as Error).message;
@@ -99,7 +106,7 @@
 			return {kind: 'broken', detail: (error as Error).message};
 		}
 
-		return Buffer.concat(chunks);
+		return answer.mayBeCut() ? {kind: 'broken', detail: 'the connection was reset before the end of an answer without a length'} : Buffer.concat(chunks);
 	}
 
 	/** Drops the connections to an address: those that are idle, and those in use once their call has ended. */
@@ -115,26 +122,29 @@
 		await Promise.all([...this.#pools.values()].map(async ({pool}) => pool.destroy()));
 	}
 
-	#pool(address: string): Pool {
+	#entry(address: string): PoolEntry {
 		const now = performance.now();
 		const known = this.#pools.get(address);
 		if (known !== undefined) {
 			known.usedAt = now;
-			return known.pool;
+			return known;
 		}
 
 		const pool = new Pool(`http://${address}`, {
 			connections: this.connectionsTo(address),
 			pipelining: 1,
-			connect: createTimedConnect(connectTimeoutMs),
+			connect: createTimedConnect(connectTimeoutMs, () => {
+				entry.resets += 1;
+			}),
 			headersTimeout: 0,
 			bodyTimeout: 0,
 			keepAliveTimeout: keepAliveMs,
 			keepAliveMaxTimeout: 2 * keepAliveMs,
 			keepAliveTimeoutThreshold: keepAliveMarginMs,
 		});
-		this.#pools.set(address, {pool, usedAt: now});
-		return pool;
+		const entry: PoolEntry = {pool, usedAt: now, resets: 0};
+		this.#pools.set(address, entry);
+		return entry;
 	}
 
 	#sweep(): void {
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -387,6 +387,10 @@
 			return {kind: 'broken', detail: limit.isOver() ? 'the engine is silent' : (error as Error).message};
 		}
 
+		if (answer.mayBeCut()) {
+			return {kind: 'broken', detail: 'the connection was reset before the end of a stream without framing'};
+		}
+
 		if (splitter.rest > 0) {
 			return {kind: 'broken', detail: 'the stream ended within an event'};
 		}
--- a/packages/daemon/src/timed-connect.ts
+++ b/packages/daemon/src/timed-connect.ts
@@ -2,13 +2,17 @@
 import {connect} from 'node:net';
 import type {buildConnector} from 'undici';
 
+/** Code of the error of a connection that its peer reset. */
+export const resetCode = 'ERR_CONNECTION_RESET';
+
 /**
  * Makes a connector that gives up after `timeoutMs`; its error says that nothing was sent.
+ * `onReset` is called for each connection that its peer resets, before undici hears of its end.
  *
  * @example
  * new Pool(origin, {connect: createTimedConnect(250)});
  */
-export const createTimedConnect = (timeoutMs: number): buildConnector.connector => (options, callback) => {
+export const createTimedConnect = (timeoutMs: number, onReset?: () => void): buildConnector.connector => (options, callback) => {
 	const socket = connect({host: options.hostname, port: Number(options.port), noDelay: true});
 	const timer = setTimeout(() => {
 		socket.destroy(Object.assign(new Error(`no connection to ${options.hostname}:${options.port} within ${timeoutMs} ms`), {code: 'UND_ERR_CONNECT_TIMEOUT'}));
@@ -18,6 +22,19 @@
 		callback(error, null); // eslint-disable-line @typescript-eslint/no-restricted-types
 	};
 
+	// Undici takes a reset for the end of an answer without a length; under another code it is the failure that it is
+	socket.on('error', (error: NodeJS.ErrnoException) => {
+		if (error.code === 'ECONNRESET') {
+			error.code = resetCode;
+			onReset?.();
+		}
+	});
+	// A reset that arrives together with data ends the socket as a close would; only its peer's address is gone then
+	socket.once('end', () => {
+		if (socket.remoteAddress === undefined) {
+			onReset?.();
+		}
+	});
 	socket.once('error', fail);
 	socket.once('connect', () => {
 		clearTimeout(timer);
