Change engines' roles by fenced orders as the mix of prompts and outputs shifts

Load pattern: streams of 400 tokens fill the decode engines' memory in a burst while three prefill engines are busy for under two thirds. Not yet measured.

--- /dev/null
+++ b/packages/core/src/__tests__/unit/role-planner.test.ts
@@ -0,0 +1,74 @@
+import {expect, test} from 'vitest';
+import {RolePlanner, toId} from '@baobabpier/core';
+import type {EngineId, EngineRole, Instant} from '@baobabpier/core';
+
+const at = (ms: number): Instant => ms as Instant;
+const capacity = {prefillTokensPerMs: 45, pieces: 3500};
+
+const engines = (prefill: number, decode: number) => [
+	...Array.from({length: prefill}, (_, index) => ({
+		id: toId<EngineId>(`p${index}`), role: 'prefill' as EngineRole, running: 0, queuedTokens: 1000 - index,
+	})),
+	...Array.from({length: decode}, (_, index) => ({
+		id: toId<EngineId>(`d${index}`), role: 'decode' as EngineRole, running: 9 - index, queuedTokens: 0,
+	})),
+];
+
+/** Replays requests of one kind for `ms`; returns every change with its time. */
+const replay = (planner: RolePlanner, fleet: ReturnType<typeof engines>, load: {readonly perSecond: number; readonly tokens: number; readonly pieces: number; readonly heldMs: number}, from: number, ms: number) => {
+	const changes: Array<{readonly at: number; readonly role: EngineRole}> = [];
+	const stepMs = 100;
+	let due = 0;
+	for (let now = from; now < from + ms; now += stepMs) {
+		due += load.perSecond * stepMs / 1000;
+		for (; due >= 1; due -= 1) {
+			planner.noteGrant(load.tokens);
+		}
+
+		planner.noteUse(Math.min(load.perSecond * load.heldMs / 1000 * load.pieces, fleet.filter(({role}) => role === 'decode').length * capacity.pieces), at(now));
+		for (const {engine, role} of planner.plan(fleet, at(now))) {
+			changes.push({at: now, role});
+			fleet.find(({id}) => id === engine)!.role = role;
+		}
+	}
+
+	return changes;
+};
+
+const longAnswers = {
+	perSecond: 9, tokens: 5200, pieces: 345, heldMs: 3400,
+};
+const longPrompts = {
+	perSecond: 9, tokens: 11_000, pieces: 700, heldMs: 600,
+};
+
+const cases = [
+	{name: 'long answers fill decode memory while prefill engines idle', load: longAnswers, fleet: [3, 5], prefill: 2},
+	{name: 'the split fits the load', load: longAnswers, fleet: [2, 6], prefill: 2},
+	{name: 'long prompts with short answers', load: longPrompts, fleet: [2, 6], prefill: 5},
+	{name: 'many engines change a few at a time', load: {...longAnswers, perSecond: 45}, fleet: [15, 27], prefill: 11},
+] as const;
+
+test.each(cases)('settles at $prefill prefill engines when $name', ({load, fleet: [prefill, decode], prefill: wanted}) => {
+	const fleet = engines(prefill, decode);
+	const planner = new RolePlanner(capacity);
+	replay(planner, fleet, load, 0, 120_000);
+	expect(fleet.filter(({role}) => role === 'prefill')).toHaveLength(wanted);
+	expect(replay(planner, fleet, load, 120_000, 120_000)).toEqual([]);
+});
+
+test('changes nothing for a burst of long prompts of four seconds', () => {
+	const fleet = engines(2, 6);
+	const planner = new RolePlanner(capacity);
+	replay(planner, fleet, longAnswers, 0, 60_000);
+	expect(replay(planner, fleet, longPrompts, 60_000, 4000)).toEqual([]);
+});
+
+test('changes the least busy engine, and never the last one of a role', () => {
+	const planner = new RolePlanner(capacity);
+	const fleet = engines(3, 5);
+	expect(replay(planner, fleet, longAnswers, 0, 20_000)).toHaveLength(1);
+	expect(fleet.find(({id}) => id === 'p2')!.role).toBe('decode');
+	const two = engines(1, 1);
+	expect(replay(new RolePlanner(capacity), two, longAnswers, 0, 60_000)).toEqual([]);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -268,3 +268,5 @@
 export {CONTROL_WATCH} from './rpc/watch-commands.js';
 export type {WatchAnswer, WatchParams} from './rpc/watch-commands.js';
 export type {ForecastOptions} from './placement/forecast.js';
+export {RolePlanner} from './placement/role-planner.js';
+export type {RoleCandidate, RoleCapacity, RoleChange} from './placement/role-planner.js';
--- /dev/null
+++ b/packages/core/src/placement/role-planner.ts
@@ -0,0 +1,107 @@
+/** How many engines of a service prefill and how many decode, as the mix of prompts and outputs shifts. */
+import type {EngineRole} from '../catalogue/types.js';
+import type {EngineId} from '../ids.js';
+import type {Instant} from '../time.js';
+
+/** Time constant of the averages, in milliseconds: several times a stream's length. */
+const memoryMs = 15_000;
+/** Grants that must have been seen before the first change. */
+const minGrants = 25;
+/** How far the wanted number must be from the present one, in engines: over a half, so that a change is not taken back. */
+const changeFrom = 0.7;
+/** How long a change must be wanted, in milliseconds. */
+const steadyMs = 3000;
+/** Pause between changes, in milliseconds: an engine needs about half of it to change its role. */
+const pauseMs = 12_000;
+/** One engine in so many may change at a time. */
+const enginesPerChange = 12;
+
+/** An engine that may change its role. */
+export type RoleCandidate = {
+	readonly id: EngineId;
+	readonly role: EngineRole;
+	/** Requests on it, by which the least busy is chosen. */
+	readonly running: number;
+	readonly queuedTokens: number;
+};
+
+/** An engine and the role that it is to have. */
+export type RoleChange = {
+	readonly engine: EngineId;
+	readonly role: EngineRole;
+};
+
+/** What one engine can do. */
+export type RoleCapacity = {
+	/** Tokens that a prefill engine reads, per millisecond. */
+	readonly prefillTokensPerMs: number;
+	/** Memory pieces of a decode engine. */
+	readonly pieces: number;
+};
+
+/**
+ * Splits the engines so that prefill and decode engines are equally busy. Answers loads whose decode memory is full
+ * while prefill engines idle, or the reverse; a passing burst changes nothing.
+ *
+ * @example
+ * const planner = new RolePlanner({prefillTokensPerMs: 45, pieces: 3500});
+ * planner.noteGrant(5200, now);
+ * planner.noteUse(9000, now); // Pieces in use on all decode engines
+ * planner.plan(engines, now); // [] or the engines to change
+ */
+export class RolePlanner {
+	#grants = 0;
+	#tokensPerMs = 0;
+	#pieces = 0;
+	#notedAt: Instant | undefined;
+	#wantedSince: Instant | undefined;
+	#changedAt: Instant | undefined;
+
+	constructor(private readonly capacity: RoleCapacity) {}
+
+	/** Counts a prompt that was given to an engine. */
+	noteGrant(promptTokens: number): void {
+		this.#grants += 1;
+		this.#tokensPerMs += promptTokens / memoryMs;
+	}
+
+	/** Samples the memory in use on all decode engines; to be called at regular times. */
+	noteUse(usedPieces: number, now: Instant): void {
+		const elapsed = now - (this.#notedAt ?? now);
+		const kept = Math.exp(-elapsed / memoryMs);
+		this.#notedAt = now;
+		this.#tokensPerMs *= kept;
+		this.#pieces = (this.#pieces * kept) + (usedPieces * (1 - kept));
+	}
+
+	/** The part of the engines that should prefill, from 0 to 1; undefined while too little is known. */
+	get prefillPart(): number | undefined {
+		const prefill = this.#tokensPerMs / this.capacity.prefillTokensPerMs;
+		const decode = this.#pieces / this.capacity.pieces;
+		return this.#grants < minGrants || prefill + decode <= 0 ? undefined : prefill / (prefill + decode);
+	}
+
+	/** The engines that should change their role now. */
+	plan(engines: readonly RoleCandidate[], now: Instant): readonly RoleChange[] {
+		const part = this.prefillPart;
+		const prefilling = engines.filter(({role}) => role === 'prefill').length;
+		const wanted = part === undefined ? prefilling : Math.min(engines.length - 1, Math.max(1, engines.length * part));
+		if (engines.length < 2 || Math.abs(wanted - prefilling) < changeFrom) {
+			this.#wantedSince = undefined;
+			return [];
+		}
+
+		this.#wantedSince ??= now;
+		if (now - this.#wantedSince < steadyMs || (this.#changedAt !== undefined && now - this.#changedAt < pauseMs)) {
+			return [];
+		}
+
+		this.#changedAt = now;
+		const count = Math.min(Math.round(Math.abs(wanted - prefilling)), Math.max(1, Math.floor(engines.length / enginesPerChange)));
+		const from: EngineRole = wanted < prefilling ? 'prefill' : 'decode';
+		return engines.filter(({role}) => role === from)
+			.toSorted((a, b) => a.running - b.running || a.queuedTokens - b.queuedTokens)
+			.slice(0, count)
+			.map(({id}) => ({engine: id, role: from === 'prefill' ? 'decode' : 'prefill'}));
+	}
+}
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -9,7 +9,9 @@
 import {GatewayMetrics, serveMetrics} from '../gateway/gateway-metrics.js';
 import {engineSpeeds, placeTimings} from '../gateway/gateway.js';
 import {ListReader} from '../gateway/list-reader.js';
-import {createModelServices, createPoolCatalogue, leavingEngines} from '../gateway/model-services.js';
+import {
+	createModelServices, createPoolCatalogue, leavingEngines, piecesOfEngine,
+} from '../gateway/model-services.js';
 import {ServerTransport} from '../gateway/server-transport.js';
 import type {ListDialect, RoutingCodec} from '../gateway/types.js';
 import {openPort} from '../listen.js';
@@ -18,6 +20,8 @@
 import {PoolHost} from '../pools/pool-host.js';
 import {Peers} from '../rpc/peers.js';
 import {RpcServer} from '../rpc/rpc-server.js';
+import {RoleTask} from './role-task.js';
+import type {OrderDialect} from './role-task.js';
 import {WatchDesk} from './watch-desk.js';
 
 const log = createLog('control-node');
@@ -51,6 +55,7 @@
 export type ControlNodeDialect = {
 	readonly list: ListDialect;
 	readonly routing: RoutingCodec;
+	readonly orders: OrderDialect;
 };
 
 /** A running control instance. */
@@ -95,7 +100,7 @@
 
 	/** Whether places may be given out: entry instances had the time to tell of those that they hold. */
 	isSettled(now: Instant): boolean {
-		return this.#leadingSince !== undefined && now - this.#leadingSince >= settleMs;
+		return this.#leadingSince !== undefined && this.control.status.role === 'leader' && now - this.#leadingSince >= settleMs;
 	}
 }
 
@@ -140,6 +145,9 @@
 		// A holder that is gone has closed its connections, on which engines end its requests
 		engines: {report: async () => undefined, cancel: async () => undefined}, // eslint-disable-line unicorn/no-useless-undefined
 		mayGrant: () => shares.isSettled(clock.now()),
+		onPlaced(service, promptTokens) {
+			roles.noteGrant(service, promptTokens);
+		},
 		timings: placeTimings,
 	});
 	const transport = new ServerTransport(() => listConnections);
@@ -150,6 +158,23 @@
 			applyPools();
 		},
 	});
+	const roles: RoleTask = new RoleTask({
+		self: first.id,
+		clock,
+		transport,
+		dialect: dialect.orders,
+		servers: () => servers,
+		pools: () => pools.status(),
+		fencing: () => shares.isSettled(clock.now()) && control.status.hearsQuorum ? shares.fencing : undefined,
+		piecesOf(name) {
+			const service = tableInForce()?.services.get(name);
+			return service === undefined ? undefined : piecesOfEngine(service);
+		},
+		prefillTokensPerMs: engineSpeeds.prefillTokensPerMs!,
+		onChanging() {
+			applyPools();
+		},
+	});
 	const desk: WatchDesk = new WatchDesk({
 		dataCentre: first.dataCentre, control, clock, listAgeMs: () => list.ageMs,
 	});
@@ -167,7 +192,7 @@
 		const table = tableInForce();
 		if (table !== undefined) {
 			pools.applyCatalogue(createPoolCatalogue(createModelServices(table, servers), table.version));
-			pools.setLeaving(leavingEngines(servers));
+			pools.setLeaving(new Set([...leavingEngines(servers), ...roles.changing]));
 		}
 	};
 
@@ -180,6 +205,7 @@
 	desk.start(rpc);
 	pools.start(rpc);
 	list.start();
+	roles.start();
 	control.registerListener(applyPools);
 	const leadTimer = setInterval(() => {
 		if (shares.check(clock.now())) {
@@ -196,6 +222,7 @@
 		clearInterval(leadTimer);
 		await control.stop();
 		pools.stop();
+		roles.stop();
 		list.stop();
 		desk.stop();
 		peerPort.closeAllConnections();
--- a/packages/daemon/src/gateway/model-services.ts
+++ b/packages/daemon/src/gateway/model-services.ts
@@ -15,12 +15,15 @@
 /** Requests that may wait for a place at once. */
 const maxQueue = 2000;
 
+/** Memory pieces of one engine of a service. */
+export const piecesOfEngine = ({engines}: RoutedService): number => Math.floor(((engines?.memoryTokens ?? 0) * usedMemoryPart) / pieceTokens);
+
 const engineOf = (server: ListedServer, service: RoutedService): EngineEntry => ({
 	id: toId<EngineId>(server.id),
 	address: server.address,
 	dataCentre: poolDataCentre,
 	role: server.role ?? 'decode',
-	pieces: Math.floor((service.engines!.memoryTokens * usedMemoryPart) / pieceTokens),
+	pieces: piecesOfEngine(service),
 	fencesOrders: true,
 });
 
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -66,6 +66,8 @@
 	readonly engines: PoolEngines;
 	/** Whether places may be given out, where an owner first lets holders of an earlier owner's places come forward. */
 	readonly mayGrant?: () => boolean;
+	/** Called with each place that is given out. */
+	readonly onPlaced?: (service: ServiceName, promptTokens: number) => void;
 	/** Leases of the places; those of a deployment whose engines report their holds by default. */
 	readonly timings?: PoolTimings;
 };
@@ -193,7 +195,13 @@
 
 		const now = this.parts.clock.now();
 		return new Promise(resolve => {
-			hosted.waiting.set(holdKey(params), resolve);
+			hosted.waiting.set(holdKey(params), answer => {
+				if (answer.kind === 'placed') {
+					this.parts.onPlaced?.(params.service, params.promptTokens);
+				}
+
+				resolve(answer);
+			});
 			signal.addEventListener('abort', () => {
 				if (hosted.waiting.delete(holdKey(params))) {
 					this.#perform(hosted, hosted.pool.step({kind: 'release', hold: params}, this.parts.clock.now()));
