--- a/packages/core/src/__tests__/unit/role-planner.test.ts
+++ b/packages/core/src/__tests__/unit/role-planner.test.ts
@@ -7,10 +7,10 @@
 
 const engines = (prefill: number, decode: number) => [
 	...Array.from({length: prefill}, (_, index) => ({
-		id: toId<EngineId>(`p${index}`), role: 'prefill' as EngineRole, running: 0, queuedTokens: 1000 - index,
+		id: toId<EngineId>(`p${index}`), role: 'prefill', running: 0, queuedTokens: 1000 - index,
 	})),
 	...Array.from({length: decode}, (_, index) => ({
-		id: toId<EngineId>(`d${index}`), role: 'decode' as EngineRole, running: 9 - index, queuedTokens: 0,
+		id: toId<EngineId>(`d${index}`), role: 'decode', running: 9 - index, queuedTokens: 0,
 	})),
 ];
 
@@ -43,10 +43,18 @@
 };
 
 const cases = [
-	{name: 'long answers fill decode memory while prefill engines idle', load: longAnswers, fleet: [3, 5], prefill: 2},
-	{name: 'the split fits the load', load: longAnswers, fleet: [2, 6], prefill: 2},
-	{name: 'long prompts with short answers', load: longPrompts, fleet: [2, 6], prefill: 5},
-	{name: 'many engines change a few at a time', load: {...longAnswers, perSecond: 45}, fleet: [15, 27], prefill: 11},
+	{
+		name: 'long answers fill decode memory while prefill engines idle', load: longAnswers, fleet: [3, 5], prefill: 2,
+	},
+	{
+		name: 'the split fits the load', load: longAnswers, fleet: [2, 6], prefill: 2,
+	},
+	{
+		name: 'long prompts with short answers', load: longPrompts, fleet: [2, 6], prefill: 5,
+	},
+	{
+		name: 'many engines change a few at a time', load: {...longAnswers, perSecond: 45}, fleet: [15, 27], prefill: 11,
+	},
 ] as const;
 
 test.each(cases)('settles at $prefill prefill engines when $name', ({load, fleet: [prefill, decode], prefill: wanted}) => {
--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -84,6 +84,11 @@
 		this.#usualTokensPerMs = options.prefillTokensPerMs ?? initialPrefillTokensPerMs;
 	}
 
+	/** Whether decode engines can read prompts themselves. */
+	get canReadDirectly(): boolean {
+		return this.options.directTokensPerMs !== undefined;
+	}
+
 	/** Predicts a prefill of `tokens` that is ordered now. */
 	predict(prefill: EngineId, tokens: number, now: Instant): Prediction {
 		const line = this.#line(prefill);
@@ -96,9 +101,15 @@
 		};
 	}
 
-	/** Whether decode engines can read prompts themselves. */
-	get canReadDirectly(): boolean {
-		return this.options.directTokensPerMs !== undefined;
+	/** Predicts the first output of a decode engine that reads a prompt itself; undefined where engines can't. */
+	predictDirect(decode: EngineId, tokens: number, now: Instant): {readonly startsAt: Instant; readonly firstOutputAt: Instant} | undefined {
+		if (this.options.directTokensPerMs === undefined) {
+			return undefined;
+		}
+
+		const line = this.#line(decode, this.options.directTokensPerMs);
+		const startsAt = line.endsAt(now);
+		return {startsAt, firstOutputAt: after(startsAt, line.durationMs(tokens) + this.#latencyMs)};
 	}
 
 	/** How long a prefill of `tokens` and its transfer take on idle engines, in milliseconds. */
@@ -222,17 +233,6 @@
 		return this.#isLinkShared ? this.#link.durationMs(tokens) : 0;
 	}
 
-	/** Predicts the first output of a decode engine that reads a prompt itself; undefined where engines can't. */
-	predictDirect(decode: EngineId, tokens: number, now: Instant): {readonly startsAt: Instant; readonly firstOutputAt: Instant} | undefined {
-		if (this.options.directTokensPerMs === undefined) {
-			return undefined;
-		}
-
-		const line = this.#line(decode, this.options.directTokensPerMs);
-		const startsAt = line.endsAt(now);
-		return {startsAt, firstOutputAt: after(startsAt, line.durationMs(tokens) + this.#latencyMs)};
-	}
-
 	#line(engine: EngineId, tokensPerMs = this.options.prefillTokensPerMs ?? initialPrefillTokensPerMs): Line {
 		const line = this.#prefillLines.get(engine) ?? (this.#latencyMs > 0 ? new PipelinedLine(tokensPerMs, this.#latencyMs) : new WorkLine(tokensPerMs));
 		this.#prefillLines.set(engine, line);
--- a/packages/core/src/routing/route-index.ts
+++ b/packages/core/src/routing/route-index.ts
@@ -6,7 +6,7 @@
  *
  * @example
  * const index = new RouteIndex(table.routes);
- * index.find('hire.example', '/drafts/7'); // The route with the longest prefix of the path
+ * index.match('hire.example', '/drafts/7'); // The route with the longest prefix of the path
  */
 export class RouteIndex {
 	readonly #hosts = new Map<string, Map<string, Route>>();
@@ -20,7 +20,7 @@
 	}
 
 	/** The route of a host and a path, without its query; undefined when there is none. */
-	find(host: string, path: string): Route | undefined {
+	match(host: string, path: string): Route | undefined {
 		const prefixes = this.#hosts.get(host.toLowerCase());
 		let end = prefixes === undefined ? -1 : path.lastIndexOf('/');
 		while (end >= 0) {
--- a/packages/daemon/src/__tests__/unit/caller-port.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-port.test.ts
@@ -86,7 +86,7 @@
 const received = async (socket: Socket, isEnough: (text: string) => boolean): Promise<string> => {
 	let text = '';
 	const deadline = Date.now() + 2000;
-	socket.on('data', (chunk: Buffer) => {
+	socket.on('data', (chunk: Uint8Array) => {
 		text += chunk.toString();
 	});
 	while (!isEnough(text) && Date.now() < deadline) {
@@ -125,8 +125,12 @@
 });
 
 const refusals = [
-	{name: 'a path without a route', path: '/none/1', body: '', status: 404},
-	{name: 'a body over the limit', path: '/unsafe/1', body: 'x'.repeat(1001), status: 413},
+	{
+		name: 'a path without a route', path: '/none/1', body: '', status: 404,
+	},
+	{
+		name: 'a body over the limit', path: '/unsafe/1', body: 'x'.repeat(1001), status: 413,
+	},
 ];
 
 test.each(refusals)('refuses $name with $status and passes on nothing', async ({path, body, status}) => {
--- a/packages/daemon/src/__tests__/unit/server-transport.test.ts
+++ b/packages/daemon/src/__tests__/unit/server-transport.test.ts
@@ -41,12 +41,24 @@
 };
 
 const cases = [
-	{name: 'a whole answer with a length', head: 'content-length: 4', end: 'keep', seen: 'part'},
-	{name: 'an answer without a length that ends with its connection', head: 'x-none: 1', end: 'finish', seen: 'part'},
-	{name: 'an answer without a length whose connection is reset', head: 'x-none: 1', end: 'reset', seen: 'broken'},
-	{name: 'an answer without a length whose connection is reset together with its data', head: 'x-none: 1', end: 'resetAtOnce', seen: 'broken'},
-	{name: 'an answer shorter than its length', head: 'content-length: 9', end: 'finish', seen: 'broken'},
-	{name: 'chunks without their end', head: 'transfer-encoding: chunked', end: 'finish', seen: 'broken'},
+	{
+		name: 'a whole answer with a length', head: 'content-length: 4', end: 'keep', seen: 'part',
+	},
+	{
+		name: 'an answer without a length that ends with its connection', head: 'x-none: 1', end: 'finish', seen: 'part',
+	},
+	{
+		name: 'an answer without a length whose connection is reset', head: 'x-none: 1', end: 'reset', seen: 'broken',
+	},
+	{
+		name: 'an answer without a length whose connection is reset together with its data', head: 'x-none: 1', end: 'resetAtOnce', seen: 'broken',
+	},
+	{
+		name: 'an answer shorter than its length', head: 'content-length: 9', end: 'finish', seen: 'broken',
+	},
+	{
+		name: 'chunks without their end', head: 'transfer-encoding: chunked', end: 'finish', seen: 'broken',
+	},
 ] as const;
 
 test.each(cases)('reads $name as $seen', async ({head, end, seen}) => {
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -89,9 +89,11 @@
 
 	find(id: Parameters<ShareMap['find']>[0]) {
 		const holder = this.control.position.leader;
-		return holder === undefined ? undefined : {
-			...id, holder, fencing: this.fencing, until: undefined,
-		};
+		return holder === undefined
+			? undefined
+			: {
+				...id, holder, fencing: this.fencing, until: undefined,
+			};
 	}
 
 	holds(_id: Parameters<ShareMap['holds']>[0], now: Instant): boolean {
@@ -143,7 +145,7 @@
 		shares,
 		createPolicy: targets => new ForecastPolicy(targets, engineSpeeds),
 		// A holder that is gone has closed its connections, on which engines end its requests
-		engines: {report: async () => undefined, cancel: async () => undefined}, // eslint-disable-line unicorn/no-useless-undefined
+		engines: {report: async () => undefined, cancel: async () => undefined},
 		mayGrant: () => shares.isSettled(clock.now()),
 		onPlaced(service, promptTokens) {
 			roles.noteGrant(service, promptTokens);
@@ -214,7 +216,9 @@
 		}
 	}, leadCheckMs);
 	void control.start(rpc);
-	log('The control instance is up.', {id: first.id, dataCentre: first.dataCentre, seeds: first.seeds.join(' '), firstStart: first.isFirstStart});
+	log('The control instance is up.', {
+		id: first.id, dataCentre: first.dataCentre, seeds: first.seeds.join(' '), firstStart: first.isFirstStart,
+	});
 	let stopping: Promise<void> | undefined;
 
 	const close = async (): Promise<void> => {
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -1,5 +1,4 @@
 /** Orders engines to change their role while this instance leads, as the role planner says. */
-import type {Buffer} from 'node:buffer';
 import {RolePlanner, toId} from '@baobabpier/core';
 import type {
 	BackendId, Clock, EngineId, EngineRole, FencingNumber, Instant, InstanceId, InstanceStatus, ListedServer, RoleChange, ServiceName,
@@ -31,13 +30,13 @@
 	readonly method: string;
 	readonly target: string;
 	readonly headers: string[];
-	readonly body: Buffer | undefined;
+	readonly body: Uint8Array | undefined;
 };
 
 /** Translates orders to engines. */
 export type OrderDialect = {
 	reportCall(): EngineCall;
-	readReport(body: Buffer): RoleReport | undefined;
+	readReport(body: Uint8Array): RoleReport | undefined;
 	/** An order that holds only while the engine has accepted `sequence` orders. */
 	orderCall(engine: BackendId, role: EngineRole, holder: InstanceId, fencing: FencingNumber, sequence: number): EngineCall;
 };
@@ -145,7 +144,9 @@
 		for (const [id, {role, until}] of this.#changing) {
 			const server = servers.get(id);
 			if (server === undefined || server.role === role || now > until) {
-				log('An engine\'s change of role is over.', {engine: id, role, listedRole: server?.role, isLate: now > until});
+				log('An engine\'s change of role is over.', {
+					engine: id, role, listedRole: server?.role, isLate: now > until,
+				});
 				this.#changing.delete(id);
 				isChanged = true;
 			}
@@ -161,7 +162,9 @@
 		const report = server === undefined ? undefined : await this.#report(server);
 		// The lead is checked right before the order goes out
 		if (server === undefined || report === undefined || report.isBusy || report.role === role || this.parts.fencing() !== fencing) {
-			log('An order is not given.', {engine, role, isReported: report !== undefined, isBusy: report?.isBusy, reportedRole: report?.role});
+			log('An order is not given.', {
+				engine, role, isReported: report !== undefined, isBusy: report?.isBusy, reportedRole: report?.role,
+			});
 			this.#changing.delete(engine);
 			this.parts.onChanging();
 			return;
@@ -184,7 +187,7 @@
 		return answer?.status === 200 ? this.parts.dialect.readReport(answer.body) : undefined;
 	}
 
-	async #call(server: ListedServer, call: EngineCall): Promise<{readonly status: number; readonly body: Buffer} | undefined> {
+	async #call(server: ListedServer, call: EngineCall): Promise<{readonly status: number; readonly body: Uint8Array} | undefined> {
 		const answer = await this.parts.transport.open({address: server.address, ...call, signal: AbortSignal.timeout(callMs)});
 		const body = answer.kind === 'head' ? await this.parts.transport.readBody(answer) : answer;
 		if (answer.kind !== 'head' || 'kind' in body) {
--- a/packages/daemon/src/gateway/caller-port.ts
+++ b/packages/daemon/src/gateway/caller-port.ts
@@ -26,7 +26,9 @@
 const maxUnreadBytes = 1024 * 1024;
 const connectionCheckMs = 500;
 /** Used until the first routing configuration. */
-const firstLimits = {headerBytes: 16 * 1024, bodyBytes: 4 * 1024 * 1024, headersTimeoutMs: 3000, idleTimeoutMs: 15_000};
+const firstLimits = {
+	headerBytes: 16 * 1024, bodyBytes: 4 * 1024 * 1024, headersTimeoutMs: 3000, idleTimeoutMs: 15_000,
+};
 /** Backlog of connections that wait to be accepted. */
 const backlog = 1024;
 
@@ -131,7 +133,12 @@
 				return;
 			}
 
-			await ('kind' in body ? this.#refuse(req, res, body) : this.#route(req, res, body, arrivedAt));
+			if ('kind' in body) {
+				this.#refuse(req, res, body);
+				return;
+			}
+
+			await this.#route(req, res, body, arrivedAt);
 		} catch (error) {
 			log('A call failed within the instance.', {error: (error as Error).stack ?? String(error)});
 			this.#refuse(req, res, routerError('internal'));
@@ -139,12 +146,12 @@
 	}
 
 	/** Reads a body whole within the limits. */
-	async #readBody(req: IncomingMessage): Promise<Buffer | RouterError | 'gone'> {
+	async #readBody(req: IncomingMessage): Promise<Uint8Array | RouterError | 'gone'> {
 		const bodyBytes = this.#index?.table.limits.bodyBytes ?? firstLimits.bodyBytes;
-		const chunks: Buffer[] = [];
+		const chunks: Uint8Array[] = [];
 		let bytes = 0;
 		try {
-			for await (const chunk of req as AsyncIterable<Buffer>) {
+			for await (const chunk of req as AsyncIterable<Uint8Array>) {
 				bytes += chunk.length;
 				this.#bufferedBytes += chunk.length;
 				if (bytes > bodyBytes) {
@@ -167,7 +174,7 @@
 		return Buffer.concat(chunks);
 	}
 
-	async #route(req: IncomingMessage, res: ServerResponse, body: Buffer, arrivedAt: ReturnType<Clock['now']>): Promise<void> {
+	async #route(req: IncomingMessage, res: ServerResponse, body: Uint8Array, arrivedAt: ReturnType<Clock['now']>): Promise<void> {
 		const target = req.url ?? '/';
 		const path = target.split('?', 1)[0]!;
 		const index = this.#index;
@@ -176,7 +183,7 @@
 			return;
 		}
 
-		const route = index.routes.find(req.headers.host ?? '', path);
+		const route = index.routes.match(req.headers.host ?? '', path);
 		const service = route === undefined ? undefined : pickTarget(route, this.parts.random.next());
 		if (route === undefined || service === undefined) {
 			log('A call has no route.', {requestId: this.#idOf(req), host: req.headers.host, version: index.table.version});
@@ -263,7 +270,7 @@
 				markClosing();
 				res.writeHead(head.status, passedHeaders(head.rawHeaders, new Set(['content-length'])));
 			},
-			write(bytes: Buffer) {
+			write(bytes: Uint8Array) {
 				res.write(bytes);
 				if (res.writableLength > maxUnreadBytes) {
 					log('A caller does not read its stream.', {requestId: call.requestId, unreadBytes: res.writableLength});
@@ -313,7 +320,9 @@
 			req.resume();
 		}
 
-		log('A call is refused.', {requestId, kind: error.kind, status: answer.status, retryAfterMs: error.retryAfterMs, detail: error.detail});
+		log('A call is refused.', {
+			requestId, kind: error.kind, status: answer.status, retryAfterMs: error.retryAfterMs, detail: error.detail,
+		});
 		this.parts.metrics.countRefusal(error.kind);
 	}
 
--- a/packages/daemon/src/gateway/control-watch.ts
+++ b/packages/daemon/src/gateway/control-watch.ts
@@ -177,7 +177,9 @@
 				instance: self, routingVersion: this.#version, listDigest: this.#listDigest, leader: this.#leader, waitMs: wait, withContent, confirmed: this.#version === undefined,
 			}, wait + graceMs + (this.#version === undefined ? waitMs : 0));
 			if (!this.#isGood(source)) {
-				log('A control instance answers.', {control: source.id, hearsQuorum: answer.hearsQuorum, version: answer.routingVersion, leader: answer.leader});
+				log('A control instance answers.', {
+					control: source.id, hearsQuorum: answer.hearsQuorum, version: answer.routingVersion, leader: answer.leader,
+				});
 			}
 
 			source.answeredAt = clock.now();
@@ -217,7 +219,9 @@
 
 		if (routing !== undefined && (this.#version !== undefined || answer.confirmed)) {
 			if (this.parts.onRouting(routing)) {
-				log('A routing configuration is in force.', {version: routing.version, before: this.#version, source: source.id, confirmed: answer.confirmed});
+				log('A routing configuration is in force.', {
+					version: routing.version, before: this.#version, source: source.id, confirmed: answer.confirmed,
+				});
 				this.#version = routing.version;
 			}
 
--- a/packages/daemon/src/gateway/event-splitter.ts
+++ b/packages/daemon/src/gateway/event-splitter.ts
@@ -6,12 +6,12 @@
 	/** Undefined for a comment or an event without an id. */
 	readonly id: string | undefined;
 	/** With the blank line that ends it. */
-	readonly bytes: Buffer;
+	readonly bytes: Uint8Array;
 };
 
 const eventEnd = Buffer.from('\n\n');
 
-const idOf = (bytes: Buffer): string | undefined => /^id: ?(?<id>.*)$/mv.exec(bytes.toString('latin1'))?.groups?.id;
+const idOf = (bytes: Uint8Array): string | undefined => /^id: ?(?<id>.*)$/mv.exec(Buffer.from(bytes).toString('latin1'))?.groups?.id;
 
 /**
  * Takes chunks and gives back the events that are complete.
@@ -23,15 +23,15 @@
  * splitter.rest; // 5 bytes of the next
  */
 export class EventSplitter {
-	#buffer: Buffer = Buffer.alloc(0);
+	#buffer = Buffer.alloc(0);
 
 	/** Bytes of an event that is not complete. */
 	get rest(): number {
 		return this.#buffer.length;
 	}
 
-	push(chunk: Buffer): readonly StreamEvent[] {
-		this.#buffer = this.#buffer.length === 0 ? chunk : Buffer.concat([this.#buffer, chunk]);
+	push(chunk: Uint8Array): readonly StreamEvent[] {
+		this.#buffer = Buffer.concat([this.#buffer, chunk]);
 		const events: StreamEvent[] = [];
 		let end = this.#buffer.indexOf(eventEnd);
 		while (end !== -1) {
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -79,7 +79,7 @@
 		return (this.#byService.get(service) ?? []).filter(({leaving}) => !leaving);
 	}
 
-	find(id: BackendId): ListedServer | undefined {
+	get(id: BackendId): ListedServer | undefined {
 		return this.#servers.find(server => server.id === id);
 	}
 
@@ -152,7 +152,7 @@
 			dataCentre: server.dataCentre,
 			slots: server.slots,
 			inFlight: record.inFlight,
-			told: record.told as ServerLoad['told'],
+			told: record.told,
 			failing: record.failing * Math.exp(-age / failureMemoryMs),
 			usualMs: record.usualMs,
 		};
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -1,6 +1,6 @@
 /** Counters and latency histograms of a process, served as text for scrapers. */
 import {createServer} from 'node:http';
-import type {Server} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
@@ -55,14 +55,19 @@
  * const server = await serveMetrics(metrics.registry, '127.0.0.1:9464');
  */
 export const serveMetrics = async (registry: Registry, address: string): Promise<Server> => {
-	const server = createServer((_req, res) => {
-		registry.metrics().then(text => {
+	const answer = async (res: ServerResponse): Promise<void> => {
+		try {
+			const text = await registry.metrics();
 			res.writeHead(200, {'content-type': registry.contentType});
 			res.end(text);
-		}, (error: unknown) => {
+		} catch (error) {
 			log('Metrics could not be collected.', {error: (error as Error).message});
 			res.writeHead(500).end();
-		});
+		}
+	};
+
+	const server = createServer((_req, res) => {
+		void answer(res);
 	});
 	const {host, port} = splitAddress(address);
 	await new Promise<void>((resolve, reject) => {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -118,7 +118,7 @@
 		clock,
 		shares: new StaticShareMap(first.id, [{id: first.id, dataCentre: poolDataCentre}]),
 		createPolicy: targets => new ForecastPolicy(targets, engineSpeeds),
-		engines: {report: async () => undefined, cancel: async () => undefined}, // eslint-disable-line unicorn/no-useless-undefined
+		engines: {report: async () => undefined, cancel: async () => undefined},
 		timings: {leaseMs: Number.POSITIVE_INFINITY, orphanMs: Number.POSITIVE_INFINITY},
 	});
 	const applyServers = (): void => {
@@ -160,7 +160,11 @@
 		},
 	});
 	const shares: ShareMap = {
-		find: id => watch.leader === undefined ? undefined : {...id, holder: watch.leader, fencing: toId<FencingNumber>(1), until: undefined},
+		find: id => watch.leader === undefined
+			? undefined
+			: {
+				...id, holder: watch.leader, fencing: toId<FencingNumber>(1), until: undefined,
+			},
 		holds: () => false,
 	};
 	const client = new PlaceClient({
@@ -202,7 +206,9 @@
 	client.start();
 	watch.start();
 	list.start();
-	log('The entry instance is up.', {id: first.id, dataCentre: first.dataCentre, callers: first.listen.callers, seeds: first.seeds.join(' ')});
+	log('The entry instance is up.', {
+		id: first.id, dataCentre: first.dataCentre, callers: first.listen.callers, seeds: first.seeds.join(' '),
+	});
 
 	const close = async (): Promise<void> => {
 		callers.destroy();
--- a/packages/daemon/src/gateway/places.ts
+++ b/packages/daemon/src/gateway/places.ts
@@ -31,14 +31,14 @@
 export type Place = {
 	readonly decode: EngineAddress;
 	readonly prefill: EngineAddress;
+	/** Whether the pool's owner gave it: it knows of all other places. */
+	readonly isOwned: boolean;
 	/** Tells that the prefill's engine has room for the next one. */
 	prefillDone(): void;
 	/** Tells that the memory has reached the decode engine. */
 	transferDone(): void;
 	/** Gives the place back; names engines that could not be reached. */
 	release(unreachable?: readonly EngineId[]): void;
-	/** Whether the pool's owner gave it: it knows of all other places. */
-	readonly isOwned: boolean;
 };
 
 /** Whether there is a place. */
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -1,5 +1,4 @@
 /** Serves calls of plain services: one server, and others where the call may be repeated. */
-import type {Buffer} from 'node:buffer';
 import {chooseServer, routerError} from '@baobabpier/core';
 import type {
 	BackendId, Clock, DataCentreId, ListedServer, RandomSource, ServerLoad, ServiceName,
@@ -37,7 +36,7 @@
 
 type Attempt =
 	/** The whole answer of the server to this call. */
-	| {readonly kind: 'answer'; readonly head: AnswerHead; readonly body: Buffer}
+	| {readonly kind: 'answer'; readonly head: AnswerHead; readonly body: Uint8Array}
 	/** The server says that it did not run the call. */
 	| {readonly kind: 'notRun'; readonly isMisplaced: boolean}
 	| SendFault;
@@ -55,7 +54,7 @@
 		let last: Reply = errorReply(routerError('noBackend', `no server of ${service} can be reached`, this.#comeBackMs()));
 		while (scope.reason === undefined) {
 			const load = chooseServer(fleet.loads(service), dataCentre, tried, clock.now(), random.next());
-			const server = load === undefined ? undefined : fleet.find(load.id);
+			const server = load === undefined ? undefined : fleet.get(load.id);
 			if (load === undefined || server === undefined || sent >= call.route.maxAttempts || (sent > 0 && !tries.tryTake(service))) {
 				return last;
 			}
--- a/packages/daemon/src/gateway/reply.ts
+++ b/packages/daemon/src/gateway/reply.ts
@@ -1,12 +1,11 @@
 /** What a caller is answered with. */
-import type {Buffer} from 'node:buffer';
 import type {RouterError} from '@baobabpier/core';
 import type {AnswerHead} from './types.js';
 
 /** The outcome of a call. */
 export type Reply =
 	/** A server's answer, unchanged. */
-	| {readonly kind: 'relay'; readonly head: AnswerHead; readonly body: Buffer}
+	| {readonly kind: 'relay'; readonly head: AnswerHead; readonly body: Uint8Array}
 	| {readonly kind: 'error'; readonly error: RouterError}
 	/** The answer went out piece by piece, or was broken off. */
 	| {readonly kind: 'streamed'};
--- a/packages/daemon/src/gateway/server-transport.ts
+++ b/packages/daemon/src/gateway/server-transport.ts
@@ -22,7 +22,7 @@
 	readonly method: string;
 	readonly target: string;
 	readonly headers: string[];
-	readonly body: Buffer | undefined;
+	readonly body: Uint8Array | undefined;
 	readonly signal: AbortSignal;
 };
 
@@ -50,11 +50,9 @@
 	resets: number;
 };
 
-const toText = (value: string | Buffer): string => typeof value === 'string' ? value : value.toString('latin1');
-
 /** Turns header objects of undici into names and values in turn. */
 const flatten = (headers: Readonly<Record<string, string | string[] | undefined>>): string[] => Object.entries(headers)
-	.flatMap(([name, value]) => (Array.isArray(value) ? value : [value ?? '']).flatMap(item => [name, toText(item)]));
+	.flatMap(([name, value]) => (Array.isArray(value) ? value : [value ?? '']).flatMap(item => [name, item]));
 
 /** The connections to servers, one pool for each address. */
 export class ServerTransport {
@@ -74,7 +72,7 @@
 		try {
 			const entry = this.#entry(address);
 			const answer = await entry.pool.request({
-				method: method as 'GET', path: target, headers, body: body === undefined || body.length === 0 ? null : body, signal, // eslint-disable-line @typescript-eslint/no-restricted-types
+				method, path: target, headers, body: body === undefined || body.length === 0 ? null : body, signal,
 			});
 			// A body that breaks off is read, or destroyed, by who opened it
 			answer.body.on('error', () => undefined);
@@ -90,11 +88,11 @@
 	}
 
 	/** Reads an answer's body whole; a fault when it breaks off or is too large. */
-	async readBody(answer: OpenAnswer): Promise<Buffer | SendFault> {
-		const chunks: Buffer[] = [];
+	async readBody(answer: OpenAnswer): Promise<Uint8Array | SendFault> {
+		const chunks: Uint8Array[] = [];
 		let bytes = 0;
 		try {
-			for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+			for await (const chunk of answer.body as AsyncIterable<Uint8Array>) {
 				bytes += chunk.length;
 				if (bytes > maxBodyBytes) {
 					return {kind: 'broken', detail: `the body is over ${maxBodyBytes} bytes`};
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -44,7 +44,7 @@
 	readonly isBegun: boolean;
 	/** Sends the head of the answer. */
 	begin(head: AnswerHead): void;
-	write(bytes: Buffer): void;
+	write(bytes: Uint8Array): void;
 	/** Ends a complete stream. */
 	end(): void;
 	/** Ends a stream so that it does not look complete. */
@@ -63,7 +63,7 @@
 
 type DecodeOutcome =
 	| {readonly kind: 'complete'}
-	| {readonly kind: 'relay'; readonly head: AnswerHead; readonly body: Buffer}
+	| {readonly kind: 'relay'; readonly head: AnswerHead; readonly body: Uint8Array}
 	| {readonly kind: 'notRun'; readonly isMisplaced: boolean}
 	| SendFault;
 
@@ -132,7 +132,9 @@
 
 		const asked = await this.parts.places.place(call, service, round, [...progress.excluded], scope);
 		if (asked.kind === 'refused') {
-			log('A stream got no place.', {requestId: call.requestId, round, kind: asked.error.kind, retryAfterMs: asked.error.retryAfterMs, leftMs: Math.round(scope.remainingMs())});
+			log('A stream got no place.', {
+				requestId: call.requestId, round, kind: asked.error.kind, retryAfterMs: asked.error.retryAfterMs, leftMs: Math.round(scope.remainingMs()),
+			});
 			return asked.error.kind === 'noBackend' ? this.#withoutPrefill(progress, asked.error) : {isFinal: true, reply: errorReply(asked.error)};
 		}
 
@@ -229,7 +231,9 @@
 		const lease = answer.kind === 'head' && Buffer.isBuffer(body) ? dialect.readLease(answer.status, body) : undefined;
 		end(answer.kind === 'unsent' ? 'unreachable' : 'none');
 		if (lease === undefined) {
-			log('An engine leases no room.', {requestId: call.requestId, engine: server.id, status: answer.kind === 'head' ? answer.status : undefined, detail: 'detail' in answer ? answer.detail : undefined});
+			log('An engine leases no room.', {
+				requestId: call.requestId, engine: server.id, status: answer.kind === 'head' ? answer.status : undefined, detail: 'detail' in answer ? answer.detail : undefined,
+			});
 			excluded.add(place.decode.id);
 		}
 
@@ -272,7 +276,7 @@
 		place.prefillDone();
 		const handle = answer.kind === 'head' && answer.status === 200 && Buffer.isBuffer(body) ? dialect.readPrefill(body) : undefined;
 		const isMisplaced = answer.kind === 'head' && dialect.readHead(answer.status, answer.rawHeaders).isMisplaced;
-		end(handle === undefined ? (answer.kind === 'unsent' ? 'unreachable' : (isMisplaced ? 'misplaced' : (scope.reason === undefined ? 'failed' : 'none'))) : 'good');
+		end(prefillResultOf(answer.kind, handle !== undefined, isMisplaced, scope));
 		log('A prompt was read.', {
 			requestId: call.requestId, engine: server.id, tokens: call.promptTokens, ms: Math.round(this.parts.clock.now() - startedAt), isRead: handle !== undefined,
 			status: answer.kind === 'head' ? answer.status : undefined, detail: 'detail' in answer ? answer.detail : undefined,
@@ -369,7 +373,7 @@
 		const splitter = new EventSplitter();
 		let isFirst = true;
 		try {
-			for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+			for await (const chunk of answer.body as AsyncIterable<Uint8Array>) {
 				for (const event of splitter.push(chunk)) {
 					if (isFirst) {
 						isFirst = false;
@@ -404,7 +408,7 @@
 	}
 
 	/** Passes an event on, unless the caller has it from an engine before. */
-	#passEvent(progress: Progress, head: AnswerHead, event: {readonly id: string | undefined; readonly bytes: Buffer}): void {
+	#passEvent(progress: Progress, head: AnswerHead, event: {readonly id: string | undefined; readonly bytes: Uint8Array}): void {
 		const {out} = progress;
 		if (progress.lastEventId !== undefined && event.id !== undefined && Number(event.id) <= Number(progress.lastEventId)) {
 			return;
@@ -419,16 +423,16 @@
 	}
 
 	#listed({id}: EngineAddress): ListedServer | undefined {
-		const server = this.parts.fleet.find(toId<BackendId>(id));
+		const server = this.parts.fleet.get(toId<BackendId>(id));
 		return server?.leaving === false ? server : undefined;
 	}
 
 	/** The decode engine with the fewest own requests. */
 	#leastLoaded({service, excluded}: Progress): ListedServer | undefined {
 		const {fleet} = this.parts;
-		const loads = fleet.loads(service).filter(({id}) => fleet.find(id)?.role === 'decode' && !excluded.has(toId<EngineId>(id)));
+		const loads = fleet.loads(service).filter(({id}) => fleet.get(id)?.role === 'decode' && !excluded.has(toId<EngineId>(id)));
 		const [least] = loads.toSorted((a, b) => a.inFlight + a.failing - b.inFlight - b.failing);
-		return least === undefined ? undefined : fleet.find(least.id);
+		return least === undefined ? undefined : fleet.get(least.id);
 	}
 
 	/** Frees a prefill's result that nobody will use. */
@@ -446,6 +450,19 @@
 	}
 }
 
+/** What a prefill's outcome says of its engine. */
+const prefillResultOf = (kind: 'head' | SendFault['kind'], isRead: boolean, isMisplaced: boolean, scope: CallScope): CallResult => {
+	if (isRead) {
+		return 'good';
+	}
+
+	if (kind === 'unsent' || isMisplaced) {
+		return isMisplaced ? 'misplaced' : 'unreachable';
+	}
+
+	return scope.reason === undefined ? 'failed' : 'none';
+};
+
 /** What a run's outcome says of its engine. */
 const resultOf = (outcome: DecodeOutcome, scope: CallScope): CallResult => {
 	switch (outcome.kind) {
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -1,5 +1,4 @@
 /** The vocabulary of the gateway: a caller's call, the answers to it, and what an adapter must translate. */
-import type {Buffer} from 'node:buffer';
 import type {
 	Instant, ListedServer, RequestId, Route, RouterError, RoutingFault, RoutingTable, Result,
 } from '@baobabpier/core';
@@ -24,7 +23,7 @@
 	readonly target: string;
 	/** Header names and values in turn, as the caller sent them. */
 	readonly rawHeaders: readonly string[];
-	readonly body: Buffer;
+	readonly body: Uint8Array;
 	readonly route: Route;
 	readonly arrivedAt: Instant;
 	/** When the caller or the route gives up. */
@@ -79,11 +78,11 @@
 	sendHeaders(call: Call, server: ListedServer, purpose: SendPurpose, remainingMs: number): string[];
 	readHead(status: number, rawHeaders: readonly string[]): AnswerHead;
 	/** The handle of a prefill's result; undefined when the answer holds none. */
-	readPrefill(body: Buffer): string | undefined;
+	readPrefill(body: Uint8Array): string | undefined;
 	/** The call that reserves memory and a slot at an engine for one request. */
-	leaseCall(tokens: number, ms: number): {readonly method: string; readonly target: string; readonly headers: string[]; readonly body: Buffer};
+	leaseCall(tokens: number, ms: number): {readonly method: string; readonly target: string; readonly headers: string[]; readonly body: Uint8Array};
 	/** The lease of an answer to that call; undefined when the engine has no room. */
-	readLease(status: number, body: Buffer): string | undefined;
+	readLease(status: number, body: Uint8Array): string | undefined;
 	/** Path of the DELETE call that frees a prefill's result. */
 	freePath(handle: string): string;
 };
@@ -100,7 +99,7 @@
 /** Translates the platform's list. */
 export type ListDialect = {
 	pagePath(token: string | undefined): string;
-	readPage(body: Buffer): Result<ListPage, string>;
+	readPage(body: Uint8Array): Result<ListPage, string>;
 };
 
 /** Translates routing configurations. */
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -91,6 +91,11 @@
 
 	constructor(private readonly parts: PoolHostParts) {}
 
+	/** Engines that get no new work. */
+	get #unusable(): ReadonlySet<EngineId> {
+		return this.#suspects.size === 0 ? this.#leaving : new Set([...this.#leaving, ...this.#suspects.keys()]);
+	}
+
 	/** Registers the pool methods and starts the timers. */
 	start(server?: RpcServer): void {
 		server?.registerMethod(POOL_PLACE, async (params, {signal}) => this.place(params, signal));
@@ -143,45 +148,6 @@
 		this.#applyLeaving();
 	}
 
-	/** Keeps work from engines that holders could not reach, for a while. */
-	#suspect(engines: readonly EngineId[]): void {
-		const until = after(this.parts.clock.now(), suspectMs);
-		const fresh = engines.filter(id => !this.#suspects.has(id));
-		for (const id of engines) {
-			this.#suspects.set(id, until);
-		}
-
-		if (fresh.length > 0) {
-			log('Engines can\'t be reached; they get no work for a while.', {engines: fresh.join(' '), forMs: suspectMs});
-			this.#applyLeaving();
-		}
-	}
-
-	/** Gives suspects work again once their time is over. */
-	#clearSuspects(): void {
-		const now = this.parts.clock.now();
-		const over = [...this.#suspects].filter(([, until]) => until <= now).map(([id]) => id);
-		for (const id of over) {
-			this.#suspects.delete(id);
-		}
-
-		if (over.length > 0) {
-			log('Engines get work again after they could not be reached.', {engines: over.join(' ')});
-			this.#applyLeaving();
-		}
-	}
-
-	get #unusable(): ReadonlySet<EngineId> {
-		return this.#suspects.size === 0 ? this.#leaving : new Set([...this.#leaving, ...this.#suspects.keys()]);
-	}
-
-	#applyLeaving(): void {
-		const leaving = this.#unusable;
-		for (const hosted of this.#pools.values()) {
-			this.#perform(hosted, hosted.pool.step({kind: 'engines', engines: hosted.engines, leaving}, this.parts.clock.now()));
-		}
-	}
-
 	/** Waits for a place until there is one, the wait is over, or the asker goes. */
 	async place(params: PlaceParams, signal: AbortSignal): Promise<PlaceAnswer> {
 		const hosted = this.#pools.get(poolKey(params.service, params.dataCentre));
@@ -233,6 +199,41 @@
 		}));
 	}
 
+	/** Keeps work from engines that holders could not reach, for a while. */
+	#suspect(engines: readonly EngineId[]): void {
+		const until = after(this.parts.clock.now(), suspectMs);
+		const fresh = engines.filter(id => !this.#suspects.has(id));
+		for (const id of engines) {
+			this.#suspects.set(id, until);
+		}
+
+		if (fresh.length > 0) {
+			log('Engines can\'t be reached; they get no work for a while.', {engines: fresh.join(' '), forMs: suspectMs});
+			this.#applyLeaving();
+		}
+	}
+
+	/** Gives suspects work again once their time is over. */
+	#clearSuspects(): void {
+		const now = this.parts.clock.now();
+		const over = [...this.#suspects].filter(([, until]) => until <= now).map(([id]) => id);
+		for (const id of over) {
+			this.#suspects.delete(id);
+		}
+
+		if (over.length > 0) {
+			log('Engines get work again after they could not be reached.', {engines: over.join(' ')});
+			this.#applyLeaving();
+		}
+	}
+
+	#applyLeaving(): void {
+		const leaving = this.#unusable;
+		for (const hosted of this.#pools.values()) {
+			this.#perform(hosted, hosted.pool.step({kind: 'engines', engines: hosted.engines, leaving}, this.parts.clock.now()));
+		}
+	}
+
 	#applyService(service: ModelService): void {
 		for (const dataCentre of new Set(service.engines.map(engine => engine.dataCentre))) {
 			const key = poolKey(service.name, dataCentre);
--- a/packages/daemon/src/timed-connect.ts
+++ b/packages/daemon/src/timed-connect.ts
@@ -19,7 +19,7 @@
 	}, timeoutMs);
 	const fail = (error: Error): void => {
 		clearTimeout(timer);
-		callback(error, null); // eslint-disable-line @typescript-eslint/no-restricted-types
+		callback(error, null);
 	};
 
 	// Undici takes a reset for the end of an answer without a length; under another code it is the failure that it is
@@ -39,6 +39,6 @@
 	socket.once('connect', () => {
 		clearTimeout(timer);
 		socket.off('error', fail);
-		callback(null, socket); // eslint-disable-line @typescript-eslint/no-restricted-types
+		callback(null, socket);
 	});
 };
