Change roles slowly where few engines have the wrong one

Conclusion: kept for lasting imbalances; it waits 10 s unless an eighth of the engines is concerned.

--- a/packages/core/src/placement/role-planner.ts
+++ b/packages/core/src/placement/role-planner.ts
@@ -9,8 +9,12 @@
 const minGrants = 25;
 /** How far the wanted number must be from the present one, in engines: over a half, so that a change is not taken back. */
 const changeFrom = 0.7;
-/** How long a change must be wanted, in milliseconds. */
-const steadyMs = 3000;
+/** How long a change must be wanted, in milliseconds: longer than a passing burst. */
+const steadyMs = 10_000;
+/** The same where a large part of the engines has the wrong role, in milliseconds. */
+const urgentSteadyMs = 2000;
+/** Part of the engines that counts as large. */
+const urgentPart = 0.125;
 /** Pause between changes, in milliseconds: an engine needs about half of it to change its role. */
 const pauseMs = 12_000;
 /** One engine in so many may change at a time. */
@@ -92,7 +96,8 @@
 		}
 
 		this.#wantedSince ??= now;
-		if (now - this.#wantedSince < steadyMs || (this.#changedAt !== undefined && now - this.#changedAt < pauseMs)) {
+		const isUrgent = Math.abs(wanted - prefilling) >= engines.length * urgentPart;
+		if (now - this.#wantedSince < (isUrgent ? urgentSteadyMs : steadyMs) || (this.#changedAt !== undefined && now - this.#changedAt < pauseMs)) {
 			return [];
 		}
 
