--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -189,7 +189,7 @@
 			dataCentre: first.dataCentre, fleet, transport, dialect: dialect.server, tries, clock, random,
 		}),
 		streams: new StreamRoute({
-			fleet, transport, dialect: dialect.server, tries, places, clock,
+			fleet, transport, dialect: dialect.server, tries, places, clock, random,
 		}),
 		metrics,
 		table: () => table,
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {routerError, toId} from '@baobabpier/core';
 import type {
-	Clock, EngineAddress, EngineId, ListedServer, BackendId, RouterError, ServiceName,
+	Clock, EngineAddress, EngineId, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {CallScope} from './call-scope.js';
@@ -31,10 +31,14 @@
 const resultUsableMs = 350;
 /** How long a lease on an engine's room lasts, in milliseconds: a prefill and the way of the request. */
 const leaseMs = 1500;
+/** Engines that are asked for room one after the other, at most. */
+const maxLeaseAsks = 3;
 /** Longest time for an engine to answer a lease call, in milliseconds. */
 const leaseAnswerMs = 250;
 /** Longest time to free a prefill's result, in milliseconds. */
 const freeMs = 1000;
+/** Shortest time to come back to a full pool, and its spread, in targets to the first event: a burst passes in some seconds. */
+const comeBackTargets = 1.5;
 /** Time to come back after an engine rejected a placed request, in milliseconds: about one prefill. */
 const rejectedComeBackMs = 200;
 
@@ -59,6 +63,7 @@
 	readonly tries: SecondTries;
 	readonly places: Places;
 	readonly clock: Clock;
+	readonly random: RandomSource;
 };
 
 type DecodeOutcome =
@@ -67,6 +72,12 @@
 	| {readonly kind: 'notRun'; readonly isMisplaced: boolean}
 	| SendFault;
 
+/** An engine with room reserved on it; no lease where the pool's owner gave the place. */
+type EngineRoom = {
+	readonly server: ListedServer;
+	readonly lease: string | undefined;
+};
+
 /** What one round came to: the final reply, or what is said when no other round follows. */
 type RoundResult = {
 	readonly isFinal: boolean;
@@ -135,7 +146,7 @@
 			log('A stream got no place.', {
 				requestId: call.requestId, round, kind: asked.error.kind, retryAfterMs: asked.error.retryAfterMs, leftMs: Math.round(scope.remainingMs()),
 			});
-			return asked.error.kind === 'noBackend' ? this.#withoutPrefill(progress, asked.error) : {isFinal: true, reply: errorReply(asked.error)};
+			return asked.error.kind === 'noBackend' ? this.#withoutPrefill(progress, asked.error) : {isFinal: true, reply: errorReply({...asked.error, retryAfterMs: this.#comeBackMs(call, asked.error)})};
 		}
 
 		const {place} = asked;
@@ -155,13 +166,15 @@
 			return {isFinal: true, reply: this.#giveUp(progress, {kind: 'streamed'})};
 		}
 
-		if (place.prefill.id === place.decode.id) {
-			return this.#useDirectly(progress, place);
+		const meant = this.#listed(place.decode);
+		const lease = place.isOwned || meant === undefined ? undefined : await this.#takeLease(progress, meant);
+		if (meant === undefined || (!place.isOwned && lease === undefined)) {
+			progress.excluded.add(place.decode.id);
+			return {isFinal: false, reply: errorReply(routerError('overloaded', 'the engine has no room', rejectedComeBackMs))};
 		}
 
-		const lease = place.isOwned ? undefined : await this.#takeLease(progress, place);
-		if (lease === 'none') {
-			return {isFinal: false, reply: errorReply(routerError('overloaded', 'the engine has no room', rejectedComeBackMs))};
+		if (place.prefill.id === place.decode.id) {
+			return this.#useDirectly(progress, place, {server: meant, lease});
 		}
 
 		const source = await this.#prefill(progress, place);
@@ -175,29 +188,26 @@
 
 	/** Lets an engine decode from a prefill's result; another where the one that was meant can't be had. */
 	async #decode(progress: Progress, place: Place, source: KvSource, lease: string | undefined): Promise<RoundResult> {
-		const {scope} = progress;
 		const readAt = this.parts.clock.now();
-		let server = this.#listed(place.decode);
+		const meant = this.#listed(place.decode);
+		let engine = place.decode.id;
 		let outcome: DecodeOutcome = {kind: 'unsent', detail: 'the engine is no longer listed'};
-		let isFirst = true;
-		while (scope.reason === undefined) {
-			if (server !== undefined) {
+		let room: EngineRoom | undefined = meant === undefined ? undefined : {server: meant, lease};
+		for (;;) {
+			if (room !== undefined) {
+				engine = toId<EngineId>(room.server.id);
 				// One engine after the other
 				// eslint-disable-next-line no-await-in-loop
-				outcome = await this.#run(progress, server, {kind: 'decode', source, lease: isFirst ? lease : undefined}, () => {
+				outcome = await this.#run(progress, room.server, {kind: 'decode', source, lease: room.lease}, () => {
 					place.transferDone();
 				});
 			}
 
-			const isUnused = outcome.kind === 'unsent' || outcome.kind === 'notRun';
-			if (!isUnused || this.parts.clock.now() - readAt > resultUsableMs || !this.#maySendOn(progress, outcome)) {
-				break;
-			}
-
-			progress.excluded.add(toId<EngineId>(server?.id ?? place.decode.id));
-			server = this.#leastLoaded(progress);
-			isFirst = false;
-			if (server === undefined) {
+			progress.excluded.add(engine);
+			const isUsable = this.parts.clock.now() - readAt <= resultUsableMs && this.#maySendOn(progress, outcome);
+			// eslint-disable-next-line no-await-in-loop
+			room = isUsable ? await this.#findRoom(progress) : undefined;
+			if (room === undefined) {
 				break;
 			}
 		}
@@ -206,22 +216,40 @@
 			void this.#free(source);
 		}
 
-		return this.#conclude(progress, toId<EngineId>(server?.id ?? place.decode.id), outcome);
+		return this.#conclude(progress, engine, outcome);
+	}
+
+	/** When a refused caller should return: after the queue, and not together with the others. */
+	#comeBackMs({route}: Call, {retryAfterMs = 0}: RouterError): number {
+		return retryAfterMs + (route.targetMs * (comeBackTargets + (this.parts.random.next() * comeBackTargets)));
 	}
 
 	/** Whether a prefill's result may be offered to another engine. */
-	#maySendOn({call, service, sent}: Progress, outcome: DecodeOutcome): boolean {
-		return outcome.kind === 'unsent' || (sent < call.route.maxAttempts && this.parts.tries.tryTake(service));
+	#maySendOn({call, service, scope, sent}: Progress, outcome: DecodeOutcome): boolean {
+		if (scope.reason !== undefined) {
+			return false;
+		}
+
+		return outcome.kind === 'unsent' || (outcome.kind === 'notRun' && sent < call.route.maxAttempts && this.parts.tries.tryTake(service));
 	}
 
-	/** Reserves room at an engine whose other load this instance does not know; `none` when it has no room. */
-	async #takeLease({call, scope, excluded}: Progress, place: Place): Promise<string | undefined> {
-		const server = this.#listed(place.decode);
-		if (server === undefined) {
-			excluded.add(place.decode.id);
-			return 'none';
+	/** Reserves room at one of the least loaded decode engines, where no place was given for the request. */
+	async #findRoom(progress: Progress): Promise<EngineRoom | undefined> {
+		for (let asked = 0; asked < maxLeaseAsks && progress.scope.reason === undefined; asked++) {
+			const server = this.#leastLoaded(progress);
+			// One engine after the other
+			// eslint-disable-next-line no-await-in-loop
+			const lease = server === undefined ? undefined : await this.#takeLease(progress, server);
+			if (server === undefined || lease !== undefined) {
+				return server === undefined ? undefined : {server, lease};
+			}
 		}
 
+		return undefined;
+	}
+
+	/** Reserves room at an engine whose other load this instance does not know; undefined when it has none. */
+	async #takeLease({call, scope, excluded}: Progress, server: ListedServer): Promise<string | undefined> {
 		const {transport, dialect, fleet} = this.parts;
 		const limit = scope.limit(Math.min(leaseAnswerMs, scope.remainingMs()));
 		const end = fleet.begin(server.id);
@@ -234,20 +262,17 @@
 			log('An engine leases no room.', {
 				requestId: call.requestId, engine: server.id, status: answer.kind === 'head' ? answer.status : undefined, detail: 'detail' in answer ? answer.detail : undefined,
 			});
-			excluded.add(place.decode.id);
+			excluded.add(toId<EngineId>(server.id));
 		}
 
-		return lease ?? 'none';
+		return lease;
 	}
 
 	/** Lets the decode engine read the prompt itself. */
-	async #useDirectly(progress: Progress, place: Place): Promise<RoundResult> {
-		const server = this.#listed(place.decode);
-		const outcome = server === undefined
-			? {kind: 'unsent' as const, detail: 'the engine is no longer listed'}
-			: await this.#run(progress, server, {kind: 'run'}, () => {
-				place.prefillDone();
-			});
+	async #useDirectly(progress: Progress, place: Place, {server, lease}: EngineRoom): Promise<RoundResult> {
+		const outcome = await this.#run(progress, server, {kind: 'run', lease}, () => {
+			place.prefillDone();
+		});
 		return this.#conclude(progress, place.decode.id, outcome);
 	}
 
@@ -286,26 +311,26 @@
 
 	/** Sends the call to an engine that reads the prompt itself, where no prefill engine can be had. */
 	async #withoutPrefill(progress: Progress, error: RouterError): Promise<RoundResult> {
-		const server = this.#leastLoaded(progress);
-		if (server === undefined) {
+		const room = await this.#findRoom(progress);
+		if (room === undefined) {
 			return {isFinal: true, reply: errorReply({...error, retryAfterMs: error.retryAfterMs ?? rejectedComeBackMs})};
 		}
 
-		const outcome = await this.#run(progress, server, {kind: 'run'}, () => undefined);
-		return this.#conclude(progress, toId<EngineId>(server.id), outcome);
+		const outcome = await this.#run(progress, room.server, {kind: 'run', lease: room.lease}, () => undefined);
+		return this.#conclude(progress, toId<EngineId>(room.server.id), outcome);
 	}
 
 	/** Goes on with a broken stream at another engine, after the last event that the caller has. */
 	async #goOn(progress: Progress): Promise<RoundResult> {
-		const server = this.#leastLoaded(progress);
-		if (server === undefined) {
+		const room = await this.#findRoom(progress);
+		if (room === undefined) {
 			return {isFinal: true, reply: this.#giveUp(progress, {kind: 'streamed'})};
 		}
 
 		const lastEventId = progress.lastEventId ?? progress.call.lastEventId;
-		const purpose: SendPurpose = lastEventId === undefined ? {kind: 'run'} : {kind: 'resume', lastEventId};
-		const outcome = await this.#run(progress, server, purpose, () => undefined);
-		return this.#conclude(progress, toId<EngineId>(server.id), outcome);
+		const purpose: SendPurpose = lastEventId === undefined ? {kind: 'run', lease: room.lease} : {kind: 'resume', lastEventId, lease: room.lease};
+		const outcome = await this.#run(progress, room.server, purpose, () => undefined);
+		return this.#conclude(progress, toId<EngineId>(room.server.id), outcome);
 	}
 
 	/** What follows from the outcome at one engine. */
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -32,13 +32,13 @@
 
 /** What a call is sent to a server for. */
 export type SendPurpose =
-	| {readonly kind: 'run'}
+	| {readonly kind: 'run'; readonly lease?: string | undefined}
 	/** Only the prompt is read. */
 	| {readonly kind: 'prefill'}
 	/** The stream goes on from memory that another engine holds. */
-	| {readonly kind: 'decode'; readonly source: KvSource; readonly lease: string | undefined}
+	| {readonly kind: 'decode'; readonly source: KvSource; readonly lease?: string | undefined}
 	/** A broken stream goes on after an event. */
-	| {readonly kind: 'resume'; readonly lastEventId: string};
+	| {readonly kind: 'resume'; readonly lastEventId: string; readonly lease?: string | undefined};
 
 /** A prefill's result on its engine. */
 export type KvSource = {
