--- /dev/null
+++ b/packages/core/src/__tests__/unit/routing.test.ts
@@ -0,0 +1,122 @@
+import {describe, expect, test} from 'vitest';
+import {
+	chooseServer, createSeededRandom, pickTarget, RouteIndex, RoutingHistory, SecondTryBudget, toId,
+} from '@baobabpier/core';
+import type {
+	BackendId, DataCentreId, Instant, Route, RouteName, RoutingVersion, ServerLoad, ServiceName,
+} from '@baobabpier/core';
+
+const at = (ms: number): Instant => ms as Instant;
+const service = (name: string): ServiceName => toId<ServiceName>(name);
+const near = toId<DataCentreId>('a');
+const far = toId<DataCentreId>('b');
+
+const createRoute = (prefix: string, host = 'a.example'): Route => ({
+	name: toId<RouteName>(`${host}${prefix}`), host, prefix, kind: 'safe', timeoutMs: 1000, targetMs: 150, rank: 1, targets: [{service: service('s'), weight: 1}], maxAttempts: 2, resumable: false, gapMs: 300,
+});
+
+describe('routes', () => {
+	const index = new RouteIndex([createRoute('/a/'), createRoute('/a/b/'), createRoute('/'), createRoute('/a/', 'b.example')]);
+	test.each([
+		{host: 'a.example', path: '/a/b/c', route: 'a.example/a/b/'},
+		{host: 'A.Example', path: '/a/bc', route: 'a.example/a/'},
+		{host: 'a.example', path: '/a', route: 'a.example/'},
+		{host: 'b.example', path: '/a/', route: 'b.example/a/'},
+		{host: 'b.example', path: '/b/', route: undefined},
+		{host: 'c.example', path: '/a/', route: undefined},
+		{host: 'a.example', path: '*', route: undefined},
+	])('$host$path goes to $route', ({host, path, route}) => {
+		expect(index.match(host, path)?.name).toBe(route);
+	});
+
+	test.each([
+		{draw: 0, target: 'x'},
+		{draw: 0.89, target: 'x'},
+		{draw: 0.91, target: 'y'},
+		{draw: 0.999, target: 'y'},
+	])('a draw of $draw goes to $target', ({draw, target}) => {
+		expect(pickTarget({targets: [{service: service('none'), weight: 0}, {service: service('x'), weight: 90}, {service: service('y'), weight: 10}]}, draw)).toBe(target);
+	});
+});
+
+describe('versions of the routing configuration', () => {
+	test.each([
+		{
+			name: 'the first', sent: [7], verdicts: ['accepted'], text: 'a7',
+		},
+		{
+			name: 'a higher one', sent: [7, 9], verdicts: ['accepted', 'accepted'], text: 'b9',
+		},
+		{
+			name: 'a resend', sent: [7, 7], verdicts: ['accepted', 'superseded'], text: 'a7',
+		},
+		{
+			name: 'an older one that arrives late', sent: [9, 7], verdicts: ['accepted', 'superseded'], text: 'a9',
+		},
+	])('$name: $verdicts', ({sent, verdicts, text}) => {
+		const history = new RoutingHistory();
+		const letters = ['a', 'b'];
+		expect(sent.map((version, index) => history.replace({version: toId<RoutingVersion>(version), text: `${letters[index]!}${version}`}).kind)).toEqual(verdicts);
+		expect(history.current?.text).toBe(text);
+	});
+});
+
+describe('second tries', () => {
+	const bounds = {ratio: 0.2, slack: 56, windowMs: 10_000};
+
+	test('eight instances together stay within the bounds in every window of a storm of failures', () => {
+		const budgets = Array.from({length: 8}, () => new SecondTryBudget(bounds, true));
+		const calls: number[] = [];
+		const tries: number[] = [];
+		for (let now = 0; now < 60_000; now += 25) {
+			const budget = budgets[(now / 25) % 8]!;
+			budget.noteCall(at(now));
+			calls.push(now);
+			if (budget.tryTake(at(now), 8)) {
+				tries.push(now);
+			}
+		}
+
+		const within = (times: readonly number[], end: number): number => times.filter(time => time > end - bounds.windowMs && time <= end).length;
+		const worst = Math.max(...tries.map(end => within(tries, end) - (bounds.ratio * within(calls, end))));
+		expect(worst).toBeLessThanOrEqual(bounds.slack);
+		expect(tries.length).toBeGreaterThan(100);
+	});
+
+	test('an instance that was restarted begins without slack', () => {
+		const budget = new SecondTryBudget(bounds);
+		budget.noteCall(at(0));
+		expect(budget.tryTake(at(1), 1)).toBe(false);
+		expect(budget.tryTake(at(9000), 1)).toBe(true);
+	});
+});
+
+describe('choice of a server', () => {
+	const load = (id: string, change: Partial<ServerLoad> = {}): ServerLoad => ({
+		id: toId<BackendId>(id), dataCentre: near, slots: 6, inFlight: 0, told: undefined, failing: 0, usualMs: 40, ...change,
+	});
+	test.each([
+		{name: 'the near one while it is idle', servers: [load('far', {dataCentre: far}), load('near')], chosen: 'near'},
+		{name: 'a far one when the near one is full', servers: [load('far', {dataCentre: far}), load('near', {inFlight: 6})], chosen: 'far'},
+		{name: 'another than the one that says it is full', servers: [load('far', {dataCentre: far}), load('near', {told: {requests: 12, at: at(900)}})], chosen: 'far'},
+		{name: 'the near one when its account of being full is old', servers: [load('far', {dataCentre: far}), load('near', {told: {requests: 12, at: at(0)}})], chosen: 'near'},
+		{name: 'one that does not fail', servers: [load('far', {dataCentre: far}), load('near', {failing: 0.4})], chosen: 'far'},
+		{name: 'one that is not slow', servers: [load('far', {dataCentre: far}), load('near', {usualMs: 400})], chosen: 'far'},
+	])('takes $name', ({servers, chosen}) => {
+		expect(chooseServer(servers, near, new Set(), at(1000), 0)?.id).toBe(chosen);
+	});
+
+	test('spreads a burst over equal servers, and leaves out those that were tried', () => {
+		const random = createSeededRandom(1);
+		const servers = [load('x'), load('y'), load('z')];
+		const counts = new Map<string, number>();
+		for (let turn = 0; turn < 300; turn++) {
+			const {id} = chooseServer(servers, near, new Set([toId<BackendId>('z')]), at(0), random.next())!;
+			counts.set(id, (counts.get(id) ?? 0) + 1);
+		}
+
+		expect([...counts.keys()].toSorted()).toEqual(['x', 'y']);
+		expect(Math.min(...counts.values())).toBeGreaterThan(100);
+		expect(chooseServer([], near, new Set(), at(0), 0)).toBeUndefined();
+	});
+});
--- a/vitest.config.js
+++ b/vitest.config.js
@@ -8,6 +8,7 @@
 	{find: '@baobabpier/daemon', replacement: source('packages/daemon/src/index.ts')},
 	{find: '@baobabpier/cli', replacement: source('packages/cli/src/index.ts')},
 	{find: '@baobabpier/stand-ins', replacement: source('packages/stand-ins/src/index.ts')},
+	{find: '@baobabpier/platform', replacement: source('platform/src/index.ts')},
 	{find: '@baobabpier/bench', replacement: source('bench/src/index.ts')},
 ];
 
@@ -16,7 +17,7 @@
 		projects: [
 			{
 				resolve: {alias},
-				test: {name: 'unit', include: ['packages/*/src/__tests__/unit/**/*.test.ts', 'bench/src/__tests__/unit/**/*.test.ts']},
+				test: {name: 'unit', include: ['packages/*/src/__tests__/unit/**/*.test.ts', 'bench/src/__tests__/unit/**/*.test.ts', 'platform/src/__tests__/unit/**/*.test.ts']},
 			},
 			{
 				resolve: {alias},
@@ -28,7 +29,7 @@
 				resolve: {alias},
 				test: {
 					name: 'process',
-					include: ['packages/*/src/__tests__/process/**/*.test.ts', 'bench/src/__tests__/process/**/*.test.ts'],
+					include: ['packages/*/src/__tests__/process/**/*.test.ts', 'bench/src/__tests__/process/**/*.test.ts', 'platform/src/__tests__/process/**/*.test.ts'],
 					testTimeout: 120_000,
 					hookTimeout: 60_000,
 					fileParallelism: false,
