--- a/packages/core/src/__tests__/unit/replace-voter.test.ts
+++ b/packages/core/src/__tests__/unit/replace-voter.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {planMembership} from '../../consensus/membership.js';
+import {planMembership} from '@baobabpier/core';
 import type {ReplicaId} from '@baobabpier/core';
 
 const id = (name: string): ReplicaId => `${name}/1` as ReplicaId;
--- a/packages/daemon/src/__tests__/unit/caller-port.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-port.test.ts
@@ -12,7 +12,8 @@
 import {CallerPort} from '../../gateway/caller-port.js';
 import {GatewayMetrics} from '../../gateway/gateway-metrics.js';
 import type {PlainRoute} from '../../gateway/plain-route.js';
-import type {StreamOutput, StreamRoute} from '../../gateway/stream-route.js';
+import type {StreamOutput} from '../../gateway/stream-progress.js';
+import type {StreamRoute} from '../../gateway/stream-route.js';
 import type {AnswerHead, Call} from '../../gateway/types.js';
 import {monotonicClock} from '../../monotonic-clock.js';
 
--- a/packages/daemon/src/control/replicated-control-log.ts
+++ b/packages/daemon/src/control/replicated-control-log.ts
@@ -13,7 +13,6 @@
 } from '@baobabpier/core';
 import type {
 	AppliedListener,
-	Clock,
 	CommandOf,
 	ControlCommand,
 	ControlKind,
@@ -24,18 +23,17 @@
 	ControlStatus,
 	InstanceId,
 	LogIndex,
-	RandomSource,
 	RpcCommand,
 	SubmitAnswer,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
-import type {Peers} from '../rpc/peers.js';
 import {RpcCallError} from '../rpc/rpc-client.js';
 import type {RpcContext, RpcServer} from '../rpc/rpc-server.js';
 import type {InstanceEntry} from '../settings/parse-settings.js';
 import {nodeFileSystem} from '../storage/file-system.js';
 import {ReplicaStorage} from '../storage/replica-storage.js';
 import {AppliedLog} from './applied-log.js';
+import type {ControlLogParts} from './control-log-parts.js';
 import {
 	attemptMs, catchUpMs, retryMs, submitMs,
 } from './control-timings.js';
@@ -47,25 +45,6 @@
 const callGraceMs = 200;
 const handOverMs = 300;
 
-/** What the control log of an instance works with. */
-export type ControlLogParts = {
-	readonly self: InstanceEntry;
-	readonly instances: readonly InstanceEntry[];
-	/** Data folder; undefined on instances that hold no replica. */
-	readonly folder: string | undefined;
-	readonly peers: Peers;
-	readonly clock: Clock;
-	readonly random: RandomSource;
-	/** The instances that begin the log together; the listed replicas when undefined, none where it surely exists. */
-	readonly founders?: readonly InstanceId[];
-	/** Further instances that may hold replicas, found at run time. */
-	readonly discovered?: () => readonly InstanceId[];
-	/** Voters wanted; unbounded when undefined. */
-	readonly voters?: number;
-	/** Opens a failed storage again this often, in milliseconds; never when undefined. */
-	readonly reopenMs?: number;
-};
-
 /**
  * Submits through the leader, wherever it is. Commands may be sent again: the second gets the first's result.
  *
--- a/packages/daemon/src/gateway/caller-port.ts
+++ b/packages/daemon/src/gateway/caller-port.ts
@@ -16,7 +16,8 @@
 import type {PlainRoute} from './plain-route.js';
 import {passedHeaders} from './raw-headers.js';
 import type {Reply} from './reply.js';
-import type {StreamOutput, StreamRoute} from './stream-route.js';
+import type {StreamOutput} from './stream-progress.js';
+import type {StreamRoute} from './stream-route.js';
 import type {AnswerHead, Call, CallerDialect} from './types.js';
 
 const log = createLog('callers');
--- /dev/null
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -0,0 +1,50 @@
+/** What is known of one stream on its way to its caller. */
+import type {
+	EngineId, ListedServer, ServiceName,
+} from '@baobabpier/core';
+import type {CallScope} from './call-scope.js';
+import type {SendFault} from './server-transport.js';
+import type {AnswerHead, Call} from './types.js';
+
+/** Time to come back after an engine rejected a placed request, in milliseconds: about one prefill. */
+export const rejectedComeBackMs = 200;
+
+/** Where the events of a stream go. */
+export type StreamOutput = {
+	/** Whether the head went out. */
+	readonly isBegun: boolean;
+	/** Sends the head of the answer. */
+	begin(head: AnswerHead): void;
+	write(bytes: Uint8Array): void;
+	/** Ends a complete stream. */
+	end(): void;
+	/** Ends a stream so that it does not look complete. */
+	breakOff(): void;
+};
+
+/** What came of a call at a decode engine. */
+export type DecodeOutcome =
+	| {readonly kind: 'complete'}
+	| {readonly kind: 'relay'; readonly head: AnswerHead; readonly body: Uint8Array}
+	| {readonly kind: 'notRun'; readonly isMisplaced: boolean}
+	| SendFault;
+
+/** An engine with room reserved on it; no lease where the pool's owner gave the place. */
+export type EngineRoom = {
+	readonly server: ListedServer;
+	readonly lease: string | undefined;
+};
+
+/** What is known of one stream on its way. */
+export type Progress = {
+	readonly call: Call;
+	readonly service: ServiceName;
+	readonly scope: CallScope;
+	readonly out: StreamOutput;
+	readonly excluded: Set<EngineId>;
+	/** Sends that may have run. */
+	sent: number;
+	/** Prefills that were sent. */
+	prefills: number;
+	lastEventId: string | undefined;
+};
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -2,18 +2,24 @@
 import {Buffer} from 'node:buffer';
 import {routerError, toId} from '@baobabpier/core';
 import type {
-	Clock, EngineAddress, EngineId, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
+	Clock, EngineId, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {CallScope} from './call-scope.js';
+import {EngineRooms} from './engine-rooms.js';
 import {EventSplitter} from './event-splitter.js';
 import type {CallResult, FleetView} from './fleet-view.js';
 import type {Place, Places} from './places.js';
 import {findFault} from './plain-route.js';
+import {PromptReader} from './prompt-reader.js';
 import {errorReply} from './reply.js';
 import type {Reply} from './reply.js';
 import type {SecondTries} from './second-tries.js';
 import type {OpenAnswer, SendFault, ServerTransport} from './server-transport.js';
+import {rejectedComeBackMs} from './stream-progress.js';
+import type {
+	DecodeOutcome, EngineRoom, Progress, StreamOutput,
+} from './stream-progress.js';
 import type {
 	AnswerHead, Call, KvSource, SendPurpose, ServerDialect,
 } from './types.js';
@@ -21,39 +27,14 @@
 const log = createLog('stream');
 /** Rounds of place, prefill and decode for one call at most. */
 const maxRounds = 4;
-/** Longest time for a prefill that has its engine's turn, in milliseconds: several of the longest prompts. */
-const prefillMs = 1500;
 /** Longest time to a resumable stream's first event, in milliseconds. */
 const firstEventMs = 2000;
 /** Silence after which a resumable stream goes on elsewhere, in milliseconds: several pauses that still count as steady. */
 const silentMs = 1200;
 /** How long a prefill's result may be offered to another engine, in milliseconds: engines keep it for half a second. */
 const resultUsableMs = 350;
-/** How long a lease on an engine's room lasts, in milliseconds: a prefill and the way of the request. */
-const leaseMs = 1500;
-/** Engines that are asked for room one after the other, at most. */
-const maxLeaseAsks = 3;
-/** Longest time for an engine to answer a lease call, in milliseconds. */
-const leaseAnswerMs = 250;
-/** Longest time to free a prefill's result, in milliseconds. */
-const freeMs = 1000;
 /** Shortest time to come back to a full pool, and its spread, in targets to the first event: a burst passes in some seconds. */
 const comeBackTargets = 1.5;
-/** Time to come back after an engine rejected a placed request, in milliseconds: about one prefill. */
-const rejectedComeBackMs = 200;
-
-/** Where the events of a stream go. */
-export type StreamOutput = {
-	/** Whether the head went out. */
-	readonly isBegun: boolean;
-	/** Sends the head of the answer. */
-	begin(head: AnswerHead): void;
-	write(bytes: Uint8Array): void;
-	/** Ends a complete stream. */
-	end(): void;
-	/** Ends a stream so that it does not look complete. */
-	breakOff(): void;
-};
 
 /** What a stream route works with. */
 export type StreamRouteParts = {
@@ -66,41 +47,21 @@
 	readonly random: RandomSource;
 };
 
-type DecodeOutcome =
-	| {readonly kind: 'complete'}
-	| {readonly kind: 'relay'; readonly head: AnswerHead; readonly body: Uint8Array}
-	| {readonly kind: 'notRun'; readonly isMisplaced: boolean}
-	| SendFault;
-
-/** An engine with room reserved on it; no lease where the pool's owner gave the place. */
-type EngineRoom = {
-	readonly server: ListedServer;
-	readonly lease: string | undefined;
-};
-
 /** What one round came to: the final reply, or what is said when no other round follows. */
 type RoundResult = {
 	readonly isFinal: boolean;
 	readonly reply: Reply;
 };
 
-/** What is known of one stream on its way. */
-type Progress = {
-	readonly call: Call;
-	readonly service: ServiceName;
-	readonly scope: CallScope;
-	readonly out: StreamOutput;
-	readonly excluded: Set<EngineId>;
-	/** Sends that may have run. */
-	sent: number;
-	/** Prefills that were sent. */
-	prefills: number;
-	lastEventId: string | undefined;
-};
-
 /** Serves one stream after the other; each call of `serve` is independent. */
 export class StreamRoute {
-	constructor(private readonly parts: StreamRouteParts) {}
+	readonly #rooms: EngineRooms;
+	readonly #prompts: PromptReader;
+
+	constructor(private readonly parts: StreamRouteParts) {
+		this.#rooms = new EngineRooms(parts);
+		this.#prompts = new PromptReader({...parts, rooms: this.#rooms});
+	}
 
 	/** Serves a call; resolves once its answer is out or known. */
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
@@ -166,8 +127,8 @@
 			return {isFinal: true, reply: this.#giveUp(progress, {kind: 'streamed'})};
 		}
 
-		const meant = this.#listed(place.decode);
-		const lease = place.isOwned || meant === undefined ? undefined : await this.#takeLease(progress, meant);
+		const meant = this.#rooms.listed(place.decode);
+		const lease = place.isOwned || meant === undefined ? undefined : await this.#rooms.takeLease(progress, meant);
 		if (meant === undefined || (!place.isOwned && lease === undefined)) {
 			progress.excluded.add(place.decode.id);
 			return {isFinal: false, reply: errorReply(routerError('overloaded', 'the engine has no room', rejectedComeBackMs))};
@@ -177,7 +138,7 @@
 			return this.#useDirectly(progress, place, {server: meant, lease});
 		}
 
-		const source = await this.#prefill(progress, place);
+		const source = await this.#prompts.read(progress, place);
 		if ('error' in source) {
 			progress.excluded.add(place.prefill.id);
 			return {isFinal: false, reply: errorReply(source.error)};
@@ -189,7 +150,7 @@
 	/** Lets an engine decode from a prefill's result; another where the one that was meant can't be had. */
 	async #decode(progress: Progress, place: Place, source: KvSource, lease: string | undefined): Promise<RoundResult> {
 		const readAt = this.parts.clock.now();
-		const meant = this.#listed(place.decode);
+		const meant = this.#rooms.listed(place.decode);
 		let engine = place.decode.id;
 		let outcome: DecodeOutcome = {kind: 'unsent', detail: 'the engine is no longer listed'};
 		let room: EngineRoom | undefined = meant === undefined ? undefined : {server: meant, lease};
@@ -206,14 +167,14 @@
 			progress.excluded.add(engine);
 			const isUsable = this.parts.clock.now() - readAt <= resultUsableMs && this.#maySendOn(progress, outcome);
 			// eslint-disable-next-line no-await-in-loop
-			room = isUsable ? await this.#findRoom(progress) : undefined;
+			room = isUsable ? await this.#rooms.find(progress) : undefined;
 			if (room === undefined) {
 				break;
 			}
 		}
 
 		if (outcome.kind === 'unsent' || outcome.kind === 'notRun') {
-			void this.#free(source);
+			void this.#prompts.free(source);
 		}
 
 		return this.#conclude(progress, engine, outcome);
@@ -233,41 +194,6 @@
 		return outcome.kind === 'unsent' || (outcome.kind === 'notRun' && sent < call.route.maxAttempts && this.parts.tries.tryTake(service));
 	}
 
-	/** Reserves room at one of the least loaded decode engines, where no place was given for the request. */
-	async #findRoom(progress: Progress): Promise<EngineRoom | undefined> {
-		for (let asked = 0; asked < maxLeaseAsks && progress.scope.reason === undefined; asked++) {
-			const server = this.#leastLoaded(progress);
-			// One engine after the other
-			// eslint-disable-next-line no-await-in-loop
-			const lease = server === undefined ? undefined : await this.#takeLease(progress, server);
-			if (server === undefined || lease !== undefined) {
-				return server === undefined ? undefined : {server, lease};
-			}
-		}
-
-		return undefined;
-	}
-
-	/** Reserves room at an engine whose other load this instance does not know; undefined when it has none. */
-	async #takeLease({call, scope, excluded}: Progress, server: ListedServer): Promise<string | undefined> {
-		const {transport, dialect, fleet} = this.parts;
-		const limit = scope.limit(Math.min(leaseAnswerMs, scope.remainingMs()));
-		const end = fleet.begin(server.id);
-		const answer = await transport.open({address: server.address, ...dialect.leaseCall(call.promptTokens + call.maxTokens, leaseMs), signal: limit.signal});
-		const body = answer.kind === 'head' ? await transport.readBody(answer) : answer;
-		limit.release();
-		const lease = answer.kind === 'head' && Buffer.isBuffer(body) ? dialect.readLease(answer.status, body) : undefined;
-		end(answer.kind === 'unsent' ? 'unreachable' : 'none');
-		if (lease === undefined) {
-			log('An engine leases no room.', {
-				requestId: call.requestId, engine: server.id, status: answer.kind === 'head' ? answer.status : undefined, detail: 'detail' in answer ? answer.detail : undefined,
-			});
-			excluded.add(toId<EngineId>(server.id));
-		}
-
-		return lease;
-	}
-
 	/** Lets the decode engine read the prompt itself. */
 	async #useDirectly(progress: Progress, place: Place, {server, lease}: EngineRoom): Promise<RoundResult> {
 		const outcome = await this.#run(progress, server, {kind: 'run', lease}, () => {
@@ -276,42 +202,9 @@
 		return this.#conclude(progress, place.decode.id, outcome);
 	}
 
-	/** Reads the prompt on the prefill engine. */
-	async #prefill(progress: Progress, place: Place): Promise<KvSource | {readonly error: RouterError}> {
-		const {call, service, scope} = progress;
-		const server = this.#listed(place.prefill);
-		if (server === undefined) {
-			return {error: routerError('noBackend', 'the prefill engine is no longer listed', rejectedComeBackMs)};
-		}
-
-		if (progress.prefills > 0 && !this.parts.tries.tryTake(service)) {
-			return {error: routerError('overloaded', 'no second try is left', rejectedComeBackMs)};
-		}
-
-		const {transport, dialect, fleet} = this.parts;
-		const limit = scope.limit(Math.min(prefillMs, scope.remainingMs()));
-		const end = fleet.begin(server.id);
-		const startedAt = this.parts.clock.now();
-		const answer = await transport.open({
-			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'prefill'}, scope.remainingMs()), body: call.body, signal: limit.signal,
-		});
-		progress.prefills += answer.kind === 'unsent' ? 0 : 1;
-		const body = answer.kind === 'head' ? await transport.readBody(answer) : answer;
-		limit.release();
-		place.prefillDone();
-		const handle = answer.kind === 'head' && answer.status === 200 && Buffer.isBuffer(body) ? dialect.readPrefill(body) : undefined;
-		const isMisplaced = answer.kind === 'head' && dialect.readHead(answer.status, answer.rawHeaders).isMisplaced;
-		end(prefillResultOf(answer.kind, handle !== undefined, isMisplaced, scope));
-		log('A prompt was read.', {
-			requestId: call.requestId, engine: server.id, tokens: call.promptTokens, ms: Math.round(this.parts.clock.now() - startedAt), isRead: handle !== undefined,
-			status: answer.kind === 'head' ? answer.status : undefined, detail: 'detail' in answer ? answer.detail : undefined,
-		});
-		return handle === undefined ? {error: routerError('overloaded', 'the prompt could not be read', rejectedComeBackMs)} : {address: server.address, handle};
-	}
-
 	/** Sends the call to an engine that reads the prompt itself, where no prefill engine can be had. */
 	async #withoutPrefill(progress: Progress, error: RouterError): Promise<RoundResult> {
-		const room = await this.#findRoom(progress);
+		const room = await this.#rooms.find(progress);
 		if (room === undefined) {
 			return {isFinal: true, reply: errorReply({...error, retryAfterMs: error.retryAfterMs ?? rejectedComeBackMs})};
 		}
@@ -322,7 +215,7 @@
 
 	/** Goes on with a broken stream at another engine, after the last event that the caller has. */
 	async #goOn(progress: Progress): Promise<RoundResult> {
-		const room = await this.#findRoom(progress);
+		const room = await this.#rooms.find(progress);
 		if (room === undefined) {
 			return {isFinal: true, reply: this.#giveUp(progress, {kind: 'streamed'})};
 		}
@@ -447,47 +340,8 @@
 		out.write(event.bytes);
 	}
 
-	#listed({id}: EngineAddress): ListedServer | undefined {
-		const server = this.parts.fleet.get(toId<BackendId>(id));
-		return server?.leaving === false ? server : undefined;
-	}
-
-	/** The decode engine with the fewest own requests. */
-	#leastLoaded({service, excluded}: Progress): ListedServer | undefined {
-		const {fleet} = this.parts;
-		const loads = fleet.loads(service).filter(({id}) => fleet.get(id)?.role === 'decode' && !excluded.has(toId<EngineId>(id)));
-		const [least] = loads.toSorted((a, b) => a.inFlight + a.failing - b.inFlight - b.failing);
-		return least === undefined ? undefined : fleet.get(least.id);
-	}
-
-	/** Frees a prefill's result that nobody will use. */
-	async #free({address, handle}: KvSource): Promise<void> {
-		const {transport, dialect} = this.parts;
-		const answer = await transport.open({
-			address, method: 'DELETE', target: dialect.freePath(handle), headers: [], body: undefined, signal: AbortSignal.timeout(freeMs),
-		});
-		if (answer.kind === 'head') {
-			answer.body.resume();
-			return;
-		}
-
-		log('A prefill\'s result could not be freed; it expires.', {address, detail: answer.detail});
-	}
 }
 
-/** What a prefill's outcome says of its engine. */
-const prefillResultOf = (kind: 'head' | SendFault['kind'], isRead: boolean, isMisplaced: boolean, scope: CallScope): CallResult => {
-	if (isRead) {
-		return 'good';
-	}
-
-	if (kind === 'unsent' || isMisplaced) {
-		return isMisplaced ? 'misplaced' : 'unreachable';
-	}
-
-	return scope.reason === undefined ? 'failed' : 'none';
-};
-
 /** What a run's outcome says of its engine. */
 const resultOf = (outcome: DecodeOutcome, scope: CallScope): CallResult => {
 	switch (outcome.kind) {
