--- a/packages/core/src/__tests__/unit/role-planner.test.ts
+++ b/packages/core/src/__tests__/unit/role-planner.test.ts
@@ -1,15 +1,19 @@
 import {expect, test} from 'vitest';
 import {RolePlanner, toId} from '@baobabpier/core';
-import type {EngineId, EngineRole, Instant} from '@baobabpier/core';
+import type {
+	EngineId, EngineRole, Instant, RoleCandidate,
+} from '@baobabpier/core';
 
 const at = (ms: number): Instant => ms as Instant;
 const capacity = {prefillTokensPerMs: 45, pieces: 3500};
 
-const engines = (prefill: number, decode: number) => [
-	...Array.from({length: prefill}, (_, index) => ({
+type Candidate = {-readonly [Key in keyof RoleCandidate]: RoleCandidate[Key]};
+
+const engines = (prefill: number, decode: number): Candidate[] => [
+	...Array.from<unknown, Candidate>({length: prefill}, (_, index) => ({
 		id: toId<EngineId>(`p${index}`), role: 'prefill', running: 0, queuedTokens: 1000 - index,
 	})),
-	...Array.from({length: decode}, (_, index) => ({
+	...Array.from<unknown, Candidate>({length: decode}, (_, index) => ({
 		id: toId<EngineId>(`d${index}`), role: 'decode', running: 9 - index, queuedTokens: 0,
 	})),
 ];
