--- a/packages/core/src/consensus/consensus-replica.ts
+++ b/packages/core/src/consensus/consensus-replica.ts
@@ -208,9 +208,7 @@
 			rules: this.#rules,
 			timings,
 			voters,
-			send: (to, message) => {
-				this.#send(to, message);
-			},
+			send: this.#send.bind(this),
 		}, now);
 	}
 
--- a/packages/daemon/src/gateway/caller-port.ts
+++ b/packages/daemon/src/gateway/caller-port.ts
@@ -9,7 +9,7 @@
 import type {
 	Clock, ErrorAnswer, ErrorKind, RandomSource, RouterError, RoutingTable,
 } from '@baobabpier/core';
-import {splitAddress} from '../listen.js';
+import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
 import {CallScope} from './call-scope.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -75,14 +75,7 @@
 	}
 
 	async listen(address: string): Promise<void> {
-		const {host, port} = splitAddress(address);
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({port, host, backlog}, () => {
-				this.#server.off('error', reject);
-				resolve();
-			});
-		});
+		await listenOn(this.#server, address, backlog);
 	}
 
 	/** Takes a routing table into force for the calls that follow. */
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -4,7 +4,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
-import {splitAddress} from '../listen.js';
+import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
 
 const log = createLog('metrics');
@@ -69,11 +69,7 @@
 	const server = createServer((_req, res) => {
 		void answer(res);
 	});
-	const {host, port} = splitAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
+	await listenOn(server, address);
 	return server;
 };
 
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -8,7 +8,7 @@
 import type {
 	DataCentreId, FencingNumber, ForecastOptions, InstanceId, ListedServer, ModelService, RoutingDocument, RoutingTable, SecondTryBounds, ServiceName, ShareMap, EngineId,
 } from '@baobabpier/core';
-import {splitAddress} from '../listen.js';
+import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
 import {monotonicClock} from '../monotonic-clock.js';
 import {PlaceClient} from '../pools/place-client.js';
@@ -81,11 +81,7 @@
 		res.writeHead(isReady() ? 200 : 503, {'content-length': 0});
 		res.end();
 	});
-	const {host, port} = splitAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
+	await listenOn(server, address);
 	return server;
 };
 
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -345,7 +345,6 @@
 		progress.lastEventId = event.id ?? progress.lastEventId;
 		out.write(event.bytes);
 	}
-
 }
 
 /** What a run's outcome says of its engine. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -33,6 +33,6 @@
 export type {
 	AnswerHead, Call, CallerDialect, CallFacts, GatewayDialect, KvSource, ListDialect, ListPage, RoutingCodec, SendPurpose, ServerDialect,
 } from './gateway/types.js';
-export {splitAddress} from './listen.js';
+export {listenOn} from './listen.js';
 export {createLog} from './log.js';
 export {startStructuredLog} from './structured-log.js';
--- a/packages/daemon/src/listen.ts
+++ b/packages/daemon/src/listen.ts
@@ -70,6 +70,24 @@
 	});
 };
 
+/**
+ * Makes a server listen on an address; resolves once it does.
+ *
+ * @throws Error when the address can't be listened on.
+ * @example
+ * await listenOn(createServer(handler), '127.0.0.1:8001');
+ */
+export const listenOn = async (server: Server, address: string, backlog?: number): Promise<void> => {
+	const {host, port} = splitAddress(address);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({host, port, backlog}, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+};
+
 /**
  * Listens on an address.
  *
@@ -83,13 +101,6 @@
 	}, toNodeHandler(app));
 	server.maxConnections = limits.maxConnections;
 	registerClientErrors(server);
-	const {host, port} = splitAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, () => {
-			server.off('error', reject);
-			resolve();
-		});
-	});
+	await listenOn(server, address);
 	return server;
 };
