--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -1,5 +1,4 @@
 /** Serves streams of model services: a place, a prefill, the memory's move, the events, and going on elsewhere. */
-import {Buffer} from 'node:buffer';
 import {routerError, toId} from '@baobabpier/core';
 import type {
 	Clock, EngineId, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
@@ -15,7 +14,7 @@
 import {errorReply} from './reply.js';
 import type {Reply} from './reply.js';
 import type {SecondTries} from './second-tries.js';
-import type {OpenAnswer, SendFault, ServerTransport} from './server-transport.js';
+import type {OpenAnswer, ServerTransport} from './server-transport.js';
 import {rejectedComeBackMs} from './stream-progress.js';
 import type {
 	DecodeOutcome, EngineRoom, Progress, StreamOutput,
@@ -147,14 +146,14 @@
 		return this.#decode(progress, place, source, lease);
 	}
 
-	/** Lets an engine decode from a prefill's result; another where the one that was meant can't be reached. */
+	/** Lets an engine decode from a prefill's result; another where the one that was meant can't be had. */
 	async #decode(progress: Progress, place: Place, source: KvSource, lease: string | undefined): Promise<RoundResult> {
 		const readAt = this.parts.clock.now();
 		const meant = this.#rooms.listed(place.decode);
 		let engine = place.decode.id;
 		let outcome: DecodeOutcome = {kind: 'unsent', detail: 'the engine is no longer listed'};
 		let room: EngineRoom | undefined = meant === undefined ? undefined : {server: meant, lease};
-		do {
+		for (;;) {
 			if (room !== undefined) {
 				engine = toId<EngineId>(room.server.id);
 				// One engine after the other
@@ -165,34 +164,19 @@
 			}
 
 			progress.excluded.add(engine);
-			const isUsable = outcome.kind === 'unsent' && progress.scope.reason === undefined && this.parts.clock.now() - readAt <= resultUsableMs;
+			const isUsable = this.parts.clock.now() - readAt <= resultUsableMs && this.#maySendOn(progress, outcome);
 			// eslint-disable-next-line no-await-in-loop
 			room = isUsable ? await this.#rooms.find(progress) : undefined;
-		} while (room !== undefined);
-
-		return this.#afterDecode(progress, place, source, engine, outcome);
-	}
-
-	/** What follows a decode: where the result could not be used, an engine reads the prompt itself. */
-	async #afterDecode(progress: Progress, place: Place, source: KvSource, engine: EngineId, outcome: DecodeOutcome): Promise<RoundResult> { // eslint-disable-line max-params
-		const {call, service, scope, sent} = progress;
-		const isRejected = outcome.kind === 'notRun' && !outcome.isMisplaced;
-		if (isRejected || outcome.kind === 'complete') {
-			this.parts.fleet.noteResult(toId<BackendId>(place.prefill.id), !isRejected);
+			if (room === undefined) {
+				break;
+			}
 		}
 
 		if (outcome.kind === 'unsent' || outcome.kind === 'notRun') {
 			void this.#prompts.free(source);
 		}
 
-		const mayRunElsewhere = outcome.kind === 'notRun' && scope.reason === undefined && sent < call.route.maxAttempts && this.parts.tries.tryTake(service);
-		const room = mayRunElsewhere ? await this.#rooms.find(progress) : undefined;
-		if (room === undefined) {
-			return this.#conclude(progress, engine, outcome);
-		}
-
-		const direct = await this.#run(progress, room.server, {kind: 'run', lease: room.lease}, () => undefined);
-		return this.#conclude(progress, toId<EngineId>(room.server.id), direct);
+		return this.#conclude(progress, engine, outcome);
 	}
 
 	/** When a refused caller should return: after the queue, and not together with the others. */
@@ -200,6 +184,15 @@
 		return retryAfterMs + (route.targetMs * (comeBackTargets + (this.parts.random.next() * comeBackTargets)));
 	}
 
+	/** Whether a prefill's result may be offered to another engine. */
+	#maySendOn({call, service, scope, sent}: Progress, outcome: DecodeOutcome): boolean {
+		if (scope.reason !== undefined) {
+			return false;
+		}
+
+		return outcome.kind === 'unsent' || (outcome.kind === 'notRun' && sent < call.route.maxAttempts && this.parts.tries.tryTake(service));
+	}
+
 	/** Lets the decode engine read the prompt itself. */
 	async #useDirectly(progress: Progress, place: Place, {server, lease}: EngineRoom): Promise<RoundResult> {
 		const outcome = await this.#run(progress, server, {kind: 'run', lease}, () => {
