--- a/packages/daemon/src/__tests__/unit/caller-port.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-port.test.ts
@@ -70,7 +70,6 @@
 			},
 		} as unknown as StreamRoute,
 		metrics: new GatewayMetrics(),
-		table: () => table,
 	});
 	await port.listen(address);
 	port.apply(table);
--- a/packages/daemon/src/gateway/caller-port.ts
+++ b/packages/daemon/src/gateway/caller-port.ts
@@ -41,7 +41,6 @@
 	readonly plain: PlainRoute;
 	readonly streams: StreamRoute;
 	readonly metrics: GatewayMetrics;
-	readonly table: () => RoutingTable | undefined;
 };
 
 /** Serves callers. */
--- a/packages/daemon/src/gateway/control-watch.ts
+++ b/packages/daemon/src/gateway/control-watch.ts
@@ -80,11 +80,6 @@
 		return this.parts.clock.now() - this.#listAt;
 	}
 
-	/** Whether a control instance answered lately. */
-	get isConnected(): boolean {
-		return [...this.#sources.values()].some(source => this.#isGood(source));
-	}
-
 	start(): void {
 		this.#choose();
 		this.#timer = setInterval(() => {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -188,7 +188,6 @@
 			fleet, transport, dialect: dialect.server, tries, places, clock, random,
 		}),
 		metrics,
-		table: () => table,
 	});
 	const isReady = (): boolean => table !== undefined && fleet.isInformed && stopping === undefined;
 
--- a/packages/daemon/src/timed-connect.ts
+++ b/packages/daemon/src/timed-connect.ts
@@ -3,7 +3,7 @@
 import type {buildConnector} from 'undici';
 
 /** Code of the error of a connection that its peer reset. */
-export const resetCode = 'ERR_CONNECTION_RESET';
+const resetCode = 'ERR_CONNECTION_RESET';
 
 /**
  * Makes a connector that gives up after `timeoutMs`; its error says that nothing was sent.
