Leave a prefill engine alone whose results lapse, and let a decode engine read such prompts

Ruled out: full decode engines (places came from the pool's owner, leases were granted). Test: whole-path, 'a stream whose prefill lapsed', failing first by its second case (a second decode with the same result).

--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -11,6 +11,10 @@
 const failureMemoryMs = 3000;
 /** A server that could not be reached, or is not the listed one, gets no calls for this long at first, in milliseconds. */
 const suspectMs = 1000;
+/** Prefill results in a row that could not be used before their engine is left alone. */
+const maxUnusable = 2;
+/** How long such an engine gets no calls, in milliseconds: results that lapse do so for some seconds. */
+const unusableMs = 3000;
 /** Longest such time, in milliseconds; the list drops a lost server after some seconds. */
 const maxSuspectMs = 5000;
 
@@ -23,6 +27,8 @@
 	unreachableUntil: number;
 	/** Failures to reach it in a row. */
 	misses: number;
+	/** Prefill results of it in a row that other engines could not use. */
+	unusable: number;
 };
 
 /** How a call to a server went, as far as it tells of the server. */
@@ -95,6 +101,17 @@
 		return (reachable.length > 0 ? reachable : servers).map(server => this.#load(server));
 	}
 
+	/** Notes whether another engine could use a prefill's result; an engine whose results lapse gets no calls for a while. */
+	noteResult(id: BackendId, isUsed: boolean): void {
+		const record = this.#record(id);
+		record.unusable = isUsed ? 0 : record.unusable + 1;
+		if (record.unusable >= maxUnusable) {
+			record.unusable = 0;
+			record.unreachableUntil = this.clock.now() + unusableMs;
+			log('The prefill results of an engine can\'t be used.', {server: id, inARow: maxUnusable, forMs: unusableMs});
+		}
+	}
+
 	/** Counts a call as in progress; returns what ends it. */
 	begin(id: BackendId): (result: CallResult, load?: number) => void {
 		const record = this.#record(id);
@@ -162,7 +179,7 @@
 		let record = this.#records.get(id);
 		if (record === undefined) {
 			record = {
-				inFlight: 0, told: undefined, failing: 0, failedAt: Number.NEGATIVE_INFINITY, usualMs: undefined, unreachableUntil: 0, misses: 0,
+				inFlight: 0, told: undefined, failing: 0, failedAt: Number.NEGATIVE_INFINITY, usualMs: undefined, unreachableUntil: 0, misses: 0, unusable: 0,
 			};
 			this.#records.set(id, record);
 		}
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -147,14 +147,14 @@
 		return this.#decode(progress, place, source, lease);
 	}
 
-	/** Lets an engine decode from a prefill's result; another where the one that was meant can't be had. */
+	/** Lets an engine decode from a prefill's result; another where the one that was meant can't be reached. */
 	async #decode(progress: Progress, place: Place, source: KvSource, lease: string | undefined): Promise<RoundResult> {
 		const readAt = this.parts.clock.now();
 		const meant = this.#rooms.listed(place.decode);
 		let engine = place.decode.id;
 		let outcome: DecodeOutcome = {kind: 'unsent', detail: 'the engine is no longer listed'};
 		let room: EngineRoom | undefined = meant === undefined ? undefined : {server: meant, lease};
-		for (;;) {
+		do {
 			if (room !== undefined) {
 				engine = toId<EngineId>(room.server.id);
 				// One engine after the other
@@ -165,19 +165,34 @@
 			}
 
 			progress.excluded.add(engine);
-			const isUsable = this.parts.clock.now() - readAt <= resultUsableMs && this.#maySendOn(progress, outcome);
+			const isUsable = outcome.kind === 'unsent' && progress.scope.reason === undefined && this.parts.clock.now() - readAt <= resultUsableMs;
 			// eslint-disable-next-line no-await-in-loop
 			room = isUsable ? await this.#rooms.find(progress) : undefined;
-			if (room === undefined) {
-				break;
-			}
+		} while (room !== undefined);
+
+		return this.#afterDecode(progress, place, source, engine, outcome);
+	}
+
+	/** What follows a decode: where the result could not be used, an engine reads the prompt itself. */
+	async #afterDecode(progress: Progress, place: Place, source: KvSource, engine: EngineId, outcome: DecodeOutcome): Promise<RoundResult> { // eslint-disable-line max-params
+		const {call, service, scope, sent} = progress;
+		const isRejected = outcome.kind === 'notRun' && !outcome.isMisplaced;
+		if (isRejected || outcome.kind === 'complete') {
+			this.parts.fleet.noteResult(toId<BackendId>(place.prefill.id), !isRejected);
 		}
 
 		if (outcome.kind === 'unsent' || outcome.kind === 'notRun') {
 			void this.#prompts.free(source);
 		}
 
-		return this.#conclude(progress, engine, outcome);
+		const mayRunElsewhere = outcome.kind === 'notRun' && scope.reason === undefined && sent < call.route.maxAttempts && this.parts.tries.tryTake(service);
+		const room = mayRunElsewhere ? await this.#rooms.find(progress) : undefined;
+		if (room === undefined) {
+			return this.#conclude(progress, engine, outcome);
+		}
+
+		const direct = await this.#run(progress, room.server, {kind: 'run', lease: room.lease}, () => undefined);
+		return this.#conclude(progress, toId<EngineId>(room.server.id), direct);
 	}
 
 	/** When a refused caller should return: after the queue, and not together with the others. */
@@ -185,15 +200,6 @@
 		return retryAfterMs + (route.targetMs * (comeBackTargets + (this.parts.random.next() * comeBackTargets)));
 	}
 
-	/** Whether a prefill's result may be offered to another engine. */
-	#maySendOn({call, service, scope, sent}: Progress, outcome: DecodeOutcome): boolean {
-		if (scope.reason !== undefined) {
-			return false;
-		}
-
-		return outcome.kind === 'unsent' || (outcome.kind === 'notRun' && sent < call.route.maxAttempts && this.parts.tries.tryTake(service));
-	}
-
 	/** Lets the decode engine read the prompt itself. */
 	async #useDirectly(progress: Progress, place: Place, {server, lease}: EngineRoom): Promise<RoundResult> {
 		const outcome = await this.#run(progress, server, {kind: 'run', lease}, () => {
