Let the pools' owner read engines' reports: runs that nobody tells of count, and silent engines get no work

The owner asks each engine for its report twice a second: runs without a place count, an engine that does not answer gets no work until it does.

--- a/packages/core/src/engine/engine-client.ts
+++ b/packages/core/src/engine/engine-client.ts
@@ -38,6 +38,16 @@
 	| {readonly kind: 'tokens'; readonly seq: number; readonly texts: readonly string[]}
 	| {readonly kind: 'end'; readonly seq: number; readonly finish: 'stop' | 'length'};
 
+/** Memory that an engine holds for a request, by its own account. */
+export type ReportedHold = {
+	readonly requestId: RequestId;
+	/** Undefined for engines that know requests only by their ids. */
+	readonly attempt: AttemptNumber | undefined;
+	readonly pieces: number;
+	/** The instance that the memory is held for, where the engine knows it. */
+	readonly holder?: InstanceId;
+};
+
 /** An engine's own account of itself; it arrives late. */
 export type EngineReport = {
 	readonly engine: EngineId;
@@ -49,7 +59,7 @@
 	readonly queuedTokens: number;
 	/** Streams decoding. */
 	readonly running: number;
-	readonly held: ReadonlyArray<EngineHold & {readonly pieces: number; readonly holder: InstanceId}>;
+	readonly held: readonly ReportedHold[];
 };
 
 /** What is asked of a prefill. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,7 @@
 export type {
 	DecodeChunk,
 	DecodeOrder,
+	ReportedHold,
 	EngineChange,
 	EngineClient,
 	EngineFault,
--- a/packages/core/src/placement/hold-table.ts
+++ b/packages/core/src/placement/hold-table.ts
@@ -1,6 +1,9 @@
 /** The memory holds on a pool's engines: grants with leases, and holds that only the engines know of. */
-import type {EngineHold, EngineReport} from '../engine/engine-client.js';
-import type {EngineId, Incarnation, InstanceId} from '../ids.js';
+import type {EngineHold, EngineReport, ReportedHold} from '../engine/engine-client.js';
+import {toId} from '../ids.js';
+import type {
+	AttemptNumber, EngineId, Incarnation, InstanceId, RequestId,
+} from '../ids.js';
 import {after} from '../time.js';
 import type {Instant} from '../time.js';
 import type {EngineAddress} from './types.js';
@@ -74,6 +77,9 @@
 	unknown: Map<string, UnknownHold>;
 };
 
+/** Stands in the keys of holds whose engines report no attempt; real attempts are counted from 1. */
+const unknownAttempt = toId<AttemptNumber>(0);
+
 /** Names a hold in maps. */
 export const holdKey = (hold: EngineHold): string => `${hold.requestId}/${hold.attempt}`;
 
@@ -91,7 +97,9 @@
 	readonly #grants = new Map<string, Tracked>();
 	readonly #engines = new Map<EngineId, EngineRecord>();
 	/** Places given back lately: a renewal that was on its way must not bring them back. */
-	readonly #released = new Map<string, Instant>();
+	readonly #released = new Map<string, {readonly requestId: RequestId; readonly at: Instant}>();
+	/** Places, also those given back lately, of each request: some engines report requests without attempts. */
+	readonly #placesOf = new Map<RequestId, number>();
 	readonly #touched = new Set<EngineId>();
 	#startedAt: Instant | undefined;
 	#expiredAt: Instant | undefined;
@@ -101,7 +109,7 @@
 	/** Records a place; the caller has checked that it fits. */
 	grant(grant: Grant, now: Instant): void {
 		this.#startedAt ??= now;
-		this.#released.delete(holdKey(grant));
+		this.#forgetReleased(holdKey(grant), grant.requestId);
 		this.#add({
 			...grant, renewedAt: now, prefilling: grant.prefill !== undefined, reclaiming: false,
 		});
@@ -121,8 +129,9 @@
 	/** Takes a place back from its holder, which has confirmed that the memory is free. */
 	release(hold: EngineHold, now: Instant): void {
 		const key = holdKey(hold);
-		this.#released.delete(key);
-		this.#released.set(key, now);
+		this.#forgetReleased(key, hold.requestId);
+		this.#released.set(key, {requestId: hold.requestId, at: now});
+		this.#countPlaces(hold.requestId, 1);
 		this.#remove(key);
 	}
 
@@ -176,11 +185,12 @@
 		record.incarnation = report.incarnation;
 		const unknown = new Map<string, UnknownHold>();
 		for (const held of report.held) {
-			const key = holdKey(held);
-			// A late report still shows places given back since
-			if (!this.#grants.has(key) && !this.#released.has(key)) {
-				unknown.set(key, record.unknown.get(key) ?? {
-					hold: {requestId: held.requestId, attempt: held.attempt}, pieces: held.pieces, since: now, cancelledAt: undefined,
+			const hold: EngineHold = {requestId: held.requestId, attempt: held.attempt ?? unknownAttempt};
+			const key = holdKey(hold);
+			if (!this.#isKnown(held, key)) {
+				const known = record.unknown.get(key);
+				unknown.set(key, {
+					hold, pieces: held.pieces, since: known?.since ?? now, cancelledAt: known?.cancelledAt,
 				});
 			}
 		}
@@ -193,12 +203,12 @@
 		this.#startedAt ??= now;
 		this.#allowForGap(now);
 		const reclaims = [...this.#expireLeases(now), ...this.#expireOrphans(now)];
-		for (const [key, at] of this.#released) {
+		for (const [key, {requestId, at}] of this.#released) {
 			if (now - at <= this.timings.leaseMs) {
 				break;
 			}
 
-			this.#released.delete(key);
+			this.#forgetReleased(key, requestId);
 		}
 
 		return reclaims;
@@ -225,6 +235,26 @@
 		};
 	}
 
+	/** Whether a reported hold is a place given out; a late report still shows places given back since. */
+	#isKnown({requestId, attempt}: ReportedHold, key: string): boolean {
+		return attempt === undefined ? this.#placesOf.has(requestId) : this.#grants.has(key) || this.#released.has(key);
+	}
+
+	#forgetReleased(key: string, requestId: RequestId): void {
+		if (this.#released.delete(key)) {
+			this.#countPlaces(requestId, -1);
+		}
+	}
+
+	#countPlaces(requestId: RequestId, change: 1 | -1): void {
+		const places = (this.#placesOf.get(requestId) ?? 0) + change;
+		if (places === 0) {
+			this.#placesOf.delete(requestId);
+		} else {
+			this.#placesOf.set(requestId, places);
+		}
+	}
+
 	#isGrantable(record: EngineRecord | undefined, now: Instant): boolean {
 		if (this.timings.adoptMs === undefined) {
 			return true;
@@ -284,6 +314,7 @@
 	#add(tracked: Tracked): void {
 		const key = holdKey(tracked);
 		this.#grants.set(key, tracked);
+		this.#countPlaces(tracked.requestId, 1);
 		if (tracked.prefilling) {
 			this.#record(tracked.prefill!).queuedTokens += tracked.promptTokens;
 		}
@@ -292,6 +323,7 @@
 		record.grantedPieces += tracked.pieces;
 		record.running += 1;
 		record.unknown.delete(key);
+		record.unknown.delete(holdKey({requestId: tracked.requestId, attempt: unknownAttempt}));
 	}
 
 	#remove(key: string): void {
@@ -302,6 +334,7 @@
 
 		this.endPrefill(tracked);
 		this.#grants.delete(key);
+		this.#countPlaces(tracked.requestId, -1);
 		const record = this.#record(tracked.decode);
 		record.grantedPieces -= tracked.pieces;
 		record.running -= 1;
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -20,6 +20,7 @@
 import {PoolHost} from '../pools/pool-host.js';
 import {Peers} from '../rpc/peers.js';
 import {RpcServer} from '../rpc/rpc-server.js';
+import {EngineReports} from './engine-reports.js';
 import {RoleTask} from './role-task.js';
 import type {OrderDialect} from './role-task.js';
 import {WatchDesk} from './watch-desk.js';
@@ -29,8 +30,8 @@
 const reopenMs = 1000;
 /** How often the list is read, in milliseconds: a leaving server must be known within seconds, and readings are paid for. */
 const listMs = 700;
-/** Connections to the platform's list. */
-const listConnections = 2;
+/** Connections to the platform's list, and to each engine for reports and orders. */
+const serverConnections = 2;
 /**
  * How long a new leader waits for the places that entry instances hold before it gives out more, in milliseconds:
  * they hear of it by an open call and renew at once, within some tens of milliseconds on a loaded machine.
@@ -142,20 +143,19 @@
 		reopenMs,
 	});
 	const shares = new LeaderShares(first.id, control);
+	const transport = new ServerTransport(() => serverConnections);
 	const pools = new PoolHost({
 		self: first.id,
 		clock,
 		shares,
 		createPolicy: targets => new ForecastPolicy(targets, engineSpeeds),
-		// A holder that is gone has closed its connections, on which engines end its requests
-		engines: {report: async () => undefined, cancel: async () => undefined},
+		engines: new EngineReports({transport, dialect: dialect.orders}),
 		mayGrant: () => shares.isSettled(clock.now()),
 		onPlaced(service, promptTokens) {
 			roles.noteGrant(service, promptTokens);
 		},
 		timings: placeTimings,
 	});
-	const transport = new ServerTransport(() => listConnections);
 	const list = new ListReader({
 		address: first.list, dialect: dialect.list, transport, clock, pauseMs: listMs, isWanted: () => true, onList(read) {
 			servers = read;
--- /dev/null
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -0,0 +1,57 @@
+/** Asks engines what they hold, for the pools that this instance leads. */
+import {countPieces, toId} from '@baobabpier/core';
+import type {EngineEntry, EngineReport, Incarnation} from '@baobabpier/core';
+import {createLog} from '../log.js';
+import type {ServerTransport} from '../gateway/server-transport.js';
+import {pieceTokens} from '../gateway/model-services.js';
+import type {PoolEngines} from '../pools/pool-host.js';
+import type {OrderDialect} from './role-task.js';
+
+const log = createLog('reports');
+/** Longest time for a report, in milliseconds: a packet that is lost is sent again within it. */
+const reportMs = 600;
+
+/** What the reports work with. */
+export type EngineReportsParts = {
+	readonly transport: ServerTransport;
+	readonly dialect: Pick<OrderDialect, 'statusCall' | 'readStatus'>;
+};
+
+/** Reads the reports of engines; frees nothing, since engines end requests whose connections close. */
+export class EngineReports implements PoolEngines {
+	constructor(private readonly parts: EngineReportsParts) {}
+
+	/** An engine's account of what runs on it. */
+	async report(engine: EngineEntry): Promise<EngineReport | 'unreachable' | undefined> {
+		const {transport, dialect} = this.parts;
+		const answer = await transport.open({address: engine.address, ...dialect.statusCall(), signal: AbortSignal.timeout(reportMs)});
+		const body = answer.kind === 'head' ? await transport.readBody(answer) : answer;
+		if (answer.kind !== 'head' || 'kind' in body) {
+			transport.drop(engine.address);
+			return 'unreachable';
+		}
+
+		const status = answer.status === 200 ? dialect.readStatus(body) : undefined;
+		if (status === undefined) {
+			log('A report can\'t be read.', {engine: engine.id, status: answer.status});
+			return undefined;
+		}
+
+		const held = status.runs.map(({requestId, tokens}) => ({requestId, attempt: undefined, pieces: countPieces(tokens, pieceTokens)}));
+		return {
+			engine: engine.id,
+			incarnation: toId<Incarnation>(engine.id),
+			role: status.role,
+			pieces: engine.pieces,
+			freePieces: engine.pieces - held.reduce((sum, {pieces}) => sum + pieces, 0),
+			queuedTokens: 0,
+			running: held.length,
+			held,
+		};
+	}
+
+	/** A holder that is gone has closed its connections, on which engines end its requests. */
+	async cancel(): Promise<void> {
+		// Nothing to send
+	}
+}
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -1,7 +1,7 @@
 /** Orders engines to change their role while this instance leads, as the role planner says. */
 import {RolePlanner, toId} from '@baobabpier/core';
 import type {
-	BackendId, Clock, EngineId, EngineRole, FencingNumber, Instant, InstanceId, InstanceStatus, ListedServer, RoleChange, ServiceName,
+	BackendId, Clock, EngineId, EngineRole, FencingNumber, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../gateway/server-transport.js';
@@ -16,13 +16,15 @@
 /** How long an engine may take to come back in its new role, in milliseconds. */
 const changeMs = 15_000;
 
-/** What an engine says of itself before an order. */
-export type RoleReport = {
+/** What an engine says of itself. */
+export type EngineStatus = {
 	readonly role: EngineRole;
 	/** Orders that it accepted so far. */
 	readonly sequence: number;
 	/** Whether an order is being carried out. */
 	readonly isBusy: boolean;
+	/** The requests that run on it, with the tokens that each has in memory. */
+	readonly runs: ReadonlyArray<{readonly requestId: RequestId; readonly tokens: number}>;
 };
 
 /** A call to an engine. */
@@ -35,8 +37,8 @@
 
 /** Translates orders to engines. */
 export type OrderDialect = {
-	reportCall(): EngineCall;
-	readReport(body: Uint8Array): RoleReport | undefined;
+	statusCall(): EngineCall;
+	readStatus(body: Uint8Array): EngineStatus | undefined;
 	/** An order that holds only while the engine has accepted `sequence` orders. */
 	orderCall(engine: BackendId, role: EngineRole, holder: InstanceId, fencing: FencingNumber, sequence: number): EngineCall;
 };
@@ -182,9 +184,9 @@
 		}
 	}
 
-	async #report(server: ListedServer): Promise<RoleReport | undefined> {
-		const answer = await this.#call(server, this.parts.dialect.reportCall());
-		return answer?.status === 200 ? this.parts.dialect.readReport(answer.body) : undefined;
+	async #report(server: ListedServer): Promise<EngineStatus | undefined> {
+		const answer = await this.#call(server, this.parts.dialect.statusCall());
+		return answer?.status === 200 ? this.parts.dialect.readStatus(answer.body) : undefined;
 	}
 
 	async #call(server: ListedServer, call: EngineCall): Promise<{readonly status: number; readonly body: Uint8Array} | undefined> {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -26,7 +26,7 @@
 export {HedgedTries} from './requests/hedged-tries.js';
 export {startControlNode} from './control-node/control-node.js';
 export type {ControlNode, ControlNodeDialect, ControlNodeSettings} from './control-node/control-node.js';
-export type {EngineCall, OrderDialect, RoleReport} from './control-node/role-task.js';
+export type {EngineCall, OrderDialect, EngineStatus} from './control-node/role-task.js';
 export {startGateway} from './gateway/gateway.js';
 export type {Gateway, GatewaySettings} from './gateway/gateway.js';
 export {headerValue, passedHeaders} from './gateway/raw-headers.js';
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -35,7 +35,7 @@
 const reportMs = 500;
 const leaseMs = 5000;
 const orphanMs = 6000;
-/** How long an engine that a holder could not reach gets no work, in milliseconds. */
+/** How long an engine that could not be reached gets no work, in milliseconds: some requests for reports that it may answer. */
 const suspectMs = 1500;
 const log = createLog('pool');
 
@@ -50,6 +50,8 @@
 	readonly waiting: Map<string, (answer: PlaceAnswer) => void>;
 	/** Engines whose report is on its way. */
 	readonly polling: Set<EngineId>;
+	/** Engines that did not answer the last request for a report. */
+	readonly silent: Set<EngineId>;
 };
 
 const poolKey = (service: ServiceName, dataCentre: DataCentreId): string => `${service}@${dataCentre}`;
@@ -74,8 +76,8 @@
 
 /** How a pool's owner reaches engines. */
 export type PoolEngines = {
-	/** An engine's account of its holds; undefined where engines give none or it did not come. */
-	report(engine: EngineEntry): Promise<EngineReport | undefined>;
+	/** An engine's account of its holds; undefined where engines give none or it can't be read. */
+	report(engine: EngineEntry): Promise<EngineReport | 'unreachable' | undefined>;
 	/** Frees a hold; resolves once it is free. */
 	cancel(engine: EngineAddress, hold: EngineHold): Promise<void>;
 };
@@ -86,7 +88,7 @@
 	readonly #timers: NodeJS.Timeout[] = [];
 	#leaving: ReadonlySet<EngineId> = new Set();
 	/** Engines that holders could not reach, and until when they get no work. */
-	readonly #suspects = new Map<EngineId, Instant>();
+	readonly #suspects = new Map<EngineId, {readonly since: Instant; readonly until: Instant}>();
 	#snapshot: CatalogueSnapshot | undefined;
 
 	constructor(private readonly parts: PoolHostParts) {}
@@ -201,10 +203,10 @@
 
 	/** Keeps work from engines that holders could not reach, for a while. */
 	#suspect(engines: readonly EngineId[]): void {
-		const until = after(this.parts.clock.now(), suspectMs);
-		const fresh = engines.filter(id => !this.#suspects.has(id));
+		const since = this.parts.clock.now();
+		const fresh = [...new Set(engines)].filter(id => !this.#suspects.has(id));
 		for (const id of engines) {
-			this.#suspects.set(id, until);
+			this.#suspects.set(id, {since, until: after(since, suspectMs)});
 		}
 
 		if (fresh.length > 0) {
@@ -213,10 +215,19 @@
 		}
 	}
 
+	/** Gives an engine work again that answered a question asked after it was suspected. */
+	#trust(engine: EngineId, askedAt: Instant): void {
+		const suspect = this.#suspects.get(engine);
+		if (suspect !== undefined && askedAt > suspect.since) {
+			this.#suspects.set(engine, {...suspect, until: askedAt});
+			this.#clearSuspects();
+		}
+	}
+
 	/** Gives suspects work again once their time is over. */
 	#clearSuspects(): void {
 		const now = this.parts.clock.now();
-		const over = [...this.#suspects].filter(([, until]) => until <= now).map(([id]) => id);
+		const over = [...this.#suspects].filter(([, {until}]) => until <= now).map(([id]) => id);
 		for (const id of over) {
 			this.#suspects.delete(id);
 		}
@@ -281,6 +292,7 @@
 			engines: [],
 			waiting: new Map(),
 			polling: new Set(),
+			silent: new Set(),
 		};
 	}
 
@@ -343,9 +355,22 @@
 		}
 
 		hosted.polling.add(engine.id);
+		const askedAt = this.parts.clock.now();
 		const report = await this.parts.engines.report(engine);
 		hosted.polling.delete(engine.id);
+		if (report === 'unreachable') {
+			hosted.silent.add(engine.id);
+			// Where most engines are silent, this instance is the one that is cut off
+			if (hosted.silent.size <= hosted.engines.length / 2) {
+				this.#suspect([engine.id]);
+			}
+
+			return;
+		}
+
+		hosted.silent.delete(engine.id);
 		if (report !== undefined) {
+			this.#trust(engine.id, askedAt);
 			this.#perform(hosted, hosted.pool.step({kind: 'report', report}, this.parts.clock.now()));
 		}
 	}
