--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -1,6 +1,6 @@
 /** Asks engines what they hold, for the pools that this instance leads. */
 import {countPieces, toId} from '@baobabpier/core';
-import type {EngineEntry, EngineReport, Incarnation} from '@baobabpier/core';
+import type {BackendId, EngineEntry, EngineReport, Incarnation} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../gateway/server-transport.js';
 import {pieceTokens} from '../gateway/model-services.js';
@@ -10,6 +10,8 @@
 const log = createLog('reports');
 /** Longest time for a report, in milliseconds: a packet that is lost is sent again within it. */
 const reportMs = 600;
+/** Another engine has the address. */
+const misdirected = 421;
 
 /** What the reports work with. */
 export type EngineReportsParts = {
@@ -24,13 +26,17 @@
 	/** An engine's account of what runs on it. */
 	async report(engine: EngineEntry): Promise<EngineReport | 'unreachable' | undefined> {
 		const {transport, dialect} = this.parts;
-		const answer = await transport.open({address: engine.address, ...dialect.statusCall(), signal: AbortSignal.timeout(reportMs)});
+		const answer = await transport.open({address: engine.address, ...dialect.statusCall(toId<BackendId>(engine.id)), signal: AbortSignal.timeout(reportMs)});
 		const body = answer.kind === 'head' ? await transport.readBody(answer) : answer;
 		if (answer.kind !== 'head' || 'kind' in body) {
 			transport.drop(engine.address);
 			return 'unreachable';
 		}
 
+		if (answer.status === misdirected) {
+			return 'unreachable';
+		}
+
 		const status = answer.status === 200 ? dialect.readStatus(body) : undefined;
 		if (status === undefined) {
 			log('A report can\'t be read.', {engine: engine.id, status: answer.status});
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -37,7 +37,8 @@
 
 /** Translates orders to engines. */
 export type OrderDialect = {
-	statusCall(): EngineCall;
+	/** Asks an engine for its status; another engine at its address refuses the call. */
+	statusCall(engine: BackendId): EngineCall;
 	readStatus(body: Uint8Array): EngineStatus | undefined;
 	/** An order that holds only while the engine has accepted `sequence` orders. */
 	orderCall(engine: BackendId, role: EngineRole, holder: InstanceId, fencing: FencingNumber, sequence: number): EngineCall;
@@ -185,7 +186,7 @@
 	}
 
 	async #report(server: ListedServer): Promise<EngineStatus | undefined> {
-		const answer = await this.#call(server, this.parts.dialect.statusCall());
+		const answer = await this.#call(server, this.parts.dialect.statusCall(server.id));
 		return answer?.status === 200 ? this.parts.dialect.readStatus(answer.body) : undefined;
 	}
 
--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -26,7 +26,8 @@
 export type DecodeOutcome =
 	| {readonly kind: 'complete'}
 	| {readonly kind: 'relay'; readonly head: AnswerHead; readonly body: Uint8Array}
-	| {readonly kind: 'notRun'; readonly isMisplaced: boolean}
+	/** The engine's reason, and the requests running and waiting there, where it says so. */
+	| {readonly kind: 'notRun'; readonly isMisplaced: boolean; readonly load: number | undefined; readonly detail: string}
 	| SendFault;
 
 /** An engine with room reserved on it; no lease where the pool's owner gave the place. */
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -1,4 +1,5 @@
 /** Serves streams of model services: a place, a prefill, the memory's move, the events, and going on elsewhere. */
+import {Buffer} from 'node:buffer';
 import {routerError, toId} from '@baobabpier/core';
 import type {
 	Clock, EngineAddress, EngineId, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
@@ -32,6 +33,8 @@
 const silentMs = 1200;
 /** How long a prefill's result may be offered to another engine, in milliseconds: engines keep it for half a second. */
 const resultUsableMs = 350;
+/** Bytes of an engine's reason for a rejection that are logged at most. */
+const maxReasonBytes = 160;
 /** Shortest time to come back to a full pool, and its spread, in targets to the first event: a burst passes in some seconds. */
 const comeBackTargets = 1.5;
 
@@ -274,7 +277,7 @@
 		end(resultOf(outcome, scope));
 		log('A stream got an outcome at an engine.', {
 			requestId: call.requestId, engine: server.id, purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: answer.kind === 'head' ? answer.status : undefined,
-			detail: 'detail' in outcome ? outcome.detail : undefined, lastEventId: progress.lastEventId, ms: Math.round(clock.now() - startedAt), ended: scope.reason,
+			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, ms: Math.round(clock.now() - startedAt), ended: scope.reason,
 		});
 		return outcome;
 	}
@@ -289,8 +292,10 @@
 		}
 
 		if (head.isNotRun) {
-			answer.body.resume();
-			return {kind: 'notRun', isMisplaced: head.isMisplaced};
+			const body = await this.parts.transport.readBody(answer);
+			return {
+				kind: 'notRun', isMisplaced: head.isMisplaced, load: head.load, detail: 'kind' in body ? body.detail : Buffer.from(body).toString('utf8', 0, maxReasonBytes),
+			};
 		}
 
 		if (head.status !== 200) {
