--- a/packages/daemon/src/__tests__/unit/caller-port.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-port.test.ts
@@ -12,6 +12,7 @@
 import {CallerPort} from '../../gateway/caller-port.js';
 import {GatewayMetrics} from '../../gateway/gateway-metrics.js';
 import type {PlainRoute} from '../../gateway/plain-route.js';
+import {StartGate} from '../../gateway/start-gate.js';
 import type {StreamOutput} from '../../gateway/stream-progress.js';
 import type {StreamRoute} from '../../gateway/stream-route.js';
 import type {AnswerHead, Call} from '../../gateway/types.js';
@@ -33,15 +34,23 @@
 };
 
 let port: CallerPort;
+let gate: StartGate;
 let taken: Call[] = [];
 let outputs: StreamOutput[] = [];
 let finish: (() => void) | undefined;
 
-const open = async (): Promise<Socket> => {
+const learnTable = (): void => {
+	port.apply(table);
+	gate.open();
+};
+
+const open = async (isInformed = true): Promise<Socket> => {
 	const address = '127.0.0.1:0';
 	taken = [];
 	outputs = [];
+	gate = new StartGate(monotonicClock);
 	port = new CallerPort({
+		gate,
 		clock: monotonicClock,
 		random: createSeededRandom(1),
 		dialect: {
@@ -72,7 +81,10 @@
 		metrics: new GatewayMetrics(),
 	});
 	await port.listen(address);
-	port.apply(table);
+	if (isInformed) {
+		learnTable();
+	}
+
 	const socket = connect(port.port, '127.0.0.1');
 	socket.on('error', () => undefined);
 	await once(socket, 'connect');
@@ -114,6 +126,14 @@
 	expect(taken).toHaveLength(1);
 });
 
+test('serves a call that arrived before the first configuration once it is in force', async () => {
+	const socket = await open(false);
+	send(socket, '/unsafe/1', 'early');
+	setTimeout(learnTable, 100);
+	expect(await received(socket, text => text.includes('\r\n\r\n'))).toContain('200 OK');
+	expect(taken.map(({requestId}) => requestId)).toEqual(['early']);
+});
+
 test('passes on nothing that comes late in a stop', async () => {
 	const socket = await open();
 	send(socket, '/unsafe/1', 'first');
--- a/packages/daemon/src/gateway/caller-port.ts
+++ b/packages/daemon/src/gateway/caller-port.ts
@@ -16,6 +16,7 @@
 import type {PlainRoute} from './plain-route.js';
 import {passedHeaders} from './raw-headers.js';
 import type {Reply} from './reply.js';
+import type {StartGate} from './start-gate.js';
 import type {StreamOutput} from './stream-progress.js';
 import type {StreamRoute} from './stream-route.js';
 import type {AnswerHead, Call, CallerDialect} from './types.js';
@@ -26,6 +27,8 @@
 /** Bytes of a stream that wait for a slow caller; beyond them the stream is broken off. */
 const maxUnreadBytes = 1024 * 1024;
 const connectionCheckMs = 500;
+/** When to come back to an instance that has had no configuration for seconds, in milliseconds: the balancer uses others by then. */
+const noTableComeBackMs = 1000;
 /** Used until the first routing configuration. */
 const firstLimits = {
 	headerBytes: 16 * 1024, bodyBytes: 4 * 1024 * 1024, headersTimeoutMs: 3000, idleTimeoutMs: 15_000,
@@ -41,6 +44,8 @@
 	readonly plain: PlainRoute;
 	readonly streams: StreamRoute;
 	readonly metrics: GatewayMetrics;
+	/** Opened once a configuration and a list of servers are known. */
+	readonly gate: StartGate;
 };
 
 /** Serves callers. */
@@ -168,11 +173,18 @@
 	}
 
 	async #route(req: IncomingMessage, res: ServerResponse, body: Uint8Array, arrivedAt: ReturnType<Clock['now']>): Promise<void> {
+		const facts = this.parts.dialect.readFacts(req.headers);
+		await this.parts.gate.wait(facts.ok ? facts.val.patienceMs ?? Number.POSITIVE_INFINITY : 0);
+		if (res.destroyed) {
+			log('A caller left before a configuration was in force.', {requestId: this.#idOf(req)});
+			return;
+		}
+
 		const target = req.url ?? '/';
 		const path = target.split('?', 1)[0]!;
 		const index = this.#index;
 		if (index === undefined) {
-			this.#refuse(req, res, routerError('shuttingDown', 'no configuration is in force yet'));
+			this.#refuse(req, res, routerError('shuttingDown', 'no configuration is in force yet', noTableComeBackMs));
 			return;
 		}
 
@@ -184,7 +196,6 @@
 			return;
 		}
 
-		const facts = this.parts.dialect.readFacts(req.headers);
 		if (facts.err) {
 			this.#refuse(req, res, facts.val);
 			return;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import {PlainRoute} from './plain-route.js';
 import {ServerTransport} from './server-transport.js';
 import {SecondTries} from './second-tries.js';
+import {StartGate} from './start-gate.js';
 import {StreamRoute} from './stream-route.js';
 import type {GatewayDialect} from './types.js';
 
@@ -103,6 +104,7 @@
 	const peers = new Peers([], first.secret, id => id);
 	const fleet = new FleetView(clock);
 	const metrics = new GatewayMetrics();
+	const gate = new StartGate(clock);
 	const connectionsTo = (address: string): number => {
 		const service = table?.services.get(fleet.servers.find(server => server.address === address)?.service ?? toId<ServiceName>(''));
 		return service === undefined ? otherConnections : Math.max(minConnections, Math.floor((service.maxConnections * usedConnections) / watch.entries));
@@ -128,9 +130,16 @@
 		alone.setLeaving(leavingEngines(fleet.servers));
 	};
 
+	const openGate = (): void => {
+		if (table !== undefined && fleet.isInformed) {
+			gate.open();
+		}
+	};
+
 	const takeList = (servers: readonly ListedServer[]): void => {
 		fleet.replace(servers);
 		applyServers();
+		openGate();
 	};
 
 	const takeRouting = (document: RoutingDocument): boolean => {
@@ -143,6 +152,7 @@
 		table = decoded.val;
 		callers.apply(table);
 		applyServers();
+		openGate();
 		return true;
 	};
 
@@ -190,6 +200,7 @@
 			fleet, transport, dialect: dialect.server, tries, places, clock, random,
 		}),
 		metrics,
+		gate,
 	});
 	const isReady = (): boolean => table !== undefined && fleet.isInformed && stopping === undefined;
 
