Split idle engines by the usual mix before the first request

Cause: both sites start with 3 prefill and 5 decode engines where their mix wants 2 and 6. The planner needs 10 s of load to change that, and an engine is away for 6 s, so that the first burst (6 to 11 s) finds 5 decode engines, full at 15 streams a second.

--- a/packages/core/src/__tests__/unit/role-planner.test.ts
+++ b/packages/core/src/__tests__/unit/role-planner.test.ts
@@ -84,3 +84,23 @@
 	const two = engines(1, 1);
 	expect(replay(new RolePlanner(capacity), two, longAnswers, 0, 60_000)).toEqual([]);
 });
+
+const usual = {promptTokens: 5200, pieces: 355, decodeMs: 3400};
+
+test.each([
+	{name: '8 engines', fleet: [3, 5], prefill: 2},
+	{name: '42 engines', fleet: [15, 27], prefill: 11},
+] as const)('splits $name by the usual mix before the first request', ({fleet: [prefill, decode], prefill: wanted}) => {
+	const fleet = engines(prefill, decode).map(engine => ({...engine, running: 0}));
+	const planner = new RolePlanner(capacity, usual);
+	const changes = replay(planner, fleet, {...longAnswers, perSecond: 0}, 0, 2000);
+	expect(new Set(changes.map(({at: time}) => time)).size).toBe(1);
+	expect(fleet.filter(({role}) => role === 'prefill')).toHaveLength(wanted);
+	expect(replay(planner, fleet, {...longAnswers, perSecond: fleet.length}, 2000, 60_000)).toEqual([]);
+});
+
+test('what requests teach goes before the usual mix', () => {
+	const fleet = engines(2, 6);
+	replay(new RolePlanner(capacity, usual), fleet, longPrompts, 0, 120_000);
+	expect(fleet.filter(({role}) => role === 'prefill')).toHaveLength(5);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -270,6 +270,8 @@
 export type {WatchAnswer, WatchParams} from './rpc/watch-commands.js';
 export type {ForecastOptions} from './placement/forecast.js';
 export {RolePlanner} from './placement/role-planner.js';
-export type {RoleCandidate, RoleCapacity, RoleChange} from './placement/role-planner.js';
+export type {
+	RoleCandidate, RoleCapacity, RoleChange, UsualMix,
+} from './placement/role-planner.js';
 export {PipelinedLine} from './placement/pipelined-line.js';
 export {planMembership} from './consensus/membership.js';
--- a/packages/core/src/placement/role-planner.ts
+++ b/packages/core/src/placement/role-planner.ts
@@ -5,8 +5,10 @@
 
 /** Time constant of the averages, in milliseconds: several times a stream's length. */
 const memoryMs = 15_000;
-/** Grants that must have been seen before the first change. */
+/** Grants that must have been seen before the first change, where nothing is known beforehand. */
 const minGrants = 25;
+/** Grants after which the usual mix counts a third beside what was seen. */
+const usualGrants = 50;
 /** How far the wanted number must be from the present one, in engines: over a half, so that a change is not taken back. */
 const changeFrom = 0.7;
 /** How long a change must be wanted, in milliseconds: longer than a passing burst. */
@@ -15,6 +17,8 @@
 const urgentSteadyMs = 2000;
 /** Part of the engines that counts as large. */
 const urgentPart = 0.125;
+/** The same while no engine is in use, when a change costs no caller anything, in milliseconds. */
+const idleSteadyMs = 500;
 /** Pause between changes, in milliseconds: an engine needs about half of it to change its role. */
 const pauseMs = 12_000;
 /** One engine in so many may change at a time. */
@@ -43,9 +47,20 @@
 	readonly pieces: number;
 };
 
+/** The usual mix of a deployment, until requests teach it. */
+export type UsualMix = {
+	/** Tokens of a prompt. */
+	readonly promptTokens: number;
+	/** Memory pieces of a stream. */
+	readonly pieces: number;
+	/** Time that a decode engine holds a stream, in milliseconds. */
+	readonly decodeMs: number;
+};
+
 /**
  * Splits the engines so that prefill and decode engines are equally busy. Answers loads whose decode memory is full
- * while prefill engines idle, or the reverse; a passing burst changes nothing.
+ * while prefill engines idle, or the reverse; a passing burst changes nothing. Given the usual mix, it splits idle engines
+ * before the first request comes, and all of them at once.
  *
  * @example
  * const planner = new RolePlanner({prefillTokensPerMs: 45, pieces: 3500});
@@ -61,7 +76,7 @@
 	#wantedSince: Instant | undefined;
 	#changedAt: Instant | undefined;
 
-	constructor(private readonly capacity: RoleCapacity) {}
+	constructor(private readonly capacity: RoleCapacity, private readonly usual?: UsualMix) {}
 
 	/** Counts a prompt that was given to an engine. */
 	noteGrant(promptTokens: number): void {
@@ -80,9 +95,15 @@
 
 	/** The part of the engines that should prefill, from 0 to 1; undefined while too little is known. */
 	get prefillPart(): number | undefined {
-		const prefill = this.#tokensPerMs / this.capacity.prefillTokensPerMs;
-		const decode = this.#pieces / this.capacity.pieces;
-		return this.#grants < minGrants || prefill + decode <= 0 ? undefined : prefill / (prefill + decode);
+		const seen = partOf(this.#tokensPerMs / this.capacity.prefillTokensPerMs, this.#pieces / this.capacity.pieces);
+		if (this.usual === undefined) {
+			return this.#grants < minGrants ? undefined : seen;
+		}
+
+		const {promptTokens, pieces, decodeMs} = this.usual;
+		const usual = partOf(promptTokens / this.capacity.prefillTokensPerMs, decodeMs * pieces / this.capacity.pieces);
+		const weight = Math.exp(-this.#grants / usualGrants);
+		return seen === undefined || usual === undefined ? usual : (usual * weight) + (seen * (1 - weight));
 	}
 
 	/** The engines that should change their role now. */
@@ -96,13 +117,15 @@
 		}
 
 		this.#wantedSince ??= now;
+		const isIdle = this.#grants === 0 && engines.every(({running}) => running === 0);
 		const isUrgent = Math.abs(wanted - prefilling) >= engines.length * urgentPart;
-		if (now - this.#wantedSince < (isUrgent ? urgentSteadyMs : steadyMs) || (this.#changedAt !== undefined && now - this.#changedAt < pauseMs)) {
+		if (now - this.#wantedSince < (isIdle ? idleSteadyMs : (isUrgent ? urgentSteadyMs : steadyMs)) || (this.#changedAt !== undefined && now - this.#changedAt < pauseMs)) {
 			return [];
 		}
 
 		this.#changedAt = now;
-		const count = Math.min(Math.round(Math.abs(wanted - prefilling)), Math.max(1, Math.floor(engines.length / enginesPerChange)));
+		const most = isIdle ? engines.length : Math.max(1, Math.floor(engines.length / enginesPerChange));
+		const count = Math.min(Math.round(Math.abs(wanted - prefilling)), most);
 		const from: EngineRole = wanted < prefilling ? 'prefill' : 'decode';
 		return engines.filter(({role}) => role === from)
 			.toSorted((a, b) => a.running - b.running || a.queuedTokens - b.queuedTokens)
@@ -110,3 +133,6 @@
 			.map(({id}) => ({engine: id, role: from === 'prefill' ? 'decode' : 'prefill'}));
 	}
 }
+
+/** The first of two loads as a part of both; undefined without any. */
+const partOf = (first: number, second: number): number | undefined => first + second > 0 ? first / (first + second) : undefined;
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -7,7 +7,7 @@
 } from '@baobabpier/core';
 import {ReplicatedControlLog} from '../control/replicated-control-log.js';
 import {GatewayMetrics, serveMetrics} from '../gateway/gateway-metrics.js';
-import {engineSpeeds, placeTimings} from '../gateway/gateway.js';
+import {engineSpeeds, placeTimings, usualMix} from '../gateway/gateway.js';
 import {ListReader} from '../gateway/list-reader.js';
 import {
 	createModelServices, createPoolCatalogue, leavingEngines, piecesOfEngine,
@@ -176,6 +176,8 @@
 			return service === undefined ? undefined : piecesOfEngine(service);
 		},
 		prefillTokensPerMs: engineSpeeds.prefillTokensPerMs!,
+		usualMix,
+		isFirstLead: () => first.isFirstStart && shares.fencing === 1,
 		onChanging() {
 			applyPools();
 		},
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -1,7 +1,7 @@
 /** Orders engines to change their role while this instance leads, as the role planner says. */
 import {RolePlanner, toId} from '@baobabpier/core';
 import type {
-	BackendId, Clock, EngineId, EngineRole, FencingNumber, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName,
+	BackendId, Clock, EngineId, EngineRole, FencingNumber, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, UsualMix,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../gateway/server-transport.js';
@@ -57,6 +57,10 @@
 	/** Memory pieces of one engine of a service. */
 	readonly piecesOf: (service: ServiceName) => number | undefined;
 	readonly prefillTokensPerMs: number;
+	/** Mix of prompts and answers until requests teach it. */
+	readonly usualMix: UsualMix;
+	/** Whether no earlier leader can have given orders. */
+	readonly isFirstLead: () => boolean;
 	/** Called when the engines that are changing are others than before. */
 	readonly onChanging: () => void;
 };
@@ -116,11 +120,11 @@
 			return;
 		}
 
-		const planner = this.#planners.get(service) ?? new RolePlanner({prefillTokensPerMs: this.parts.prefillTokensPerMs, pieces});
+		const planner = this.#planners.get(service) ?? new RolePlanner({prefillTokensPerMs: this.parts.prefillTokensPerMs, pieces}, this.parts.usualMix);
 		this.#planners.set(service, planner);
 		const used = engines.filter(({role}) => role === 'decode').reduce((sum, engine) => sum + engine.pieces - engine.freePieces, 0);
 		planner.noteUse(used, now);
-		if (now - this.#leadingSince! < settleMs || this.#changing.size > 0) {
+		if ((now - this.#leadingSince! < settleMs && !this.parts.isFirstLead()) || this.#changing.size > 0) {
 			return;
 		}
 
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -3,10 +3,10 @@
 import type {Server} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createSeededRandom, digestOf, ForecastPolicy, hashText, StaticShareMap, toId,
+	countPieces, createSeededRandom, digestOf, ForecastPolicy, hashText, StaticShareMap, toId,
 } from '@baobabpier/core';
 import type {
-	DataCentreId, FencingNumber, ForecastOptions, InstanceId, ListedServer, ModelService, RoutingDocument, RoutingTable, SecondTryBounds, ServiceName, ShareMap, EngineId,
+	DataCentreId, FencingNumber, ForecastOptions, InstanceId, ListedServer, ModelService, RoutingDocument, RoutingTable, SecondTryBounds, ServiceName, ShareMap, EngineId, UsualMix,
 } from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
@@ -20,7 +20,7 @@
 import {GatewayMetrics, serveMetrics} from './gateway-metrics.js';
 import {ListReader} from './list-reader.js';
 import {
-	createModelServices, createPoolCatalogue, leavingEngines, poolDataCentre,
+	createModelServices, createPoolCatalogue, leavingEngines, pieceTokens, poolDataCentre,
 } from './model-services.js';
 import {Places} from './places.js';
 import {PlainRoute} from './plain-route.js';
@@ -50,6 +50,9 @@
 	links: 'ample', prefillTokensPerMs: 45, prefillLatencyMs: 120, directTokensPerMs: 20,
 };
 
+/** Usual mix of today's deployments by their operators' sheets: long prompts, answers of about 450 tokens at 8 ms each. */
+export const usualMix: UsualMix = {promptTokens: 5200, pieces: countPieces(5200 + 450, pieceTokens), decodeMs: 3500};
+
 /** Settings of an entry instance. */
 export type GatewaySettings = {
 	readonly id: InstanceId;
