--- a/packages/core/src/__tests__/unit/role-planner.test.ts
+++ b/packages/core/src/__tests__/unit/role-planner.test.ts
@@ -99,6 +99,16 @@
 	expect(replay(planner, fleet, {...longAnswers, perSecond: fleet.length}, 2000, 60_000)).toEqual([]);
 });
 
+test('takes a list that still grows for no reason to change', () => {
+	const fleet = engines(3, 3).map(engine => ({...engine, running: 0}));
+	const planner = new RolePlanner(capacity, usual);
+	const idle = {...longAnswers, perSecond: 0};
+	expect(replay(planner, fleet, idle, 0, 1000)).toEqual([]);
+	fleet.push(...engines(0, 5).slice(3));
+	replay(planner, fleet, idle, 1000, 3000);
+	expect(fleet.filter(({role}) => role === 'prefill')).toHaveLength(2);
+});
+
 test('what requests teach goes before the usual mix', () => {
 	const fleet = engines(2, 6);
 	replay(new RolePlanner(capacity, usual), fleet, longPrompts, 0, 120_000);
--- a/packages/core/src/placement/role-planner.ts
+++ b/packages/core/src/placement/role-planner.ts
@@ -18,7 +18,7 @@
 /** Part of the engines that counts as large. */
 const urgentPart = 0.125;
 /** The same while no engine is in use, when a change costs no caller anything, in milliseconds. */
-const idleSteadyMs = 500;
+const idleSteadyMs = 1500;
 /** Pause between changes, in milliseconds: an engine needs about half of it to change its role. */
 const pauseMs = 12_000;
 /** One engine in so many may change at a time. */
@@ -75,6 +75,7 @@
 	#notedAt: Instant | undefined;
 	#wantedSince: Instant | undefined;
 	#changedAt: Instant | undefined;
+	#engines = 0;
 
 	constructor(private readonly capacity: RoleCapacity, private readonly usual?: UsualMix) {}
 
@@ -111,6 +112,12 @@
 		const part = this.prefillPart;
 		const prefilling = engines.filter(({role}) => role === 'prefill').length;
 		const wanted = part === undefined ? prefilling : Math.min(engines.length - 1, Math.max(1, engines.length * part));
+		if (engines.length !== this.#engines) {
+			// A list that still grows says little of the split
+			this.#engines = engines.length;
+			this.#wantedSince = undefined;
+		}
+
 		if (engines.length < 2 || Math.abs(wanted - prefilling) < changeFrom) {
 			this.#wantedSince = undefined;
 			return [];
@@ -125,7 +132,7 @@
 
 		this.#changedAt = now;
 		const most = isIdle ? engines.length : Math.max(1, Math.floor(engines.length / enginesPerChange));
-		const count = Math.min(Math.round(Math.abs(wanted - prefilling)), most);
+		const count = Math.min(Math.floor(Math.abs(wanted - prefilling) + 1 - changeFrom), most);
 		const from: EngineRole = wanted < prefilling ? 'prefill' : 'decode';
 		return engines.filter(({role}) => role === from)
 			.toSorted((a, b) => a.running - b.running || a.queuedTokens - b.queuedTokens)
--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -1,6 +1,8 @@
 /** Asks engines what they hold, for the pools that this instance leads. */
 import {countPieces, toId} from '@baobabpier/core';
-import type {BackendId, EngineEntry, EngineReport, Incarnation} from '@baobabpier/core';
+import type {
+	BackendId, EngineEntry, EngineReport, Incarnation,
+} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../gateway/server-transport.js';
 import {pieceTokens} from '../gateway/model-services.js';
