--- a/packages/core/src/__tests__/unit/role-planner.test.ts
+++ b/packages/core/src/__tests__/unit/role-planner.test.ts
@@ -104,7 +104,7 @@
 	const planner = new RolePlanner(capacity, usual);
 	const idle = {...longAnswers, perSecond: 0};
 	expect(replay(planner, fleet, idle, 0, 1000)).toEqual([]);
-	fleet.push(...engines(0, 5).slice(3));
+	fleet.push(...engines(0, 5).slice(3).map(engine => ({...engine, running: 0})));
 	replay(planner, fleet, idle, 1000, 3000);
 	expect(fleet.filter(({role}) => role === 'prefill')).toHaveLength(2);
 });
