--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,6 +8,7 @@
 } from './catalogue-commands.js';
 import {exitCodes} from './exit-codes.js';
 import type {ExitCode} from './exit-codes.js';
+import {explain} from './explain-command.js';
 import {createOutput} from './output.js';
 import {showStatus} from './status-command.js';
 import {
@@ -71,6 +72,9 @@
 			.positional('order-id', fileArgument), async args => run(async () => cancelStop(args, args.orderId, createOutput(args.json))))
 		.demandCommand(1))
 	.command('status', 'Prints an instance\'s status.', command => command.options(targetOptions), async args => run(async () => showStatus(args, createOutput(args.json))))
+	.command('explain <request-id> <files..>', 'Explains a request from collected log files.', command => command
+		.positional('request-id', fileArgument)
+		.positional('files', {type: 'string', array: true, demandOption: true}), async args => run(async () => explain(args.requestId, args.files, createOutput(args.json))))
 	.demandCommand(1)
 	.strict()
 	.fail((message, error) => {
