--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -184,7 +184,6 @@
 export type {CatalogueDifference} from './catalogue/diff-catalogue.js';
 export {CATALOGUE_HISTORY} from './rpc/commands.js';
 export type {CatalogueHistoryDocument, PeerAddress} from './rpc/commands.js';
-export {CallerPatience} from './routing/caller-patience.js';
 export {holdKey, HoldTable} from './placement/hold-table.js';
 export type {
 	EngineUsage,
--- a/packages/daemon/src/gateway/caller-port.ts
+++ b/packages/daemon/src/gateway/caller-port.ts
@@ -4,7 +4,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {
-	after, CallerPatience, errorAnswers, pickTarget, RouteIndex, routerError, toErrorBody,
+	after, errorAnswers, pickTarget, RouteIndex, routerError, toErrorBody,
 } from '@baobabpier/core';
 import type {
 	Clock, ErrorAnswer, ErrorKind, RandomSource, RouterError, RoutingTable,
@@ -52,7 +52,6 @@
 export class CallerPort {
 	readonly #server: Server;
 	readonly #open = new Set<CallScope>();
-	readonly #patience = new CallerPatience();
 	#index: {readonly table: RoutingTable; readonly routes: RouteIndex} | undefined;
 	#bufferedBytes = 0;
 	#isClosing = false;
@@ -204,7 +203,7 @@
 
 		const waitMs = Math.min(route.timeoutMs, facts.val.patienceMs ?? route.timeoutMs);
 		const call: Call = {
-			...facts.val, method: req.method ?? 'GET', target, rawHeaders: req.rawHeaders, body, route, arrivedAt, elapsedMs: this.#patience.elapsedMs(route.name, facts.val.patienceMs, arrivedAt), deadlineAt: after(arrivedAt, waitMs),
+			...facts.val, method: req.method ?? 'GET', target, rawHeaders: req.rawHeaders, body, route, arrivedAt, deadlineAt: after(arrivedAt, waitMs),
 		};
 		await this.#serve(call, service, req, res);
 	}
@@ -223,7 +222,7 @@
 			this.#write(call, req, res, reply, scope);
 			const outcome = this.#outcomeOf(reply, res, scope);
 			log('A call ended.', {
-				requestId: call.requestId, route: call.route.name, service, outcome, status: res.statusCode, ms: Math.round(clock.now() - call.arrivedAt), elapsedMs: call.elapsedMs, ended: scope.reason,
+				requestId: call.requestId, route: call.route.name, service, outcome, status: res.statusCode, ms: Math.round(clock.now() - call.arrivedAt), ended: scope.reason,
 			});
 			metrics.observeCall(call.route.kind, outcome, clock.now() - call.arrivedAt);
 		} finally {
--- a/packages/daemon/src/gateway/places.ts
+++ b/packages/daemon/src/gateway/places.ts
@@ -22,8 +22,6 @@
 const downMs = 1000;
 /** Part of the time that callers wait for the first event that may be spent on the wait for a place. */
 const waitPart = 0.6;
-/** The same for callers that come back: a second refusal is their last answer. */
-const returnWaitPart = 0.8;
 /** Callers leave a stream that is silent for this many times its target to the first event, as the platform's clients do. */
 const patienceTargets = 4;
 /** Attempts of places that the owner did not give are counted from here, far above the rounds of a call. */
@@ -118,8 +116,7 @@
 
 	#wish(call: Call, attempt: number, excluded: readonly EngineId[], scope: CallScope): Wish {
 		const {clock} = this.parts;
-		const waitedMs = clock.now() - call.arrivedAt;
-		const longestMs = call.route.targetMs * patienceTargets * (call.elapsedMs === 0 ? waitPart : returnWaitPart);
+		const dueMs = call.arrivedAt + call.route.targetMs - clock.now();
 		return {
 			requestId: call.requestId,
 			attempt: toId<AttemptNumber>(attempt),
@@ -128,8 +125,8 @@
 			maxTokens: call.maxTokens,
 			pieces: expectedPieces(call.promptTokens, call.maxTokens),
 			prefix: '',
-			waitMs: Math.max(0, Math.min(scope.remainingMs(), longestMs - waitedMs)),
-			firstOutputMs: Math.max(0, call.route.targetMs - call.elapsedMs - waitedMs),
+			waitMs: Math.max(0, Math.min(scope.remainingMs(), (call.route.targetMs * patienceTargets * waitPart) - (clock.now() - call.arrivedAt))),
+			firstOutputMs: Math.max(0, dueMs),
 			excluded,
 		};
 	}
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {routerError, toId} from '@baobabpier/core';
 import type {
-	Clock, EngineAddress, EngineId, Instant, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
+	Clock, EngineAddress, EngineId, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {CallScope} from './call-scope.js';
@@ -35,10 +35,8 @@
 const resultUsableMs = 350;
 /** Bytes of an engine's reason for a rejection that are logged at most. */
 const maxReasonBytes = 160;
-/** Shortest time to come back to a full pool, in targets to the first event: most bursts have passed then. */
-const comeBackTargets = 2.5;
-/** Spread of the times to come back, in targets to the first event, so that callers don't return together. */
-const comeBackSpreadTargets = 2;
+/** Shortest time to come back to a full pool, and its spread, in targets to the first event: a burst passes in some seconds. */
+const comeBackTargets = 1.5;
 
 /** What a stream route works with. */
 export type StreamRouteParts = {
@@ -188,7 +186,7 @@
 
 	/** When a refused caller should return: after the queue, and not together with the others. */
 	#comeBackMs({route}: Call, {retryAfterMs = 0}: RouterError): number {
-		return retryAfterMs + (route.targetMs * (comeBackTargets + (this.parts.random.next() * comeBackSpreadTargets)));
+		return retryAfterMs + (route.targetMs * (comeBackTargets + (this.parts.random.next() * comeBackTargets)));
 	}
 
 	/** Whether a prefill's result may be offered to another engine. */
@@ -274,18 +272,12 @@
 			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal,
 		});
 		progress.sent += answer.kind === 'unsent' ? 0 : 1;
-		let firstEventAt: Instant | undefined;
-		const outcome = answer.kind === 'head'
-			? await this.#pass(progress, answer, limit, () => {
-				firstEventAt = clock.now();
-				onHead();
-			})
-			: answer;
+		const outcome = answer.kind === 'head' ? await this.#pass(progress, answer, limit, onHead) : answer;
 		limit.release();
 		end(resultOf(outcome, scope));
 		log('A stream got an outcome at an engine.', {
 			requestId: call.requestId, engine: server.id, purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: answer.kind === 'head' ? answer.status : undefined,
-			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, firstEventMs: firstEventAt === undefined ? undefined : Math.round(firstEventAt - startedAt), ms: Math.round(clock.now() - startedAt), ended: scope.reason,
+			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, ms: Math.round(clock.now() - startedAt), ended: scope.reason,
 		});
 		return outcome;
 	}
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -26,8 +26,6 @@
 	readonly body: Uint8Array;
 	readonly route: Route;
 	readonly arrivedAt: Instant;
-	/** Milliseconds that the caller spent on earlier tries; 0 for a new call. */
-	readonly elapsedMs: number;
 	/** When the caller or the route gives up. */
 	readonly deadlineAt: Instant;
 };
