--- a/packages/cli/src/explain/explain-request.ts
+++ b/packages/cli/src/explain/explain-request.ts
@@ -19,27 +19,35 @@
 const engineOutcome = 'A stream got an outcome at an engine.';
 const serverOutcome = 'A call got an outcome at a server.';
 
-const field = (line: LogLine | undefined, name: string): string => String(line?.fields[name] ?? 'unknown');
+/** A field's value in words; undefined where the line has none. */
+const valueOf = (line: LogLine | undefined, name: string): string | undefined => {
+	const value = line?.fields[name];
+	return value === undefined || value === '' ? undefined : (typeof value === 'string' ? value : JSON.stringify(value));
+};
+
+const field = (line: LogLine | undefined, name: string): string => valueOf(line, name) ?? 'unknown';
 
 const find = (lines: readonly LogLine[], event: string): LogLine | undefined => lines.findLast(line => line.event === event);
 
 /** One attempt at an engine or a server, in words. */
 const attemptOf = (line: LogLine): string => {
-	const {outcome, detail, status, load} = line.fields;
-	const reason = [status === undefined ? undefined : `status ${String(status)}`, detail === undefined || detail === '' ? undefined : String(detail), load === undefined ? undefined : `${String(load)} requests there`].filter(text => text !== undefined).join(', ');
-	return `${String(line.fields.engine ?? line.fields.server)} ${String(outcome)}${reason === '' ? '' : ` (${reason})`}`;
+	const [status, detail, load] = ['status', 'detail', 'load'].map(name => valueOf(line, name));
+	const reasons = [status === undefined ? undefined : `status ${status}`, detail, load === undefined ? undefined : `${load} requests there`].filter(text => text !== undefined);
+	return `${valueOf(line, 'engine') ?? field(line, 'server')} ${field(line, 'outcome')}${reasons.length === 0 ? '' : ` (${reasons.join(', ')})`}`;
 };
 
+const attemptsOf = (lines: readonly LogLine[]): string => lines.map(line => attemptOf(line)).join('; ');
+
 /** Why a call was refused or failed, by error kind. */
 const refusalVerdicts: Readonly<Record<string, (lines: readonly LogLine[], attempts: readonly LogLine[]) => string>> = {
 	overloaded: (lines, attempts) => attempts.length === 0
 		? `Refused for load: the predicted wait for a place was over what the target allows (${field(find(lines, 'A stream got no place.'), 'leftMs')} ms were left). It has not run.`
-		: `Refused after every engine that it was sent to rejected it: ${attempts.map(line => attemptOf(line)).join('; ')}. It has not run.`,
+		: `Refused after every engine that it was sent to rejected it: ${attemptsOf(attempts)}. It has not run.`,
 	queueTimeout: () => 'Refused after it waited for a place for as long as its caller waits for a first answer. It has not run.',
-	noBackend: (_lines, attempts) => `Refused since no engine or server could be reached${attempts.length === 0 ? '' : `: ${attempts.map(line => attemptOf(line)).join('; ')}`}. It has not run.`,
-	answerLost: (_lines, attempts) => `Its outcome is unknown: ${attempts.map(line => attemptOf(line)).join('; ')}. Its route allows no further attempt, so it was not sent again.`,
-	timeout: (_lines, attempts) => `Its time was over while it was at work: ${attempts.map(line => attemptOf(line)).join('; ')}. It may have run.`,
-	shuttingDown: lines => `Refused since the instance could not serve: ${field(find(lines, refused), 'detail') === 'unknown' ? 'it was stopping' : field(find(lines, refused), 'detail')}. It has not run.`,
+	noBackend: (_lines, attempts) => `Refused since no engine or server could be reached${attempts.length === 0 ? '' : `: ${attemptsOf(attempts)}`}. It has not run.`,
+	answerLost: (_lines, attempts) => `Its outcome is unknown: ${attemptsOf(attempts)}. Its route allows no further attempt, so it was not sent again.`,
+	timeout: (_lines, attempts) => `Its time was over while it was at work: ${attemptsOf(attempts)}. It may have run.`,
+	shuttingDown: lines => `Refused since the instance could not serve: ${valueOf(find(lines, refused), 'detail') ?? 'it was stopping'}. It has not run.`,
 	unknownService: lines => `Refused since no route matched: ${field(find(lines, refused), 'detail')}.`,
 };
 
@@ -70,7 +78,7 @@
 		}
 
 		case 'brokenOff': {
-			return `The stream broke off after event ${field(attempts.at(-1), 'lastEventId')}: ${attempts.map(line => attemptOf(line)).join('; ')}.`;
+			return `The stream broke off after event ${field(attempts.at(-1), 'lastEventId')}: ${attemptsOf(attempts)}.`;
 		}
 
 		default: {
@@ -82,7 +90,8 @@
 const byTime = (a: LogLine, b: LogLine): number => a.time < b.time ? -1 : (a.time > b.time ? 1 : 0);
 
 /** Ids of the engines and servers that lines name. */
-const namedServers = (lines: readonly LogLine[]): ReadonlySet<string> => new Set(lines.flatMap(({fields}) => [fields.engine, fields.server, fields.prefill, fields.decode]).filter(id => typeof id === 'string'));
+const namedServers = (lines: readonly LogLine[]): ReadonlySet<string> =>
+	new Set(lines.flatMap(({fields}) => [fields.engine, fields.server, fields.prefill, fields.decode]).filter(id => typeof id === 'string'));
 
 const isBelief = (line: LogLine, servers: ReadonlySet<string>): boolean => line.requestId === undefined
 	&& [line.fields.server, line.fields.engine, ...(typeof line.fields.engines === 'string' ? line.fields.engines.split(' ') : [])].some(id => typeof id === 'string' && servers.has(id));
--- a/packages/cli/src/explain/log-line.ts
+++ b/packages/cli/src/explain/log-line.ts
@@ -36,9 +36,8 @@
 		return undefined;
 	}
 
-	const {
-		level, time, instance, part, event, requestId, ...fields
-	} = value as Record<string, unknown>;
+	const {time, instance, part, event, requestId, ...others} = value as Record<string, unknown>;
+	const fields = Object.fromEntries(Object.entries(others).filter(([name]) => name !== 'level'));
 	return isText(time) && isText(instance) && isText(part) && isText(event)
 		? {
 			time, instance, part, event, requestId: isText(requestId) ? requestId : undefined, fields,
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {routerError, toId} from '@baobabpier/core';
 import type {
-	Clock, EngineAddress, EngineId, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
+	Clock, EngineAddress, EngineId, Instant, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {CallScope} from './call-scope.js';
@@ -272,12 +272,18 @@
 			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal,
 		});
 		progress.sent += answer.kind === 'unsent' ? 0 : 1;
-		const outcome = answer.kind === 'head' ? await this.#pass(progress, answer, limit, onHead) : answer;
+		let firstEventAt: Instant | undefined;
+		const outcome = answer.kind === 'head'
+			? await this.#pass(progress, answer, limit, () => {
+				firstEventAt = clock.now();
+				onHead();
+			})
+			: answer;
 		limit.release();
 		end(resultOf(outcome, scope));
 		log('A stream got an outcome at an engine.', {
 			requestId: call.requestId, engine: server.id, purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: answer.kind === 'head' ? answer.status : undefined,
-			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, ms: Math.round(clock.now() - startedAt), ended: scope.reason,
+			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, firstEventMs: firstEventAt === undefined ? undefined : Math.round(firstEventAt - startedAt), ms: Math.round(clock.now() - startedAt), ended: scope.reason,
 		});
 		return outcome;
 	}
