--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -35,8 +35,8 @@
 const directListMs = 1500;
 /** How long the instance serves on after it said that it is not ready: the balancer checks once a second and wants two misses. */
 const readinessDelayMs = 2600;
-/** Time kept at the end of a stop for closing, in milliseconds. */
-const closingMs = 700;
+/** Time kept at the end of a stop for closing, in milliseconds: closing takes some tens, also on a slow machine. */
+const closingMs = 350;
 const drainCheckMs = 25;
 /** Part of a server's connections that the entry instances use together. */
 const usedConnections = 0.8;
