--- a/packages/core/src/placement/engine-pool.ts
+++ b/packages/core/src/placement/engine-pool.ts
@@ -213,26 +213,14 @@
 			return [{kind: 'refused', hold: req, error: admission.error}];
 		}
 
+		this.#queue.push(req);
 		if (admission?.kind === 'defer') {
-			return [...this.#defer(req, now), ...this.#drain(now)];
+			this.#queue.defer(req);
 		}
 
-		this.#queue.push(req);
 		return this.#drain(now);
 	}
 
-	/** Puts a request behind those that can meet their target, or refuses it when its turn would come too late. */
-	#defer(req: PlacementRequest, now: Instant): PoolEffect[] {
-		this.#queue.remove(req);
-		const admission = this.policy.admitLate?.(req, this.#queue, now);
-		if (admission?.kind === 'refuse') {
-			return [{kind: 'refused', hold: req, error: admission.error}];
-		}
-
-		this.#queue.defer(req);
-		return [];
-	}
-
 	/** Serves the queue in its order until a request must wait. */
 	#drain(now: Instant): PoolEffect[] {
 		const effects: PoolEffect[] = [];
@@ -274,7 +262,8 @@
 	#carryOut(decision: Exclude<PlacementDecision, {kind: 'wait'}>, req: PlacementRequest, now: Instant): PoolEffect[] {
 		switch (decision.kind) {
 			case 'defer': {
-				return this.#defer(req, now);
+				this.#queue.defer(req);
+				return [];
 			}
 
 			case 'refuse': {
--- a/packages/core/src/placement/forecast-policy.ts
+++ b/packages/core/src/placement/forecast-policy.ts
@@ -55,11 +55,6 @@
 		return waitMs > allowedMs ? {kind: 'refuse', error: routerError('overloaded', undefined, Math.ceil(waitMs - allowedMs))} : {kind: 'queue'};
 	}
 
-	admitLate(req: PlacementRequest, queue: QueueView, now: Instant): ReturnType<NonNullable<PlacementPolicy['admitLate']>> {
-		const overMs = this.#forecast.queueMs(queue.tokens + req.promptTokens) - (req.deadline - now);
-		return overMs > 0 ? {kind: 'refuse', error: routerError('overloaded', undefined, Math.ceil(overMs))} : {kind: 'queue'};
-	}
-
 	decide(req: PlacementRequest, engines: EngineIndex, now: Instant, late = false): PlacementDecision {
 		const isUsable = (engine: EngineView): boolean => !req.excluded.includes(engine.id);
 		const choice = this.#choosePrefill(req, engines, isUsable, now);
@@ -92,7 +87,6 @@
 		}
 
 		const decode = findEngine(engines.byLoad('decode'), engine => isUsable(engine) && engine.freePieces >= req.pieces && engine.running < engine.maxStreams);
-		this.#forecast.noteMemory(decode === undefined);
 		return decode === undefined ? {kind: 'wait', lacks: 'memory'} : {kind: 'reserve', decode, prefill: choice.engine};
 	}
 
--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -18,14 +18,10 @@
 /** Weight of the last engine's rate in the usual rate of a prefill. */
 const usualWeight = 0.1;
 
-/** Weight of the last stream in the usual time that a place is held, and in the usual prompt. */
-const heldWeight = 0.05;
-
 type Stream = {
 	readonly decode: EngineId;
 	readonly prefill: EngineId;
 	readonly tokens: number;
-	readonly grantedAt: Instant;
 	/** Stream-milliseconds of its engine when its decode started; undefined before. */
 	startedArea: number | undefined;
 	startedAt: Instant | undefined;
@@ -81,10 +77,6 @@
 	#drainedTokens = 0;
 	#drainMs = 0;
 	#grantedAt: Instant | undefined;
-	/** Usual time that a place is held, in milliseconds; undefined before the first release. */
-	#heldMs: number | undefined;
-	#usualPrompt = 0;
-	#isMemoryFull = false;
 
 	constructor(private readonly options: ForecastOptions = {}) {
 		this.#isLinkShared = options.links !== 'ample';
@@ -127,18 +119,7 @@
 
 	/** How long a queue of `tokens` takes to drain, in milliseconds; 0 while unknown. */
 	queueMs(tokens: number): number {
-		const seenMs = this.#drainedTokens === 0 ? 0 : (tokens * this.#drainMs) / this.#drainedTokens;
-		return Math.max(seenMs, this.#isMemoryFull ? this.#memoryMs(tokens) : 0);
-	}
-
-	/** Notes whether the queue waits for decode memory. */
-	noteMemory(isFull: boolean): void {
-		this.#isMemoryFull = isFull;
-	}
-
-	/** How long a queue takes to drain as streams end: each place is free again after the time that places are usually held. */
-	#memoryMs(tokens: number): number {
-		return this.#heldMs === undefined || this.#usualPrompt === 0 ? 0 : (tokens / this.#usualPrompt) * (this.#heldMs / Math.max(1, this.#streams.size));
+		return this.#drainedTokens === 0 ? 0 : (tokens * this.#drainMs) / this.#drainedTokens;
 	}
 
 	/** Streams that keep a decode engine within the target; undefined while unknown. */
@@ -193,9 +174,8 @@
 		}
 
 		this.#streams.set(holdKey(req), {
-			decode, prefill, tokens: req.promptTokens, grantedAt: now, startedArea: undefined, startedAt: undefined,
+			decode, prefill, tokens: req.promptTokens, startedArea: undefined, startedAt: undefined,
 		});
-		this.#usualPrompt += (this.#usualPrompt === 0 ? 1 : heldWeight) * (req.promptTokens - this.#usualPrompt);
 		this.#batch(decode, now).pending += 1;
 	}
 
@@ -235,8 +215,6 @@
 		}
 
 		this.#streams.delete(key);
-		const heldMs = now - stream.grantedAt;
-		this.#heldMs = this.#heldMs === undefined ? heldMs : this.#heldMs + (heldWeight * (heldMs - this.#heldMs));
 		this.#line(stream.prefill).remove(hold, now, false);
 		this.#link.remove(hold, now, false);
 		const batch = this.#batch(stream.decode, now);
--- a/packages/core/src/placement/place-queue.ts
+++ b/packages/core/src/placement/place-queue.ts
@@ -33,10 +33,6 @@
 		return laneNames.reduce((sum, lane) => sum + this.#lanes[lane].size, 0);
 	}
 
-	get tokens(): number {
-		return laneNames.reduce((sum, lane) => sum + this.#tokens[lane], 0);
-	}
-
 	tokensAhead(req: Pick<PlacementRequest, 'class'>): number {
 		return req.class === 'urgent' ? this.#tokens.urgent : this.#tokens.urgent + this.#tokens.patient;
 	}
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -88,8 +88,6 @@
 	readonly length: number;
 	/** Prompt tokens that go before a new request of this class. */
 	tokensAhead(req: Pick<PlacementRequest, 'class'>): number;
-	/** Prompt tokens of all requests that wait, which go before one that is deferred now. */
-	readonly tokens: number;
 };
 
 /** The outcome of a decision. */
@@ -125,8 +123,6 @@
 	decide(req: PlacementRequest, engines: EngineIndex, now: Instant, late?: boolean): PlacementDecision;
 	/** Refuses a request that would have to wait too long, or defers one that is too long for its target even alone. */
 	admit?(req: PlacementRequest, queue: QueueView, now: Instant): Admission;
-	/** Refuses a deferred request whose wait would end before its turn comes. */
-	admitLate?(req: PlacementRequest, queue: QueueView, now: Instant): Exclude<Admission, {kind: 'defer'}>;
 	observe?(event: PolicyEvent, now: Instant): void;
 	/** Streams that a decode engine may run; undefined while unknown. */
 	maxStreams?(engine: EngineId): number | undefined;
