Shift predicted prefills once by a late completion, and let askers wait for a new owner instead of deciding alone

The owner's line was shifted by the whole delay at each completion, although all completions showed the same delay (8.1 s predicted instead of 1.9 s in the test), and learned a third of the rate from them; prompts then went to decode engines, or were refused.

Ruled out: slow processes after the restart (control 0.06, entry 0.05 cores).

--- a/packages/core/src/__tests__/unit/pipelined-prefill.test.ts
+++ b/packages/core/src/__tests__/unit/pipelined-prefill.test.ts
@@ -34,6 +34,23 @@
 		expect(line.tokensPerMs).toBeCloseTo(slower ? 25 : 50, -1);
 	});
 
+	test('a prompt that someone else gave to the engine shifts all that follow once, and teaches no lower rate', () => {
+		const line = new PipelinedLine(50, 120);
+		for (let index = 0; index < 9; index++) {
+			line.add(hold(`r${index}`), 5000, at(index * 100));
+		}
+
+		// The engine was busy for 900 ms when the first came
+		line.remove(hold('r0'), at(900 + 100 + 120), true);
+		expect(line.endsAt(at(1120))).toBe(1800);
+		for (let index = 1; index < 9; index++) {
+			line.remove(hold(`r${index}`), at(900 + ((index + 1) * 100) + 120), true);
+		}
+
+		expect(line.endsAt(at(1920))).toBe(1920);
+		expect(line.tokensPerMs).toBeGreaterThan(45);
+	});
+
 	test('gives back the time of a prefill that was given up', () => {
 		const line = new PipelinedLine(50, 120);
 		line.add(hold('a'), 5000, at(0));
--- a/packages/core/src/placement/pipelined-line.ts
+++ b/packages/core/src/placement/pipelined-line.ts
@@ -12,13 +12,16 @@
 
 type Job = {
 	readonly tokens: number;
-	readonly startsAt: Instant;
-	readonly endsAt: Instant;
+	readonly readyAt: Instant;
+	startsAt: Instant;
+	endsAt: Instant;
 };
 
 /**
  * Predicts when an engine can begin its next prefill. The time between the end of the work and the answer
  * (`latencyMs`) does not occupy the engine, so that the next prefill starts before the last one is answered.
+ * Answers prompts that others gave to the engine: a completion that comes late shifts all that follow by as much,
+ * and teaches no lower rate, since the engine worked on something else.
  *
  * @example
  * const line = new PipelinedLine(45, 120);
@@ -28,6 +31,7 @@
 export class PipelinedLine implements Line {
 	readonly #jobs = new Map<string, Job>();
 	#freeAt: Instant | undefined;
+	#lastEndedAt: Instant | undefined;
 	#tokensPerMs: number;
 
 	constructor(initialTokensPerMs: number, private readonly latencyMs: number) {
@@ -45,7 +49,9 @@
 	add(hold: EngineHold, tokens: number, readyAt: Instant): void {
 		const startsAt = Math.max(readyAt, this.#freeAt ?? readyAt) as Instant;
 		const endsAt = after(startsAt, this.durationMs(tokens));
-		this.#jobs.set(holdKey(hold), {tokens, startsAt, endsAt});
+		this.#jobs.set(holdKey(hold), {
+			tokens, readyAt, startsAt, endsAt,
+		});
 		this.#freeAt = endsAt;
 	}
 
@@ -62,21 +68,38 @@
 			return;
 		}
 
-		const endedAt = now - this.latencyMs;
-		const lateMs = endedAt - job.endsAt;
-		if (this.#jobs.size > 0 && lateMs > 0) {
-			this.#freeAt = after(this.#freeAt!, lateMs);
-		}
-
-		const rate = job.tokens / Math.max(1, endedAt - job.startsAt);
-		const taught = Math.min(this.#tokensPerMs * maxRateChange, Math.max(this.#tokensPerMs / maxRateChange, rate));
-		this.#tokensPerMs += learningWeight * (taught - this.#tokensPerMs);
+		const endedAt = after(now, -this.latencyMs);
+		this.#shift(Math.max(0, endedAt - job.endsAt));
+		this.#learn(job, endedAt);
+		this.#lastEndedAt = endedAt;
 	}
 
 	endsAt(now: Instant): Instant {
 		return Math.max(now, this.#freeAt ?? now) as Instant;
 	}
 
+	/** Moves what the engine has still to do, where there is anything. */
+	#shift(ms: number): void {
+		if (this.#jobs.size === 0 || ms === 0) {
+			return;
+		}
+
+		this.#freeAt = after(this.#freeAt!, ms);
+		for (const job of this.#jobs.values()) {
+			job.startsAt = after(job.startsAt, ms);
+			job.endsAt = after(job.endsAt, ms);
+		}
+	}
+
+	/** Learns the rate of a prefill that began when the one before it ended, or that found the engine free. */
+	#learn(job: Job, endedAt: Instant): void {
+		const isFollowing = this.#lastEndedAt !== undefined && this.#lastEndedAt >= job.readyAt;
+		const beganAt = isFollowing ? this.#lastEndedAt! : job.startsAt;
+		const rate = job.tokens / Math.max(1, endedAt - beganAt);
+		const taught = Math.min(this.#tokensPerMs * maxRateChange, Math.max(this.#tokensPerMs / maxRateChange, rate));
+		this.#tokensPerMs += learningWeight * (taught - this.#tokensPerMs);
+	}
+
 	/** Takes back the time of a prefill that was given up before it began. */
 	#giveBack(job: Job, now: Instant): void {
 		const unusedMs = job.endsAt - Math.max(job.startsAt, now);
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -150,7 +150,7 @@
 		shares,
 		createPolicy: targets => new ForecastPolicy(targets, engineSpeeds),
 		engines: new EngineReports({transport, dialect: dialect.orders}),
-		mayGrant: () => shares.isSettled(clock.now()),
+		mayGrant: () => shares.isSettled(clock.now()) || control.status.role !== 'leader',
 		onPlaced(service, promptTokens) {
 			roles.noteGrant(service, promptTokens);
 		},
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -1,4 +1,5 @@
 /** Runs the engine pools that this instance owns: answers peers, polls reports, frees orphaned memory. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	after, EnginePool, holdKey, POOL_PLACE, POOL_PREFILL_DONE, POOL_RELEASE, POOL_RENEW, POOL_TRANSFER_DONE,
 } from '@baobabpier/core';
@@ -32,6 +33,8 @@
 const tickMs = 100;
 /** How often waiting requests are looked at between events. */
 const drainMs = 20;
+/** How long askers wait for a new owner to give out places, in milliseconds: somewhat longer than it waits for holders. */
+const grantWaitMs = 600;
 const reportMs = 500;
 const leaseMs = 5000;
 const orphanMs = 6000;
@@ -152,8 +155,9 @@
 
 	/** Waits for a place until there is one, the wait is over, or the asker goes. */
 	async place(params: PlaceParams, signal: AbortSignal): Promise<PlaceAnswer> {
+		const mayGrant = await this.#mayGrantSoon(signal);
 		const hosted = this.#pools.get(poolKey(params.service, params.dataCentre));
-		if (hosted === undefined || !this.#holds(hosted) || this.parts.mayGrant?.() === false) {
+		if (hosted === undefined || !this.#holds(hosted) || !mayGrant) {
 			return noOwner;
 		}
 
@@ -201,6 +205,21 @@
 		}));
 	}
 
+	/** Waits until places may be given out; false when that takes too long. Askers that decide alone meanwhile would collide. */
+	async #mayGrantSoon(signal: AbortSignal): Promise<boolean> {
+		const until = after(this.parts.clock.now(), grantWaitMs);
+		while (this.parts.mayGrant?.() === false) {
+			if (signal.aborted || this.parts.clock.now() >= until) {
+				return false;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(drainMs);
+		}
+
+		return true;
+	}
+
 	/** Keeps work from engines that holders could not reach, for a while. */
 	#suspect(engines: readonly EngineId[]): void {
 		const since = this.parts.clock.now();
