--- a/packages/core/src/__tests__/unit/role-planner.test.ts
+++ b/packages/core/src/__tests__/unit/role-planner.test.ts
@@ -99,6 +99,15 @@
 	expect(replay(planner, fleet, {...longAnswers, perSecond: fleet.length}, 2000, 60_000)).toEqual([]);
 });
 
+test.each([
+	{name: 'keeps decode engines while their memory is needed for bursts', perSecond: 9, prefill: 1},
+	{name: 'replaces a lost prefill engine once there is room', perSecond: 4, prefill: 2},
+])('$name', ({perSecond, prefill}) => {
+	const fleet = engines(1, 6);
+	replay(new RolePlanner(capacity, usual), fleet, {...longAnswers, perSecond}, 0, 60_000);
+	expect(fleet.filter(({role}) => role === 'prefill')).toHaveLength(prefill);
+});
+
 test('takes a list that still grows for no reason to change', () => {
 	const fleet = engines(3, 3).map(engine => ({...engine, running: 0}));
 	const planner = new RolePlanner(capacity, usual);
--- a/packages/core/src/placement/role-planner.ts
+++ b/packages/core/src/placement/role-planner.ts
@@ -21,6 +21,8 @@
 const idleSteadyMs = 1500;
 /** Pause between changes, in milliseconds: an engine needs about half of it to change its role. */
 const pauseMs = 12_000;
+/** Part of the decode memory that may be in use after an engine leaves it to prefill: the rest is for bursts of 1.7 times the load. */
+const decodeUsePart = 0.6;
 /** One engine in so many may change at a time. */
 const enginesPerChange = 12;
 
@@ -59,7 +61,8 @@
 
 /**
  * Splits the engines so that prefill and decode engines are equally busy. Answers loads whose decode memory is full
- * while prefill engines idle, or the reverse; a passing burst changes nothing. Given the usual mix, it splits idle engines
+ * while prefill engines idle, or the reverse; a passing burst changes nothing. An engine leaves decode only while
+ * the others have room for a burst, since decode engines can read prompts, and prefill engines can't decode. Given the usual mix, it splits idle engines
  * before the first request comes, and all of them at once.
  *
  * @example
@@ -76,6 +79,8 @@
 	#wantedSince: Instant | undefined;
 	#changedAt: Instant | undefined;
 	#engines = 0;
+	/** Weight of the time before the first sample in the averages. */
+	#unseenPart = 1;
 
 	constructor(private readonly capacity: RoleCapacity, private readonly usual?: UsualMix) {}
 
@@ -89,11 +94,17 @@
 	noteUse(usedPieces: number, now: Instant): void {
 		const elapsed = now - (this.#notedAt ?? now);
 		const kept = Math.exp(-elapsed / memoryMs);
+		this.#unseenPart *= kept;
 		this.#notedAt = now;
 		this.#tokensPerMs *= kept;
 		this.#pieces = (this.#pieces * kept) + (usedPieces * (1 - kept));
 	}
 
+	/** Mean memory in use; the time before the first sample does not count. */
+	get #usedPieces(): number {
+		return this.#unseenPart === 1 ? 0 : this.#pieces / (1 - this.#unseenPart);
+	}
+
 	/** The part of the engines that should prefill, from 0 to 1; undefined while too little is known. */
 	get prefillPart(): number | undefined {
 		const seen = partOf(this.#tokensPerMs / this.capacity.prefillTokensPerMs, this.#pieces / this.capacity.pieces);
@@ -118,7 +129,8 @@
 			this.#wantedSince = undefined;
 		}
 
-		if (engines.length < 2 || Math.abs(wanted - prefilling) < changeFrom) {
+		const leavesTooLittle = wanted > prefilling && this.#usedPieces > (engines.length - prefilling - 1) * this.capacity.pieces * decodeUsePart;
+		if (engines.length < 2 || Math.abs(wanted - prefilling) < changeFrom || leavesTooLittle) {
 			this.#wantedSince = undefined;
 			return [];
 		}
