Keep suspicions of engines in a part of their own, and acquit engines whose owner is the one that is cut off

Cause, found by the new test of the pool host: engines fall silent one after the other, so that an owner that was cut off suspected the first half of them for 1.5 s before it saw that most were silent.

--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -13,7 +13,6 @@
 	EngineId,
 	EngineReport,
 	FencingNumber,
-	Instant,
 	InstanceId,
 	InstanceStatus,
 	LatencyTargets,
@@ -29,6 +28,7 @@
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {RpcServer} from '../rpc/rpc-server.js';
+import {EngineSuspects} from './engine-suspects.js';
 
 const tickMs = 100;
 /** How often waiting requests are looked at between events. */
@@ -38,8 +38,6 @@
 const reportMs = 500;
 const leaseMs = 5000;
 const orphanMs = 6000;
-/** How long an engine that could not be reached gets no work, in milliseconds: some requests for reports that it may answer. */
-const suspectMs = 1500;
 const log = createLog('pool');
 
 type HostedPool = {
@@ -90,22 +88,25 @@
 	readonly #pools = new Map<string, HostedPool>();
 	readonly #timers: NodeJS.Timeout[] = [];
 	#leaving: ReadonlySet<EngineId> = new Set();
-	/** Engines that holders could not reach, and until when they get no work. */
-	readonly #suspects = new Map<EngineId, {readonly since: Instant; readonly until: Instant}>();
+	readonly #suspects: EngineSuspects;
 	#snapshot: CatalogueSnapshot | undefined;
 
-	constructor(private readonly parts: PoolHostParts) {}
+	constructor(private readonly parts: PoolHostParts) {
+		this.#suspects = new EngineSuspects(parts.clock, () => {
+			this.#applyLeaving();
+		});
+	}
 
 	/** Engines that get no new work. */
 	get #unusable(): ReadonlySet<EngineId> {
-		return this.#suspects.size === 0 ? this.#leaving : new Set([...this.#leaving, ...this.#suspects.keys()]);
+		return new Set([...this.#leaving, ...this.#suspects.ids]);
 	}
 
 	/** Registers the pool methods and starts the timers. */
 	start(server?: RpcServer): void {
 		server?.registerMethod(POOL_PLACE, async (params, {signal}) => this.place(params, signal));
 		server?.registerMethod(POOL_RELEASE, params => {
-			this.#suspect(params.unreachable ?? []);
+			this.#suspects.add(params.unreachable ?? []);
 			return this.#feed(params.service, params.dataCentre, {kind: 'release', hold: params, betweenMs: params.betweenMs});
 		});
 		server?.registerMethod(POOL_PREFILL_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'prefillDone', hold: params}));
@@ -220,40 +221,12 @@
 		return true;
 	}
 
-	/** Keeps work from engines that holders could not reach, for a while. */
-	#suspect(engines: readonly EngineId[]): void {
-		const since = this.parts.clock.now();
-		const fresh = [...new Set(engines)].filter(id => !this.#suspects.has(id));
-		for (const id of engines) {
-			this.#suspects.set(id, {since, until: after(since, suspectMs)});
-		}
-
-		if (fresh.length > 0) {
-			log('Engines can\'t be reached; they get no work for a while.', {engines: fresh.join(' '), forMs: suspectMs});
-			this.#applyLeaving();
-		}
-	}
-
-	/** Gives an engine work again that answered a question asked after it was suspected. */
-	#trust(engine: EngineId, askedAt: Instant): void {
-		const suspect = this.#suspects.get(engine);
-		if (suspect !== undefined && askedAt > suspect.since) {
-			this.#suspects.set(engine, {...suspect, until: askedAt});
-			this.#clearSuspects();
-		}
-	}
-
-	/** Gives suspects work again once their time is over. */
-	#clearSuspects(): void {
-		const now = this.parts.clock.now();
-		const over = [...this.#suspects].filter(([, {until}]) => until <= now).map(([id]) => id);
-		for (const id of over) {
-			this.#suspects.delete(id);
-		}
-
-		if (over.length > 0) {
-			log('Engines get work again after they could not be reached.', {engines: over.join(' ')});
-			this.#applyLeaving();
+	/** Suspects an engine that did not answer; where most are silent, this instance is the one that is cut off. */
+	#weighSilence({silent, engines}: HostedPool, engine: EngineId): void {
+		if (silent.size <= engines.length / 2) {
+			this.#suspects.add([engine]);
+		} else {
+			this.#suspects.acquit(silent);
 		}
 	}
 
@@ -347,7 +320,7 @@
 	}
 
 	#tick(): void {
-		this.#clearSuspects();
+		this.#suspects.expire();
 		for (const hosted of this.#pools.values()) {
 			this.#perform(hosted, hosted.pool.step({kind: 'tick'}, this.parts.clock.now()));
 		}
@@ -379,17 +352,13 @@
 		hosted.polling.delete(engine.id);
 		if (report === 'unreachable') {
 			hosted.silent.add(engine.id);
-			// Where most engines are silent, this instance is the one that is cut off
-			if (hosted.silent.size <= hosted.engines.length / 2) {
-				this.#suspect([engine.id]);
-			}
-
+			this.#weighSilence(hosted, engine.id);
 			return;
 		}
 
 		hosted.silent.delete(engine.id);
 		if (report !== undefined) {
-			this.#trust(engine.id, askedAt);
+			this.#suspects.trust(engine.id, askedAt);
 			this.#perform(hosted, hosted.pool.step({kind: 'report', report}, this.parts.clock.now()));
 		}
 	}
