Let a cancel that races the end of a drain decide, and say when it came too late

Cause of the known red test: the drain was over before the cancel arrived. Two commands take over 4 s on a busy machine, and the booking that kept the instance draining lasts 2.5 s. The table took the stop out of force whatever its state, so that the cancel reported success for an instance that had ended. Ruled out: a lost entry of the control log (the cancel is answered from the log), readiness that stays off after a resume. Found on the way: a cancel that the log takes between the last look and the record of the end ended the instance all the same. Change: the end of a drain is recorded first and the log's order decides; a cancel is answered with the stop as it stood, and the command line says that the instances have ended, with code 8. The test's booking now lasts until the cancel is confirmed, in place of 2.5 s: the check itself is as it was, with one more that the process never ended.

--- a/bench/src/__tests__/process/planned-stops.test.ts
+++ b/bench/src/__tests__/process/planned-stops.test.ts
@@ -4,6 +4,7 @@
 	afterEach, beforeEach, expect, test,
 } from 'vitest';
 import {request} from 'undici';
+import type {Fault} from '@baobabpier/stand-ins';
 import {until} from './fleet-harness.js';
 import {
 	callPlain, Cluster, deployments, streamCompletion,
@@ -18,14 +19,19 @@
 beforeEach(async () => {
 	cluster = await Cluster.start(deployments.himali);
 	await cluster.applyCatalogue();
-	const backends = cluster.standIns.filter(({kind}) => kind === 'backend');
-	await Promise.all(backends.map(async ({address}) => request(`http://${address}/faults`, {method: 'PUT', body: JSON.stringify([{kind: 'delay', path: '/bookings', ms: bookingMs}])})));
+	await setFaults([{kind: 'delay', path: '/bookings', ms: bookingMs}]);
 });
 
 afterEach(async () => {
 	await cluster.stop();
 });
 
+/** Orders faults from all backend servers. */
+const setFaults = async (faults: readonly Fault[]): Promise<void> => {
+	const backends = cluster.standIns.filter(({kind}) => kind === 'backend');
+	await Promise.all(backends.map(async ({address}) => request(`http://${address}/faults`, {method: 'PUT', body: JSON.stringify(faults)})));
+};
+
 const find = (id: string): ClusterInstance => cluster.instances.find(instance => instance.id === id)!;
 
 /** Starts streams and a slow booking through an instance; the answers come later. */
@@ -116,12 +122,25 @@
 
 test('a cancelled stop leaves the instance serving', async () => {
 	const instance = find('bagmati-b-1');
+	// The booking lasts until the cancel is confirmed, however slow the machine is
+	await setFaults([{kind: 'hold', path: '/bookings'}]);
 	const work = await startWork(instance, 1);
 	await cluster.runCli(['stop', 'plan', 'instance', instance.id, '--no-wait', '--order-id', 'o-1']);
 	await until('it is not ready', async () => !(await isReady(instance)));
 	expect(await exitCodeOf(['stop', 'cancel', 'o-1'])).toBe(0);
+	await setFaults([]);
 	await expectWhole(work);
 	await until('it is ready again', async () => isReady(instance));
+	expect(instance.process.child.exitCode).toBeNull();
+});
+
+test('a cancel that comes after the end of the drain says so', async () => {
+	const instance = find('bagmati-b-1');
+	const exit = once(instance.process.child, 'exit');
+	await cluster.runCli(['stop', 'plan', 'instance', instance.id, '--no-wait', '--order-id', 'o-1']);
+	const [exitCode] = await exit as [number];
+	const {code, output} = await cluster.runCli(['stop', 'cancel', 'o-1']);
+	expect([exitCode, code, output.trim()]).toEqual([0, 8, 'Stop o-1 is out of force, but its drain was over: instance bagmati-b-1 has ended and must be started.']);
 });
 
 test('a stop that a SIGKILL interrupts completes and leaves nothing behind', async () => {
--- a/packages/cli/src/exit-codes.ts
+++ b/packages/cli/src/exit-codes.ts
@@ -18,6 +18,8 @@
 	refused: 6,
 	/** The stop is in force and still drains. */
 	pending: 7,
+	/** The stop was over before it was cancelled: its instances have ended. */
+	tooLate: 8,
 } as const;
 
 /** An exit code. */
--- a/packages/cli/src/stop-commands.ts
+++ b/packages/cli/src/stop-commands.ts
@@ -5,7 +5,9 @@
 import {
 	STOP_CANCEL, STOP_PLAN, STOP_STATUS, toId,
 } from '@baobabpier/core';
-import type {OrderId, StopProgress, StopTarget} from '@baobabpier/core';
+import type {
+	OrderId, PlannedStop, StopProgress, StopTarget,
+} from '@baobabpier/core';
 import {exitCodes} from './exit-codes.js';
 import type {ExitCode} from './exit-codes.js';
 import {callInstance} from './operator-client.js';
@@ -92,9 +94,18 @@
 	return exitCodes.done;
 };
 
+/** Whether a stop has ended its target's processes: engines and backend servers are only left alone. */
+const hasEnded = ({state, target}: PlannedStop): boolean => state === 'stopped' && (target.kind === 'instance' || target.kind === 'dataCentre');
+
 /** Takes a stop out of force: its target is used again. */
 export const cancelStop = async (target: OperatorTarget, orderId: string, output: Output): Promise<ExitCode> => {
 	const answer = await callInstance(target, STOP_CANCEL, {orderId: toId<OrderId>(orderId)});
+	if (answer.stop !== undefined && hasEnded(answer.stop)) {
+		const {kind, id} = answer.stop.target;
+		output.print(answer, [`Stop ${orderId} is out of force, but its drain was over: ${kind} ${id} has ended and must be started.`]);
+		return exitCodes.tooLate;
+	}
+
 	output.print(answer, [answer.found ? `Stop ${orderId} is cancelled.` : `No stop ${orderId} is in force.`]);
 	return answer.found ? exitCodes.done : exitCodes.invalid;
 };
--- a/packages/core/src/__tests__/unit/stop-table.test.ts
+++ b/packages/core/src/__tests__/unit/stop-table.test.ts
@@ -100,7 +100,8 @@
 		const copy = new StopTable();
 		copy.restore(structuredClone(table.capture()));
 		expect(copy.stops.map(({state}) => state)).toEqual(['stopped']);
-		copy.cancel(toId<OrderId>('first'));
+		expect(copy.cancel(toId<OrderId>('first'))?.state).toBe('stopped');
+		expect(copy.cancel(toId<OrderId>('first'))).toBeUndefined();
 		expect(plan(copy, ['instance', 'b1'], 'second').kind).toBe('refused');
 		expect(plan(copy, ['instance', 'b1'], 'third').kind).toBe('planned');
 	});
--- a/packages/core/src/control/control-command.ts
+++ b/packages/core/src/control/control-command.ts
@@ -10,7 +10,7 @@
 } from '../ids.js';
 import type {ClaimOutcome, ClaimRequest, ClaimVerdict} from '../ledger/claim-ledger.js';
 import type {ShareRenewal, ShareTake} from '../shares/share-table.js';
-import type {StopPlan, StopVerdict} from '../stops/stop-types.js';
+import type {PlannedStop, StopPlan, StopVerdict} from '../stops/stop-types.js';
 import type {RoutingDocument, RoutingVerdict} from './routing-history.js';
 
 /** Position of an entry in the control log, from 1. */
@@ -48,7 +48,7 @@
 	'claim.abandon': {readonly abandoned: number};
 	'stop.plan': StopVerdict;
 	'stop.complete': {readonly found: boolean};
-	'stop.cancel': {readonly found: boolean};
+	'stop.cancel': {readonly found: boolean; readonly stop: PlannedStop | undefined};
 	'share.take': {readonly taken: boolean};
 	'share.renew': {readonly renewed: readonly ShareRenewal[]};
 	'share.release': {readonly released: number};
--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -88,7 +88,8 @@
 			}
 
 			case 'stop.cancel': {
-				return {found: this.stops.cancel(command.orderId)};
+				const stop = this.stops.cancel(command.orderId);
+				return {found: stop !== undefined, stop};
 			}
 
 			case 'share.take': {
--- a/packages/core/src/rpc/commands.ts
+++ b/packages/core/src/rpc/commands.ts
@@ -183,8 +183,8 @@
 export const STOP_PLAN = createCommand<Omit<StopPlan, 'facts'>, StopVerdict>('stop.plan');
 /** Reads the stops in force and what they wait for. */
 export const STOP_STATUS = createCommand<None, {stops: readonly StopProgress[]}>('stop.status');
-/** Takes a stop out of force. */
-export const STOP_CANCEL = createCommand<{orderId: OrderId}, {found: boolean}>('stop.cancel');
+/** Takes a stop out of force; answered with the stop as it stood. */
+export const STOP_CANCEL = createCommand<{orderId: OrderId}, {found: boolean; stop?: PlannedStop}>('stop.cancel');
 /** Asks an instance what it still does on what a stop takes away. */
 export const STOP_USE = createCommand<{orderId: OrderId}, StopUse>('stop.use');
 /** Asks the owner of limits for parts of them. */
--- a/packages/core/src/stops/stop-table.ts
+++ b/packages/core/src/stops/stop-table.ts
@@ -62,9 +62,11 @@
 		return true;
 	}
 
-	/** Takes a stop out of force: the operator cancelled it, or its instance is back. */
-	cancel(orderId: OrderId): boolean {
-		return this.#stops.delete(orderId);
+	/** Takes a stop out of force: the operator cancelled it, or its instance is back. Returns it as it stood; undefined when it was not in force. */
+	cancel(orderId: OrderId): PlannedStop | undefined {
+		const stop = this.#stops.get(orderId);
+		this.#stops.delete(orderId);
+		return stop;
 	}
 
 	/** Takes what a snapshot must keep. */
--- a/packages/daemon/src/fleet/instance-stop.ts
+++ b/packages/daemon/src/fleet/instance-stop.ts
@@ -28,7 +28,8 @@
 	readonly inProgress: () => number;
 	readonly setClosing: (closing: boolean) => void;
 	readonly plan: (orderId: OrderId, withinMs: number) => Promise<StopVerdict>;
-	readonly complete: (orderId: OrderId) => Promise<unknown>;
+	/** Records that the drain is over; false when the stop was cancelled before. */
+	readonly complete: (orderId: OrderId) => Promise<boolean>;
 };
 
 /** Drives the stop; a second order while it runs joins the first. */
@@ -77,8 +78,8 @@
 			return this.#resume();
 		}
 
-		await this.#complete(order);
-		return true;
+		const isOver = await this.#complete(order);
+		return isOver || signalled ? true : this.#resume();
 	}
 
 	#resume(): boolean {
@@ -134,15 +135,17 @@
 		return undefined;
 	}
 
-	async #complete(orderId: OrderId | undefined): Promise<void> {
+	/** Records the end of the drain; false when the stop turns out to have been cancelled. */
+	async #complete(orderId: OrderId | undefined): Promise<boolean> {
 		if (orderId === undefined) {
-			return;
+			return true;
 		}
 
 		try {
-			await Promise.race([this.parts.complete(orderId), sleep(completeMs, undefined, {ref: false})]);
+			return await Promise.race([this.parts.complete(orderId), sleep(completeMs, true, {ref: false})]);
 		} catch (error) {
 			log('The end of the stop could not be recorded.', {reason: (error as Error).message});
+			return true;
 		}
 	}
 }
--- a/packages/daemon/src/fleet/stop-driver.ts
+++ b/packages/daemon/src/fleet/stop-driver.ts
@@ -88,17 +88,24 @@
 		return this.parts.control.submit<'stop.plan'>({kind: 'stop.plan', plan: {...plan, facts: {instances, dead}}});
 	}
 
-	/** Notes that this instance is drained; a data centre's stop is over only once all its instances are. */
-	async completeOwn(orderId: OrderId): Promise<void> {
+	/**
+	 * Notes that this instance is drained; a data centre's stop is over only once all its instances are.
+	 * Returns false when the stop was cancelled before: the log's order decides.
+	 */
+	async completeOwn(orderId: OrderId): Promise<boolean> {
 		const stop = this.#stops.find(one => one.orderId === orderId);
 		if (stop?.target.kind !== 'dataCentre') {
-			await this.#complete(orderId);
+			return this.#complete(orderId);
 		}
+
+		await this.parts.control.barrier();
+		return this.#stops.some(one => one.orderId === orderId);
 	}
 
-	/** Notes that a stop's drain is over. */
-	async #complete(orderId: OrderId): Promise<void> {
-		await this.parts.control.submit<'stop.complete'>({kind: 'stop.complete', orderId});
+	/** Notes that a stop's drain is over; false when it was cancelled before. */
+	async #complete(orderId: OrderId): Promise<boolean> {
+		const {found} = await this.parts.control.submit<'stop.complete'>({kind: 'stop.complete', orderId});
+		return found;
 	}
 
 	/** Brings this instance's copy up to date, so that a stop that was just planned shows; without a quorum it may lag. */
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -4,6 +4,8 @@
 export type Fault =
 	/** Waits before answering. */
 	| {readonly kind: 'delay'; readonly path: string; readonly ms: number}
+	/** Answers only once this fault is lifted. */
+	| {readonly kind: 'hold'; readonly path: string}
 	/** Takes the call, does the work, and never answers. */
 	| {readonly kind: 'silence'; readonly path: string}
 	/** Closes the connection without an answer, before the work. */
--- a/packages/stand-ins/src/listen.ts
+++ b/packages/stand-ins/src/listen.ts
@@ -10,6 +10,9 @@
 import {FaultBoard} from './faults.js';
 import type {Fault} from './faults.js';
 
+/** How often a held call looks whether it may go on, in milliseconds. */
+const holdPollMs = 20;
+
 /** A running stand-in. */
 export type RunningServer = {
 	/** `host:port`. */
@@ -73,6 +76,11 @@
 			await sleep(delayMs);
 		}
 
+		while (this.faults.has('hold', path)) {
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(holdPollMs);
+		}
+
 		if (this.faults.has('reset', path)) {
 			return destroySocket(event);
 		}
