Keep the streams of decode engines steady while prompts are read there

Decode engines read prompts between their streams' tokens: after the loss of engines every entry instance sent broken streams to the engine that it held for the least busy one, with prompt and events to read again (7,000 tokens, 250 ms), several at once. Ruled out: lossy links (pauses came on all instances alike), instances short of processor time (0.04 cores of 0.675). Change: ReadPauses learns from streams' longest pauses what a read costs; the pool lets a decode engine read a prompt only while its streams stay within the route's steady gap, and broken streams ask the pool where they go on. The log gives each stream's longest pause. Broken streams still end up at one engine when the pool has no room for them.

--- a/bench/src/policy/cost.ts
+++ b/bench/src/policy/cost.ts
@@ -68,7 +68,7 @@
 
 	release(index: number): void {
 		this.#advance();
-		this.pool.step({kind: 'release', hold: holdOf(index), betweenMs: 20}, this.#now);
+		this.pool.step({kind: 'release', hold: holdOf(index), pace: {betweenMs: 20}}, this.#now);
 	}
 
 	#advance(): void {
--- a/bench/src/policy/owned-router.ts
+++ b/bench/src/policy/owned-router.ts
@@ -367,7 +367,7 @@
 		this.world.events.schedule(hopMs, () => {
 			decode.free(holdKey(hold));
 			this.world.events.schedule(hopMs, () => {
-				this.#tell(attempt, {kind: 'release', hold, betweenMs});
+				this.#tell(attempt, {kind: 'release', hold, pace: betweenMs === undefined ? undefined : {betweenMs}});
 			});
 		});
 	}
--- a/packages/core/src/placement/engine-pool.ts
+++ b/packages/core/src/placement/engine-pool.ts
@@ -12,14 +12,14 @@
 import type {Grant, HeldPlace, PoolTimings} from './hold-table.js';
 import {PlaceQueue} from './place-queue.js';
 import type {
-	EngineAddress, EngineView, Placement, PlacementDecision, PlacementPolicy, PlacementRequest,
+	EngineAddress, EngineView, PaceSample, Placement, PlacementDecision, PlacementPolicy, PlacementRequest,
 } from './types.js';
 
 /** What reaches the pool. */
 export type PoolEvent =
 	| {readonly kind: 'place'; readonly req: PlacementRequest}
 	/** The request left the queue or gave its place back. */
-	| {readonly kind: 'release'; readonly hold: EngineHold; readonly betweenMs?: number}
+	| {readonly kind: 'release'; readonly hold: EngineHold; readonly pace?: PaceSample}
 	/** The prefill is over: its engine has room for the next one. */
 	| {readonly kind: 'prefillDone'; readonly hold: EngineHold}
 	/** The transfer is over: the link has room for the next one. */
@@ -112,7 +112,7 @@
 			case 'release': {
 				this.#queue.remove(event.hold);
 				this.#holds.release(event.hold, now);
-				this.policy.observe?.({kind: 'released', hold: event.hold, betweenMs: event.betweenMs}, now);
+				this.policy.observe?.({kind: 'released', hold: event.hold, pace: event.pace}, now);
 				return this.#drain(now);
 			}
 
--- a/packages/core/src/placement/forecast-policy.ts
+++ b/packages/core/src/placement/forecast-policy.ts
@@ -45,6 +45,11 @@
 	}
 
 	admit(req: PlacementRequest, queue: QueueView, now: Instant): Admission {
+		if (req.readsDirectly === true) {
+			// A stream that was broken is late already: new requests can still be in time
+			return {kind: 'defer'};
+		}
+
 		if (req.firstOutputBy !== undefined && after(now, this.#forecast.aloneMs(req.promptTokens) + this.targets.betweenOutputsMs) > req.firstOutputBy) {
 			return {kind: 'defer'};
 		}
@@ -57,7 +62,7 @@
 
 	decide(req: PlacementRequest, engines: EngineIndex, now: Instant, late = false): PlacementDecision {
 		const isUsable = (engine: EngineView): boolean => !req.excluded.includes(engine.id);
-		const choice = this.#choosePrefill(req, engines, isUsable, now);
+		const choice = req.readsDirectly === true ? undefined : this.#choosePrefill(req, engines, isUsable, now);
 		if (findEngine(engines.byLoad('decode'), isUsable) === undefined) {
 			return {kind: 'refuse', error: routerError('noBackend')};
 		}
@@ -104,7 +109,7 @@
 		return findEngine(engines.byLoad('decode'), engine => {
 			const direct = this.#forecast.predictDirect(engine.id, req.promptTokens, now);
 			return direct !== undefined && isUsable(engine) && engine.freePieces >= req.pieces && engine.running < engine.maxStreams
-				&& direct.startsAt - now <= orderAheadMs && direct.firstOutputAt < apartAt;
+				&& direct.startsAt - now <= orderAheadMs && direct.firstOutputAt < apartAt && this.#forecast.keepsSteady(engine, req, now);
 		});
 	}
 
--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -5,8 +5,11 @@
 import type {Instant} from '../time.js';
 import {BatchModel} from './batch-model.js';
 import {holdKey} from './hold-table.js';
-import type {PlacementRequest, PolicyEvent} from './types.js';
 import {PipelinedLine} from './pipelined-line.js';
+import {ReadPauses} from './read-pauses.js';
+import type {
+	EngineView, PaceSample, PlacementRequest, PolicyEvent,
+} from './types.js';
 import {WorkLine} from './work-line.js';
 import type {Line} from './work-line.js';
 
@@ -73,6 +76,7 @@
 	readonly #isLinkShared: boolean;
 	readonly #latencyMs: number;
 	readonly #batches = new Map<EngineId, Batch>();
+	readonly #pauses = new ReadPauses();
 	#usualTokensPerMs: number;
 	#drainedTokens = 0;
 	#drainMs = 0;
@@ -158,7 +162,7 @@
 			}
 
 			case 'released': {
-				this.#released(event.hold, event.betweenMs, now);
+				this.#released(event.hold, event.pace, now);
 				break;
 			}
 		}
@@ -169,6 +173,10 @@
 		const isDirect = prefill === decode;
 		const {prefillEndsAt} = this.predict(prefill, req.promptTokens, now);
 		this.#line(prefill, isDirect ? this.options.directTokensPerMs : undefined).add(req, req.promptTokens, now);
+		if (isDirect && req.steadyGapMs !== undefined) {
+			this.#pauses.noteRead(decode, req.promptTokens, req.steadyGapMs, now);
+		}
+
 		if (this.#isLinkShared) {
 			this.#link.add(req, req.promptTokens, prefillEndsAt);
 		}
@@ -207,7 +215,7 @@
 		batch.pending -= 1;
 	}
 
-	#released(hold: EngineHold, betweenMs: number | undefined, now: Instant): void {
+	#released(hold: EngineHold, pace: PaceSample | undefined, now: Instant): void {
 		const key = holdKey(hold);
 		const stream = this.#streams.get(key);
 		if (stream === undefined) {
@@ -224,11 +232,25 @@
 		}
 
 		const lifeMs = now - stream.startedAt;
-		if (betweenMs !== undefined && lifeMs > 0) {
-			batch.model.learn((batch.area - stream.startedArea!) / lifeMs, betweenMs);
+		if (pace !== undefined && lifeMs > 0) {
+			batch.model.learn((batch.area - stream.startedArea!) / lifeMs, pace.betweenMs);
+		}
+
+		if (pace?.longestMs !== undefined) {
+			const {betweenMs, longestMs} = pace;
+			this.#pauses.learn(stream.decode, {startedAt: stream.startedAt, betweenMs, longestMs}, this.#msPerDirectToken(stream.decode));
 		}
 	}
 
+	/** Whether the streams of a decode engine stay steady while it reads one more prompt itself. */
+	keepsSteady({id, running}: Pick<EngineView, 'id' | 'running'>, {promptTokens, steadyGapMs}: PlacementRequest, now: Instant): boolean {
+		return running === 0 || steadyGapMs === undefined || this.#pauses.fits(id, promptTokens, this.#msPerDirectToken(id), steadyGapMs, now);
+	}
+
+	#msPerDirectToken(decode: EngineId): number {
+		return this.#line(decode, this.options.directTokensPerMs).durationMs(1);
+	}
+
 	#linkMs(tokens: number): number {
 		return this.#isLinkShared ? this.#link.durationMs(tokens) : 0;
 	}
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -30,6 +30,10 @@
 	readonly firstOutputBy?: Instant;
 	/** Longest predicted wait that the asker accepts, in milliseconds; undefined for as long as the target allows. */
 	readonly acceptWaitMs?: number;
+	/** Longest pause between outputs that counts as steady, in milliseconds; undefined for the service's target. */
+	readonly steadyGapMs?: number;
+	/** Whether the decode engine itself must read the prompt: that of a stream which goes on there. */
+	readonly readsDirectly?: boolean;
 	/** Engines that just failed this request. */
 	readonly excluded: readonly EngineId[];
 };
@@ -113,8 +117,15 @@
 	| {readonly kind: 'streams'; readonly engine: EngineId; readonly streams: number}
 	| {readonly kind: 'prefillDone'; readonly hold: EngineHold}
 	| {readonly kind: 'transferDone'; readonly hold: EngineHold}
-	/** `betweenMs` is the stream's mean time between outputs, where it had several. */
-	| {readonly kind: 'released'; readonly hold: EngineHold; readonly betweenMs: number | undefined};
+	| {readonly kind: 'released'; readonly hold: EngineHold; readonly pace: PaceSample | undefined};
+
+/** How a stream's outputs came, where it had several. */
+export type PaceSample = {
+	/** Mean time between outputs, in milliseconds. */
+	readonly betweenMs: number;
+	/** Longest time between two outputs, in milliseconds; undefined where it was not measured. */
+	readonly longestMs?: number;
+};
 
 /** Chooses engines for a request. Implementations hold no I/O. */
 export type PlacementPolicy = {
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -43,6 +43,8 @@
 	readonly slots: number;
 	/** Memory, in tokens. */
 	readonly memoryTokens: number;
+	/** Output tokens in one event of a stream. */
+	readonly tokensPerEvent: number;
 	/** How long a prefill's result is kept, in milliseconds. */
 	readonly resultKeptMs: number;
 };
--- a/packages/core/src/rpc/commands.ts
+++ b/packages/core/src/rpc/commands.ts
@@ -23,7 +23,7 @@
 import type {ShareRenewal} from '../shares/share-table.js';
 import type {PlannedStop, StopPlan, StopVerdict} from '../stops/stop-types.js';
 import type {MemberRow} from '../membership/member-table.js';
-import type {Placement} from '../placement/types.js';
+import type {PaceSample, Placement} from '../placement/types.js';
 
 declare const types: unique symbol;
 
@@ -56,6 +56,10 @@
 	readonly waitMs: number;
 	/** Time left to the first output by the service's target; undefined once some output was passed on. */
 	readonly firstOutputMs?: number;
+	/** Longest pause between outputs that counts as steady; undefined for the service's target. */
+	readonly steadyGapMs?: number;
+	/** Whether the decode engine itself must read the prompt. */
+	readonly readsDirectly?: boolean;
 	/** Longest predicted wait that the asker accepts; undefined for as long as the target allows. */
 	readonly acceptWaitMs?: number;
 	readonly excluded: readonly EngineId[];
@@ -74,7 +78,8 @@
 
 /** A place given back, with the stream's mean time between outputs where it had several. */
 export type PoolReleaseParams = PoolHoldParams & {
-	readonly betweenMs?: number;
+	/** How its outputs came, where it had several. */
+	readonly pace?: PaceSample;
 	/** Engines that could not be reached, or were not the listed ones. */
 	readonly unreachable?: readonly EngineId[];
 };
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -189,6 +189,7 @@
 		alone,
 		owner: () => watch.leader,
 		modelService: name => services.get(name),
+		tokensPerEvent: name => table?.services.get(name)?.engines?.tokensPerEvent,
 		usableEngines: service => new Set(fleet.usable(service).filter(({id}) => !fleet.isUnreachable(id)).map(({id}) => toId<EngineId>(id))),
 	});
 	const tries = new SecondTries(first.secondTries, clock, first.isFirstStart, () => watch.entries);
--- a/packages/daemon/src/gateway/places.ts
+++ b/packages/daemon/src/gateway/places.ts
@@ -6,7 +6,7 @@
 	AttemptNumber, Clock, EngineAddress, EngineHold, EngineId, HeldPlace, InstanceId, ModelService, PlaceAnswer, Placement, PlaceParams, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
-import type {PlaceClient, PoolAddress} from '../pools/place-client.js';
+import type {PlaceClient, PoolAddress, ReleaseFacts} from '../pools/place-client.js';
 import type {PoolHost} from '../pools/pool-host.js';
 import type {Peers} from '../rpc/peers.js';
 import type {CallScope} from './call-scope.js';
@@ -22,6 +22,8 @@
 const downMs = 1000;
 /** Part of the time that callers wait for the first event that may be spent on the wait for a place. */
 const waitPart = 0.6;
+/** Part of the same time that a broken stream may wait for a place: the rest is for noticing the break and reading again. */
+const resumeWaitPart = 0.25;
 /** Callers leave a stream that is silent for this many times its target to the first event, as the platform's clients do. */
 const patienceTargets = 4;
 /** Attempts of places that the owner did not give are counted from here, far above the rounds of a call. */
@@ -44,8 +46,8 @@
 	transferDone(): void;
 	/** Tells that the stream is at another decode engine now. */
 	moveTo(decode: EngineAddress): void;
-	/** Gives the place back; names engines that could not be reached. */
-	release(unreachable?: readonly EngineId[]): void;
+	/** Gives the place back, with what was met on its engines. */
+	release(facts: ReleaseFacts): void;
 };
 
 /** Whether there is a place. */
@@ -64,6 +66,8 @@
 	readonly alone: PoolHost;
 	readonly owner: () => InstanceId | undefined;
 	readonly modelService: (name: ServiceName) => ModelService | undefined;
+	/** Output tokens in one event of a service's streams. */
+	readonly tokensPerEvent: (name: ServiceName) => number | undefined;
 	readonly usableEngines: (service: ServiceName) => ReadonlySet<EngineId>;
 };
 
@@ -98,12 +102,32 @@
 
 	/** Waits for a place; `attempt` counts the places that this call asked for. */
 	async place(call: Call, name: ServiceName, attempt: number, excluded: readonly EngineId[], scope: CallScope): Promise<PlaceOutcome> {
+		return this.#place(name, this.#wish(call, attempt, excluded, scope), scope);
+	}
+
+	/** Waits for a place at an engine that reads the prompt and the events that the caller has, without delaying its other streams too long. */
+	// eslint-disable-next-line max-params
+	async placeResumed(call: Call, name: ServiceName, attempt: number, excluded: readonly EngineId[], scope: CallScope, events: number): Promise<PlaceOutcome> {
+		const sentTokens = events * (this.parts.tokensPerEvent(name) ?? 1);
+		const promptTokens = call.promptTokens + sentTokens;
+		const maxTokens = Math.max(0, call.maxTokens - sentTokens);
+		return this.#place(name, {
+			...this.#wish(call, attempt, excluded, scope),
+			promptTokens,
+			maxTokens,
+			pieces: expectedPieces(promptTokens, maxTokens),
+			readsDirectly: true,
+			waitMs: Math.min(scope.remainingMs(), call.route.targetMs * patienceTargets * resumeWaitPart),
+			firstOutputMs: undefined,
+		}, scope);
+	}
+
+	async #place(name: ServiceName, wish: Wish, scope: CallScope): Promise<PlaceOutcome> {
 		const service = this.parts.modelService(name);
 		if (service === undefined) {
 			return {kind: 'refused', error: routerError('noBackend', `no engine of ${name} is listed`)};
 		}
 
-		const wish = this.#wish(call, attempt, excluded, scope);
 		const isDown = this.parts.owner() === undefined || this.parts.clock.now() < this.#downUntil;
 		const asked = isDown ? undefined : await this.#askOwner(service, wish, scope);
 		return asked ?? this.#placeAlone(service, wish, scope);
@@ -130,6 +154,7 @@
 			prefix: '',
 			waitMs: Math.max(0, Math.min(scope.remainingMs(), (call.route.targetMs * patienceTargets * waitPart) - (clock.now() - call.arrivedAt))),
 			firstOutputMs: Math.max(0, dueMs),
+			steadyGapMs: call.route.gapMs,
 			excluded,
 		};
 	}
@@ -205,9 +230,9 @@
 				this.#noteAlone(pool, place);
 				void client.hold(pool, place);
 			},
-			release(unreachable) {
-				alone.note(pool, {kind: 'release', hold});
-				void client.release(pool, {...hold, unreachable});
+			release(facts) {
+				alone.note(pool, {kind: 'release', hold, pace: facts.pace});
+				void client.release(pool, {...hold, ...facts});
 			},
 			isOwned: false,
 		};
--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -1,6 +1,6 @@
 /** What is known of one stream on its way to its caller. */
 import type {
-	EngineId, ListedServer, ServiceName,
+	EngineId, ListedServer, PaceSample, ServiceName,
 } from '@baobabpier/core';
 import type {CallScope} from './call-scope.js';
 import type {SendFault} from './server-transport.js';
@@ -48,4 +48,6 @@
 	/** Prefills that were sent. */
 	prefills: number;
 	lastEventId: string | undefined;
+	/** How the events of the last run came, where there were several. */
+	pace: PaceSample | undefined;
 };
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -5,6 +5,7 @@
 	Clock, EngineAddress, EngineId, Instant, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import {OutputPace} from '../requests/output-pace.js';
 import type {CallScope} from './call-scope.js';
 import {EngineRooms} from './engine-rooms.js';
 import {EventSplitter} from './event-splitter.js';
@@ -69,7 +70,7 @@
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
 		this.parts.tries.noteCall(service);
 		const progress: Progress = {
-			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined,
+			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, pace: undefined,
 		};
 		let reply: Reply = errorReply(routerError('noBackend', undefined, rejectedComeBackMs));
 		for (let round = 1; round <= maxRounds && scope.reason === undefined; round++) {
@@ -101,7 +102,7 @@
 	async #round(progress: Progress, round: number): Promise<RoundResult> {
 		const {call, service, scope, out} = progress;
 		if (out.isBegun) {
-			return this.#goOn(progress);
+			return this.#goOn(progress, round);
 		}
 
 		const asked = await this.parts.places.place(call, service, round, [...progress.excluded], scope);
@@ -116,10 +117,16 @@
 		log('A stream got a place.', {
 			requestId: call.requestId, round, prefill: place.prefill.id, decode: place.decode.id, tokens: call.promptTokens, maxTokens: call.maxTokens, waitedMs: Math.round(this.parts.clock.now() - call.arrivedAt),
 		});
+		return this.#whileHeld(progress, place, async () => this.#usePlace(progress, place));
+	}
+
+	/** Gives the place back after its use, with what was met there. */
+	async #whileHeld(progress: Progress, place: Place, use: () => Promise<RoundResult>): Promise<RoundResult> {
 		try {
-			return await this.#usePlace(progress, place);
+			return await use();
 		} finally {
-			place.release([place.decode, place.prefill].map(({id}) => id).filter(id => this.parts.fleet.isUnreachable(toId<BackendId>(id))));
+			const unreachable = [place.decode, place.prefill].map(({id}) => id).filter(id => this.parts.fleet.isUnreachable(toId<BackendId>(id)));
+			place.release({unreachable, pace: progress.pace});
 		}
 	}
 
@@ -200,7 +207,7 @@
 
 	/** Lets the decode engine read the prompt itself. */
 	async #useDirectly(progress: Progress, place: Place, {server, lease}: EngineRoom): Promise<RoundResult> {
-		const outcome = await this.#run(progress, server, {kind: 'run', lease}, () => {
+		const outcome = await this.#run(progress, server, directPurpose(progress, lease), () => {
 			place.prefillDone();
 		});
 		return this.#conclude(progress, place.decode.id, outcome);
@@ -216,27 +223,43 @@
 		return this.#runInRoom(progress, room, {kind: 'run', lease: room.lease});
 	}
 
-	/** Goes on with a broken stream at another engine, after the last event that the caller has. */
-	async #goOn(progress: Progress): Promise<RoundResult> {
+	/**
+	 * Goes on with a broken stream at another engine, after the last event that the caller has. The engine reads prompt and
+	 * events again, which delays its other streams: the pool says where and when.
+	 */
+	async #goOn(progress: Progress, round: number): Promise<RoundResult> {
+		const {call, service, scope} = progress;
+		const asked = await this.parts.places.placeResumed(call, service, round, [...progress.excluded], scope, Number(progress.lastEventId ?? 0));
+		const server = asked.kind === 'placed' ? this.#rooms.listed(asked.place.decode) : undefined;
+		if (asked.kind === 'refused' || server === undefined) {
+			return this.#goOnAnywhere(progress);
+		}
+
+		const {place} = asked;
+		return this.#whileHeld(progress, place, async () => {
+			const lease = place.isOwned ? undefined : await this.#rooms.takeLease(progress, server);
+			return place.isOwned || lease !== undefined ? this.#useDirectly(progress, place, {server, lease}) : this.#goOnAnywhere(progress);
+		});
+	}
+
+	/** Goes on at the least loaded engine that leases room. */
+	async #goOnAnywhere(progress: Progress): Promise<RoundResult> {
 		const room = await this.#rooms.find(progress);
 		if (room === undefined) {
 			return {isFinal: true, reply: this.#giveUp(progress, {kind: 'streamed'})};
 		}
 
-		const lastEventId = progress.lastEventId ?? progress.call.lastEventId;
-		return this.#runInRoom(progress, room, lastEventId === undefined ? {kind: 'run', lease: room.lease} : {kind: 'resume', lastEventId, lease: room.lease});
+		return this.#runInRoom(progress, room, directPurpose(progress, room.lease));
 	}
 
 	/** Runs a call in room that the engine leased, of which the pool's owner is told. */
 	async #runInRoom(progress: Progress, room: EngineRoom, purpose: SendPurpose): Promise<RoundResult> {
 		const engine = addressOf(room);
 		const place = this.parts.places.take(progress.call, progress.service, engine);
-		try {
+		return this.#whileHeld(progress, place, async () => {
 			const outcome = await this.#run(progress, room.server, purpose, () => undefined);
 			return this.#conclude(progress, engine.id, outcome);
-		} finally {
-			place.release();
-		}
+		});
 	}
 
 	/** What follows from the outcome at one engine. */
@@ -272,23 +295,27 @@
 			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal,
 		});
 		progress.sent += answer.kind === 'unsent' ? 0 : 1;
-		let firstEventAt: Instant | undefined;
+		const pace = new OutputPace(startedAt);
 		const outcome = answer.kind === 'head'
 			? await this.#pass(progress, answer, limit, () => {
-				firstEventAt = clock.now();
-				onHead();
+				if (pace.firstAt === undefined) {
+					onHead();
+				}
+
+				pace.add(1, clock.now());
 			})
 			: answer;
+		progress.pace = pace.sample;
 		limit.release();
 		end(resultOf(outcome, scope));
 		log('A stream got an outcome at an engine.', {
 			requestId: call.requestId, engine: server.id, purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: answer.kind === 'head' ? answer.status : undefined,
-			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, firstEventMs: firstEventAt === undefined ? undefined : Math.round(firstEventAt - startedAt), ms: Math.round(clock.now() - startedAt), ended: scope.reason,
+			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, firstEventMs: pace.firstAt === undefined ? undefined : Math.round(pace.firstAt - startedAt), longestPauseMs: pace.sample === undefined ? undefined : Math.round(pace.sample.longestMs ?? 0), ms: Math.round(clock.now() - startedAt), ended: scope.reason,
 		});
 		return outcome;
 	}
 
-	async #pass(progress: Progress, answer: OpenAnswer, limit: ReturnType<CallScope['limit']>, onHead: () => void): Promise<DecodeOutcome> {
+	async #pass(progress: Progress, answer: OpenAnswer, limit: ReturnType<CallScope['limit']>, onEvent: () => void): Promise<DecodeOutcome> {
 		const {call, out} = progress;
 		const head = this.parts.dialect.readHead(answer.status, answer.rawHeaders);
 		const fault = findFault(call, head);
@@ -310,15 +337,10 @@
 		}
 
 		const splitter = new EventSplitter();
-		let isFirst = true;
 		try {
 			for await (const chunk of answer.body as AsyncIterable<Uint8Array>) {
 				for (const event of splitter.push(chunk)) {
-					if (isFirst) {
-						isFirst = false;
-						onHead();
-					}
-
+					onEvent();
 					this.#passEvent(progress, head, event);
 				}
 
@@ -362,6 +384,10 @@
 	}
 }
 
+/** A run whose engine reads the prompt itself, after the events that the caller has. */
+const directPurpose = ({out, call, lastEventId = call.lastEventId}: Progress, lease: string | undefined): SendPurpose =>
+	!out.isBegun || lastEventId === undefined ? {kind: 'run', lease} : {kind: 'resume', lastEventId, lease};
+
 const addressOf = ({server}: EngineRoom): EngineAddress => ({id: toId<EngineId>(server.id), address: server.address});
 
 /** What a run's outcome says of its engine. */
--- a/packages/daemon/src/pools/place-client.ts
+++ b/packages/daemon/src/pools/place-client.ts
@@ -57,7 +57,7 @@
 };
 
 /** What a release tells besides its hold. */
-export type ReleaseFacts = Pick<PoolReleaseParams, 'betweenMs' | 'unreachable'>;
+export type ReleaseFacts = Pick<PoolReleaseParams, 'pace' | 'unreachable'>;
 
 /** What a place client needs. */
 export type PlaceClientParts = {
@@ -199,7 +199,7 @@
 				dataCentre: pool.dataCentre,
 				requestId: hold.requestId,
 				attempt: hold.attempt,
-				betweenMs: hold.betweenMs,
+				pace: hold.pace,
 				unreachable: hold.unreachable,
 			}, callMs);
 		} catch {
--- a/packages/daemon/src/requests/model-request-task.ts
+++ b/packages/daemon/src/requests/model-request-task.ts
@@ -281,8 +281,8 @@
 	async #release(attempt: AttemptNumber): Promise<void> {
 		const {pool} = this.#resources(attempt);
 		this.#attempts.delete(attempt);
-		const betweenMs = attempt === 1 ? this.#pace.betweenMs : undefined;
-		await (pool === undefined ? undefined : this.parts.places.release(pool, {...this.#hold(attempt), betweenMs}));
+		const pace = attempt === 1 ? this.#pace.sample : undefined;
+		await (pool === undefined ? undefined : this.parts.places.release(pool, {...this.#hold(attempt), pace}));
 	}
 
 	#failed(attempt: AttemptNumber, call: AttemptCall, fault: EngineFault): RequestEvent {
