Count streams by learned output sizes, and serve broken streams first, one read at a time

Cause: streams were counted with 0.3 of their most output, a figure of two deployments. Broken streams stood behind all others, waited 0.9 s in vain and then went anywhere together. Change: OutputSizes learns the moments of completed outputs; a standard deviation of what runs on an engine is kept free. Broken streams have a lane of their own which holds nobody up, and at the end of their wait one engine at a time reads them. Unit tests: 324 passed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -67,7 +67,7 @@
 export type {PoolEffect, PoolEvent} from './placement/engine-pool.js';
 export {TwoChoicesPolicy} from './placement/two-choices-policy.js';
 export type {
-	EngineView, PaceSample, Placement, PlacementDecision, PlacementPolicy, PlacementRequest,
+	EngineView, PaceSample, Placement, PlacementDecision, PlacementPolicy, PlacementRequest, StreamOutcome,
 } from './placement/types.js';
 export {createSeededRandom, pickIndex} from './random.js';
 export type {RandomSource} from './random.js';
@@ -204,6 +204,7 @@
 export {ForecastPolicy} from './placement/forecast-policy.js';
 export {Forecast} from './placement/forecast.js';
 export type {Prediction} from './placement/forecast.js';
+export {OutputSizes} from './placement/output-sizes.js';
 export {ReadPauses} from './placement/read-pauses.js';
 export type {StreamPace} from './placement/read-pauses.js';
 export {findEngine} from './placement/find-engine.js';
--- a/packages/core/src/placement/engine-pool.ts
+++ b/packages/core/src/placement/engine-pool.ts
@@ -12,14 +12,14 @@
 import type {Grant, HeldPlace, PoolTimings} from './hold-table.js';
 import {PlaceQueue} from './place-queue.js';
 import type {
-	EngineAddress, EngineView, PaceSample, Placement, PlacementDecision, PlacementPolicy, PlacementRequest,
+	EngineAddress, EngineView, Placement, PlacementDecision, PlacementPolicy, PlacementRequest, StreamOutcome,
 } from './types.js';
 
 /** What reaches the pool. */
 export type PoolEvent =
 	| {readonly kind: 'place'; readonly req: PlacementRequest}
 	/** The request left the queue or gave its place back. */
-	| {readonly kind: 'release'; readonly hold: EngineHold; readonly pace?: PaceSample}
+	| ({readonly kind: 'release'; readonly hold: EngineHold} & StreamOutcome)
 	/** The prefill is over: its engine has room for the next one. */
 	| {readonly kind: 'prefillDone'; readonly hold: EngineHold}
 	/** The transfer is over: the link has room for the next one. */
@@ -112,7 +112,7 @@
 			case 'release': {
 				this.#queue.remove(event.hold);
 				this.#holds.release(event.hold, now);
-				this.policy.observe?.({kind: 'released', hold: event.hold, pace: event.pace}, now);
+				this.policy.observe?.({...event, kind: 'released'}, now);
 				return this.#drain(now);
 			}
 
@@ -180,7 +180,7 @@
 			dataCentre: entry.dataCentre,
 			role: entry.role,
 			pieces: entry.pieces,
-			freePieces: grantable ? Math.max(0, entry.pieces - pieces) : 0,
+			freePieces: grantable ? Math.max(0, entry.pieces - pieces - (this.policy.reservePieces?.(running) ?? 0)) : 0,
 			queuedTokens,
 			running,
 			reportedAt,
@@ -202,7 +202,8 @@
 		this.#index.set(view);
 	}
 
-	#place(req: PlacementRequest, now: Instant): PoolEffect[] {
+	#place(asked: PlacementRequest, now: Instant): PoolEffect[] {
+		const req = {...asked, pieces: this.policy.piecesOf?.(asked) ?? asked.pieces};
 		const granted = this.#holds.lookup(req);
 		if (granted !== undefined) {
 			return [this.#placedEffect(granted)];
@@ -221,9 +222,14 @@
 		return this.#drain(now);
 	}
 
-	/** Serves the queue in its order until a request must wait. */
+	/** Serves broken streams as far as engines can take them, then the queue in its order until a request must wait. */
 	#drain(now: Instant): PoolEffect[] {
 		const effects: PoolEffect[] = [];
+		for (const req of this.#queue.broken()) {
+			const decision = this.#decide(req, now);
+			effects.push(...decision.kind === 'wait' ? [] : this.#carryOut(decision, req, now));
+		}
+
 		for (let head = this.#queue.peek(); head !== undefined; head = this.#queue.peek()) {
 			const decision = this.#decide(head, now);
 			if (decision.kind !== 'wait') {
--- a/packages/core/src/placement/forecast-policy.ts
+++ b/packages/core/src/placement/forecast-policy.ts
@@ -23,6 +23,8 @@
 const linkWaitPart: Readonly<Record<ServiceClass, number>> = {urgent: 0.8, patient: 0.3};
 /** A prompt is read by a decode engine itself when the prefill engines are busy for longer than this, in milliseconds. */
 const directAfterMs = 80;
+/** A broken stream goes on regardless of the pause that it causes when its wait ends within this, in milliseconds. */
+const lastChanceMs = 300;
 /** The part of the time to the first output that a new request's predicted wait may take. */
 const admittedPart = 0.8;
 
@@ -46,8 +48,7 @@
 
 	admit(req: PlacementRequest, queue: QueueView, now: Instant): Admission {
 		if (req.readsDirectly === true) {
-			// A stream that was broken is late already: new requests can still be in time
-			return {kind: 'defer'};
+			return {kind: 'queue'};
 		}
 
 		if (req.firstOutputBy !== undefined && after(now, this.#forecast.aloneMs(req.promptTokens) + this.targets.betweenOutputsMs) > req.firstOutputBy) {
@@ -99,17 +100,27 @@
 		this.#forecast.observe(event, now);
 	}
 
+	piecesOf(req: PlacementRequest): number {
+		return this.#forecast.piecesOf(req);
+	}
+
+	reservePieces(streams: number): number {
+		return this.#forecast.reservePieces(streams);
+	}
+
 	maxStreams(engine: EngineId): number | undefined {
 		return this.#forecast.maxStreams(engine, this.targets.betweenOutputsMs);
 	}
 
 	/** A decode engine that reads the prompt itself, if it has room, reads no other prompt, and answers sooner than a prefill engine. */
 	#chooseDirect(req: PlacementRequest, engines: EngineIndex, isUsable: (engine: EngineView) => boolean, busy: Prediction | undefined, now: Instant): EngineView | undefined {
+		// A broken stream that reads too long for the others delays those of one engine rather than end unfinished
+		const isLastChance = req.readsDirectly === true && req.deadline - now < lastChanceMs;
 		const apartAt = busy === undefined ? Number.POSITIVE_INFINITY : after(busy.transferEndsAt, this.targets.betweenOutputsMs);
 		return findEngine(engines.byLoad('decode'), engine => {
 			const direct = this.#forecast.predictDirect(engine.id, req.promptTokens, now);
 			return direct !== undefined && isUsable(engine) && engine.freePieces >= req.pieces && engine.running < engine.maxStreams
-				&& direct.startsAt - now <= orderAheadMs && direct.firstOutputAt < apartAt && this.#forecast.keepsSteady(engine, req, now);
+				&& direct.startsAt - now <= orderAheadMs && direct.firstOutputAt < apartAt && (isLastChance || this.#forecast.keepsSteady(engine, req, now));
 		});
 	}
 
--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -1,14 +1,16 @@
 /** What an engine pool's owner expects: ends of prefills, transfer slots, batch sizes and the queue's speed. */
 import type {EngineHold} from '../engine/engine-client.js';
+import {countPieces} from '../engine/tokens.js';
 import type {EngineId} from '../ids.js';
 import {after} from '../time.js';
 import type {Instant} from '../time.js';
 import {BatchModel} from './batch-model.js';
 import {holdKey} from './hold-table.js';
+import {OutputSizes} from './output-sizes.js';
 import {PipelinedLine} from './pipelined-line.js';
 import {ReadPauses} from './read-pauses.js';
 import type {
-	EngineView, PaceSample, PlacementRequest, PolicyEvent,
+	EngineView, PlacementRequest, PolicyEvent,
 } from './types.js';
 import {WorkLine} from './work-line.js';
 import type {Line} from './work-line.js';
@@ -18,6 +20,8 @@
 /** Time constant of the queue's learned speed. */
 const drainMemoryMs = 5000;
 
+/** Standard deviations of the memory that running streams hold, kept free: overrun five times out of six below it. */
+const reserveDeviations = 1;
 /** Weight of the last engine's rate in the usual rate of a prefill. */
 const usualWeight = 0.1;
 
@@ -25,6 +29,7 @@
 	readonly decode: EngineId;
 	readonly prefill: EngineId;
 	readonly tokens: number;
+	readonly maxTokens: number;
 	/** Stream-milliseconds of its engine when its decode started; undefined before. */
 	startedArea: number | undefined;
 	startedAt: Instant | undefined;
@@ -51,6 +56,16 @@
 	readonly prefillLatencyMs?: number;
 	/** Usual rate at which a decode engine reads a prompt itself, in tokens per millisecond; undefined where it can't. */
 	readonly directTokensPerMs?: number;
+	/** How streams are counted in memory; by what they ask for where undefined. */
+	readonly memory?: MemoryOptions;
+};
+
+/** How the memory of streams is forecast. */
+export type MemoryOptions = {
+	/** Tokens in one memory piece. */
+	readonly pieceTokens: number;
+	/** Part of the most output that running streams hold, until streams teach it. */
+	readonly expectedOutputPart: number;
 };
 
 /** When the parts of one request are expected. */
@@ -77,6 +92,9 @@
 	readonly #latencyMs: number;
 	readonly #batches = new Map<EngineId, Batch>();
 	readonly #pauses = new ReadPauses();
+	readonly #sizes: OutputSizes | undefined;
+	/** Usual variance of the memory that a running stream holds, in pieces squared. */
+	#pieceVariance = 0;
 	#usualTokensPerMs: number;
 	#drainedTokens = 0;
 	#drainMs = 0;
@@ -85,6 +103,7 @@
 	constructor(private readonly options: ForecastOptions = {}) {
 		this.#isLinkShared = options.links !== 'ample';
 		this.#latencyMs = options.prefillLatencyMs ?? 0;
+		this.#sizes = options.memory === undefined ? undefined : new OutputSizes(options.memory.expectedOutputPart);
 		this.#usualTokensPerMs = options.prefillTokensPerMs ?? initialPrefillTokensPerMs;
 	}
 
@@ -93,6 +112,17 @@
 		return this.options.directTokensPerMs !== undefined;
 	}
 
+	/** Memory pieces that a stream is expected to hold while it runs. */
+	piecesOf({promptTokens, maxTokens, pieces}: PlacementRequest): number {
+		const {memory} = this.options;
+		return memory === undefined ? pieces : countPieces(promptTokens + Math.ceil(this.#sizes!.expected(maxTokens)), memory.pieceTokens);
+	}
+
+	/** Memory pieces to keep free beside running streams: their outputs vary, and the varying parts add up by their squares. */
+	reservePieces(streams: number): number {
+		return Math.ceil(reserveDeviations * Math.sqrt(streams * this.#pieceVariance));
+	}
+
 	/** Predicts a prefill of `tokens` that is ordered now. */
 	predict(prefill: EngineId, tokens: number, now: Instant): Prediction {
 		const line = this.#line(prefill);
@@ -162,13 +192,18 @@
 			}
 
 			case 'released': {
-				this.#released(event.hold, event.pace, now);
+				this.#released(event, now);
 				break;
 			}
 		}
 	}
 
 	#granted({req, decode, prefill, waiting}: Extract<PolicyEvent, {kind: 'granted'}>, now: Instant): void {
+		if (this.options.memory !== undefined) {
+			const variance = this.#sizes!.variance(req.maxTokens) / (this.options.memory.pieceTokens ** 2);
+			this.#pieceVariance += usualWeight * (variance - this.#pieceVariance);
+		}
+
 		this.#learnDrain(req, waiting, now);
 		const isDirect = prefill === decode;
 		const {prefillEndsAt} = this.predict(prefill, req.promptTokens, now);
@@ -182,7 +217,7 @@
 		}
 
 		this.#streams.set(holdKey(req), {
-			decode, prefill, tokens: req.promptTokens, startedArea: undefined, startedAt: undefined,
+			decode, prefill, tokens: req.promptTokens, maxTokens: req.maxTokens, startedArea: undefined, startedAt: undefined,
 		});
 		this.#batch(decode, now).pending += 1;
 	}
@@ -215,7 +250,7 @@
 		batch.pending -= 1;
 	}
 
-	#released(hold: EngineHold, pace: PaceSample | undefined, now: Instant): void {
+	#released({hold, pace, outputTokens}: Extract<PolicyEvent, {kind: 'released'}>, now: Instant): void {
 		const key = holdKey(hold);
 		const stream = this.#streams.get(key);
 		if (stream === undefined) {
@@ -223,6 +258,10 @@
 		}
 
 		this.#streams.delete(key);
+		if (outputTokens !== undefined) {
+			this.#sizes?.learn(outputTokens, stream.maxTokens);
+		}
+
 		this.#line(stream.prefill).remove(hold, now, false);
 		this.#link.remove(hold, now, false);
 		const batch = this.#batch(stream.decode, now);
--- a/packages/core/src/placement/place-queue.ts
+++ b/packages/core/src/placement/place-queue.ts
@@ -11,12 +11,15 @@
 /** Urgent requests served in a row while a patient one waits, at most. */
 const urgentRun = 9;
 
-type Lane = 'urgent' | 'patient' | 'late';
+type Lane = 'broken' | 'urgent' | 'patient' | 'late';
 
-const laneNames: readonly Lane[] = ['urgent', 'patient', 'late'];
+const laneNames: readonly Lane[] = ['broken', 'urgent', 'patient', 'late'];
+/** Lanes that are served in their order; broken streams are looked at one by one. */
+const orderedLanes: readonly Lane[] = ['urgent', 'patient', 'late'];
 
 /**
- * A queue with one lane per class and one for those past their latency target.
+ * A queue with one lane per class, one for those past their latency target, and one for broken streams that go on elsewhere:
+ * those had a place before, and each may wait for an engine of its own without holding up the others.
  *
  * @example
  * const queue = new PlaceQueue();
@@ -24,8 +27,14 @@
  * queue.peek(); // The one to serve next
  */
 export class PlaceQueue implements QueueView {
-	readonly #lanes: Readonly<Record<Lane, Map<string, PlacementRequest>>> = {urgent: new Map(), patient: new Map(), late: new Map()};
-	readonly #tokens: Record<Lane, number> = {urgent: 0, patient: 0, late: 0};
+	readonly #lanes: Readonly<Record<Lane, Map<string, PlacementRequest>>> = {
+		broken: new Map(), urgent: new Map(), patient: new Map(), late: new Map(),
+	};
+
+	readonly #tokens: Record<Lane, number> = {
+		broken: 0, urgent: 0, patient: 0, late: 0,
+	};
+
 	#urgentServed = 0;
 	#bypassed: {readonly head: string; count: number} = {head: '', count: 0};
 
@@ -38,7 +47,12 @@
 	}
 
 	push(req: PlacementRequest): void {
-		this.#add(req.class, req);
+		this.#add(req.readsDirectly === true ? 'broken' : req.class, req);
+	}
+
+	/** Broken streams that wait for an engine, oldest first. */
+	broken(): readonly PlacementRequest[] {
+		return [...this.#lanes.broken.values()];
 	}
 
 	/** Puts a request behind all that can still meet their target. */
@@ -51,10 +65,10 @@
 		return this.#lanes.late.has(holdKey(hold));
 	}
 
-	/** The request to serve next. */
+	/** The request to serve next, besides broken streams. */
 	peek(): PlacementRequest | undefined {
 		const patientTurn = this.#urgentServed >= urgentRun && this.#lanes.patient.size > 0;
-		const order: readonly Lane[] = patientTurn ? ['patient', 'urgent', 'late'] : laneNames;
+		const order: readonly Lane[] = patientTurn ? ['patient', 'urgent', 'late'] : orderedLanes;
 		const lane = order.find(name => this.#lanes[name].size > 0);
 		return lane === undefined ? undefined : this.#lanes[lane].values().next().value;
 	}
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -117,7 +117,15 @@
 	| {readonly kind: 'streams'; readonly engine: EngineId; readonly streams: number}
 	| {readonly kind: 'prefillDone'; readonly hold: EngineHold}
 	| {readonly kind: 'transferDone'; readonly hold: EngineHold}
-	| {readonly kind: 'released'; readonly hold: EngineHold; readonly pace: PaceSample | undefined};
+	| ({readonly kind: 'released'; readonly hold: EngineHold} & StreamOutcome);
+
+/** What became of a stream, as far as its holder tells. */
+export type StreamOutcome = {
+	/** How its outputs came, where it had several. */
+	readonly pace?: PaceSample;
+	/** Output tokens of a stream that completed. */
+	readonly outputTokens?: number;
+};
 
 /** How a stream's outputs came, where it had several. */
 export type PaceSample = {
@@ -137,4 +145,8 @@
 	observe?(event: PolicyEvent, now: Instant): void;
 	/** Streams that a decode engine may run; undefined while unknown. */
 	maxStreams?(engine: EngineId): number | undefined;
+	/** Memory pieces that a request is expected to need; those that it asks for without this. */
+	piecesOf?(req: PlacementRequest): number;
+	/** Memory pieces to keep free on a decode engine, for streams whose output grows longer than expected. */
+	reservePieces?(streams: number): number;
 };
--- a/packages/core/src/rpc/commands.ts
+++ b/packages/core/src/rpc/commands.ts
@@ -23,7 +23,7 @@
 import type {ShareRenewal} from '../shares/share-table.js';
 import type {PlannedStop, StopPlan, StopVerdict} from '../stops/stop-types.js';
 import type {MemberRow} from '../membership/member-table.js';
-import type {PaceSample, Placement} from '../placement/types.js';
+import type {Placement, StreamOutcome} from '../placement/types.js';
 
 declare const types: unique symbol;
 
@@ -77,9 +77,7 @@
 };
 
 /** A place given back, with the stream's mean time between outputs where it had several. */
-export type PoolReleaseParams = PoolHoldParams & {
-	/** How its outputs came, where it had several. */
-	readonly pace?: PaceSample;
+export type PoolReleaseParams = PoolHoldParams & StreamOutcome & {
 	/** Engines that could not be reached, or were not the listed ones. */
 	readonly unreachable?: readonly EngineId[];
 };
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -22,7 +22,7 @@
 import {
 	createModelServices, createPoolCatalogue, leavingEngines, pieceTokens, poolDataCentre,
 } from './model-services.js';
-import {Places} from './places.js';
+import {expectedOutputPart, Places} from './places.js';
 import {PlainRoute} from './plain-route.js';
 import {ServerTransport} from './server-transport.js';
 import {SecondTries} from './second-tries.js';
@@ -47,7 +47,7 @@
 export const placeTimings = {leaseMs: 4000, orphanMs: 6000} as const;
 /** Usual speeds of today's engines, until calls teach them. */
 export const engineSpeeds: ForecastOptions = {
-	links: 'ample', prefillTokensPerMs: 45, prefillLatencyMs: 120, directTokensPerMs: 20,
+	links: 'ample', prefillTokensPerMs: 45, prefillLatencyMs: 120, directTokensPerMs: 20, memory: {pieceTokens, expectedOutputPart},
 };
 
 /** Usual mix of today's deployments by their operators' sheets: long prompts, answers of about 450 tokens at 8 ms each. */
--- a/packages/daemon/src/gateway/places.ts
+++ b/packages/daemon/src/gateway/places.ts
@@ -32,7 +32,13 @@
  * Part of the most output tokens that a stream is counted with. Streams on an engine are at different points of their
  * answers: together they hold half of what they make, which is under half of the most.
  */
-const expectedOutputPart = 0.3;
+export const expectedOutputPart = 0.3;
+
+/** What a place's use showed. */
+export type PlaceUse = Pick<ReleaseFacts, 'pace' | 'unreachable'> & {
+	/** Events of a stream that completed. */
+	readonly events: number | undefined;
+};
 
 /** A place on engines that is held until it is released. */
 export type Place = {
@@ -47,7 +53,7 @@
 	/** Tells that the stream is at another decode engine now. */
 	moveTo(decode: EngineAddress): void;
 	/** Gives the place back, with what was met on its engines. */
-	release(facts: ReleaseFacts): void;
+	release(facts: PlaceUse): void;
 };
 
 /** Whether there is a place. */
@@ -108,7 +114,7 @@
 	/** Waits for a place at an engine that reads the prompt and the events that the caller has, without delaying its other streams too long. */
 	// eslint-disable-next-line max-params
 	async placeResumed(call: Call, name: ServiceName, attempt: number, excluded: readonly EngineId[], scope: CallScope, events: number): Promise<PlaceOutcome> {
-		const sentTokens = events * (this.parts.tokensPerEvent(name) ?? 1);
+		const sentTokens = this.#tokensOf(name, events);
 		const promptTokens = call.promptTokens + sentTokens;
 		const maxTokens = Math.max(0, call.maxTokens - sentTokens);
 		return this.#place(name, {
@@ -122,6 +128,10 @@
 		}, scope);
 	}
 
+	#tokensOf(service: ServiceName, events: number): number {
+		return events * (this.parts.tokensPerEvent(service) ?? 1);
+	}
+
 	async #place(name: ServiceName, wish: Wish, scope: CallScope): Promise<PlaceOutcome> {
 		const service = this.parts.modelService(name);
 		if (service === undefined) {
@@ -216,6 +226,7 @@
 	/** A place that the owner hears of only by renewals. */
 	#placeOf(pool: PoolAddress, hold: EngineHold, {decode, prefill, pieces}: Pick<Placement, 'decode' | 'prefill' | 'pieces'>): Place {
 		const {alone, client} = this.parts;
+		const tokensOf = this.#tokensOf.bind(this);
 		return {
 			decode,
 			prefill,
@@ -230,9 +241,14 @@
 				this.#noteAlone(pool, place);
 				void client.hold(pool, place);
 			},
-			release(facts) {
-				alone.note(pool, {kind: 'release', hold, pace: facts.pace});
-				void client.release(pool, {...hold, ...facts});
+			release({events, pace, unreachable}) {
+				const outputTokens = events === undefined ? undefined : tokensOf(pool.service, events);
+				alone.note(pool, {
+					kind: 'release', hold, pace, outputTokens,
+				});
+				void client.release(pool, {
+					...hold, pace, outputTokens, unreachable,
+				});
 			},
 			isOwned: false,
 		};
--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -48,6 +48,9 @@
 	/** Prefills that were sent. */
 	prefills: number;
 	lastEventId: string | undefined;
+	/** Events that the caller got. */
+	events: number;
+	isComplete: boolean;
 	/** How the events of the last run came, where there were several. */
 	pace: PaceSample | undefined;
 };
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -70,7 +70,7 @@
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
 		this.parts.tries.noteCall(service);
 		const progress: Progress = {
-			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, pace: undefined,
+			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, events: 0, isComplete: false, pace: undefined,
 		};
 		let reply: Reply = errorReply(routerError('noBackend', undefined, rejectedComeBackMs));
 		for (let round = 1; round <= maxRounds && scope.reason === undefined; round++) {
@@ -126,7 +126,7 @@
 			return await use();
 		} finally {
 			const unreachable = [place.decode, place.prefill].map(({id}) => id).filter(id => this.parts.fleet.isUnreachable(toId<BackendId>(id)));
-			place.release({unreachable, pace: progress.pace});
+			place.release({unreachable, pace: progress.pace, events: progress.isComplete ? progress.events : undefined});
 		}
 	}
 
@@ -229,8 +229,11 @@
 	 */
 	async #goOn(progress: Progress, round: number): Promise<RoundResult> {
 		const {call, service, scope} = progress;
-		const asked = await this.parts.places.placeResumed(call, service, round, [...progress.excluded], scope, Number(progress.lastEventId ?? 0));
+		const asked = await this.parts.places.placeResumed(call, service, round, [...progress.excluded], scope, progress.events);
 		const server = asked.kind === 'placed' ? this.#rooms.listed(asked.place.decode) : undefined;
+		log('A broken stream looks for another engine.', {
+			requestId: call.requestId, round, outcome: asked.kind, reason: asked.kind === 'refused' ? asked.error.kind : undefined, engine: server?.id, events: progress.events,
+		});
 		if (asked.kind === 'refused' || server === undefined) {
 			return this.#goOnAnywhere(progress);
 		}
@@ -267,6 +270,7 @@
 		const {call, service, scope} = progress;
 		progress.excluded.add(engine);
 		if (outcome.kind === 'complete') {
+			progress.isComplete = true;
 			return {isFinal: true, reply: {kind: 'streamed'}};
 		}
 
@@ -380,6 +384,7 @@
 		}
 
 		progress.lastEventId = event.id ?? progress.lastEventId;
+		progress.events += 1;
 		out.write(event.bytes);
 	}
 }
--- a/packages/daemon/src/pools/place-client.ts
+++ b/packages/daemon/src/pools/place-client.ts
@@ -57,7 +57,7 @@
 };
 
 /** What a release tells besides its hold. */
-export type ReleaseFacts = Pick<PoolReleaseParams, 'pace' | 'unreachable'>;
+export type ReleaseFacts = Pick<PoolReleaseParams, 'outputTokens' | 'pace' | 'unreachable'>;
 
 /** What a place client needs. */
 export type PlaceClientParts = {
@@ -200,6 +200,7 @@
 				requestId: hold.requestId,
 				attempt: hold.attempt,
 				pace: hold.pace,
+				outputTokens: hold.outputTokens,
 				unreachable: hold.unreachable,
 			}, callMs);
 		} catch {
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -107,7 +107,9 @@
 		server?.registerMethod(POOL_PLACE, async (params, {signal}) => this.place(params, signal));
 		server?.registerMethod(POOL_RELEASE, params => {
 			this.#suspects.add(params.unreachable ?? []);
-			return this.#feed(params.service, params.dataCentre, {kind: 'release', hold: params, pace: params.pace});
+			return this.#feed(params.service, params.dataCentre, {
+				kind: 'release', hold: params, pace: params.pace, outputTokens: params.outputTokens,
+			});
 		});
 		server?.registerMethod(POOL_PREFILL_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'prefillDone', hold: params}));
 		server?.registerMethod(POOL_TRANSFER_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'transferDone', hold: params}));
