--- a/packages/daemon/src/__tests__/unit/pool-host.test.ts
+++ b/packages/daemon/src/__tests__/unit/pool-host.test.ts
@@ -47,7 +47,7 @@
 		self,
 		clock: monotonicClock,
 		shares: new StaticShareMap(self, [{id: self, dataCentre}]),
-		createPolicy: targets => new ForecastPolicy(targets, {links: 'ample', prefillTokensPerMs: 45, prefillLatencyMs: 120}),
+		createPolicy: targets => new ForecastPolicy(targets, {links: 'ample', prefill: {tokensPerMs: 45, latencyMs: 120}}),
 		engines: {
 			report: async ({id, role, pieces}) => silent.has(id)
 				? 'unreachable'
--- a/packages/daemon/src/control-node/watch-desk.ts
+++ b/packages/daemon/src/control-node/watch-desk.ts
@@ -12,6 +12,8 @@
 const entryMs = 5000;
 /** How often the open calls are looked through for news that no event tells of, in milliseconds. */
 const checkMs = 50;
+/** How often entry instances that went silent are looked for, in milliseconds: a small part of `entryMs`. */
+const sweepMs = 500;
 
 /** What the desk works with. */
 export type WatchDeskParts = {
@@ -33,6 +35,7 @@
 	readonly #waiting = new Set<Waiting>();
 	#list: readonly ListedServer[] | undefined;
 	#listDigest: string | undefined;
+	#sweptAt = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#confirming: Promise<boolean> | undefined;
 
@@ -70,6 +73,10 @@
 
 	/** Entry instances that asked lately. */
 	get entries(): number {
+		return this.#entries.size;
+	}
+
+	#forgetSilent(): void {
 		const now = this.parts.clock.now();
 		for (const [id, at] of this.#entries) {
 			if (now - at > entryMs) {
@@ -77,8 +84,6 @@
 				log('An entry instance is gone.', {entry: id, silentMs: Math.round(now - at)});
 			}
 		}
-
-		return this.#entries.size;
 	}
 
 	async #answer(params: WatchParams): Promise<WatchAnswer> {
@@ -149,6 +154,11 @@
 
 	#wake(): void {
 		const now = this.parts.clock.now();
+		if (now - this.#sweptAt >= sweepMs) {
+			this.#sweptAt = now;
+			this.#forgetSilent();
+		}
+
 		for (const waiting of this.#waiting) {
 			if (now >= waiting.until || this.#hasNews(waiting.params)) {
 				this.#waiting.delete(waiting);
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -119,7 +119,7 @@
 		clock,
 		shares: new StaticShareMap(first.id, [{id: first.id, dataCentre: poolDataCentre}]),
 		createPolicy: targets => new ForecastPolicy(targets, forecastOptions(first.estimates)),
-		engines: {report: async () => undefined, cancel: async () => undefined},
+		engines: undefined,
 		timings: {leaseMs: Number.POSITIVE_INFINITY, orphanMs: Number.POSITIVE_INFINITY},
 	});
 	const applyServers = (): void => {
--- a/packages/daemon/src/gateway/places.ts
+++ b/packages/daemon/src/gateway/places.ts
@@ -89,19 +89,15 @@
 /** Asks for places on behalf of streams. */
 export class Places {
 	readonly #asking = new Map<AbortController, number>();
-	readonly #timer: NodeJS.Timeout;
+	#timer: NodeJS.Timeout | undefined;
 	#downUntil = 0;
 	#isPinging = false;
 	#ownAttempts = firstOwnAttempt;
 
-	constructor(private readonly parts: PlacesParts) {
-		this.#timer = setInterval(() => {
-			void this.#watchOwner();
-		}, patienceMs);
-	}
+	constructor(private readonly parts: PlacesParts) {}
 
 	stop(): void {
-		clearInterval(this.#timer);
+		clearTimeout(this.#timer);
 	}
 
 	/** Tells a new owner of the places held, and asks it from now on. */
@@ -187,6 +183,7 @@
 
 		scope.signal.addEventListener('abort', end, {once: true});
 		this.#asking.set(abort, this.parts.clock.now());
+		this.#watchOwnerSoon();
 		const {answer, pool} = await this.parts.client.place(service, wish, abort.signal);
 		this.#asking.delete(abort);
 		scope.signal.removeEventListener('abort', end);
@@ -274,6 +271,17 @@
 		return toId<AttemptNumber>(this.#ownAttempts);
 	}
 
+	/** Looks after the owner as long as it is asked. */
+	#watchOwnerSoon(): void {
+		this.#timer ??= setTimeout(() => {
+			this.#timer = undefined;
+			void this.#watchOwner();
+			if (this.#asking.size > 0) {
+				this.#watchOwnerSoon();
+			}
+		}, patienceMs);
+	}
+
 	/** Gives up the wishes at an owner that went silent. */
 	async #watchOwner(): Promise<void> {
 		const {clock, peers} = this.parts;
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -66,7 +66,8 @@
 	readonly shares: ShareMap;
 	/** Makes the policy of one pool; the targets follow the catalogue in force. */
 	readonly createPolicy: (targets: LatencyTargets) => PlacementPolicy;
-	readonly engines: PoolEngines;
+	/** Undefined for pools that only count what their own instance does: no engine is asked, and no lease ends. */
+	readonly engines: PoolEngines | undefined;
 	/** Whether places may be given out, where an owner first lets holders of an earlier owner's places come forward. */
 	readonly mayGrant?: () => boolean;
 	/** Called with each place that is given out. */
@@ -87,6 +88,7 @@
 export class PoolHost {
 	readonly #pools = new Map<string, HostedPool>();
 	readonly #timers: NodeJS.Timeout[] = [];
+	#draining: NodeJS.Timeout | undefined;
 	#leaving: ReadonlySet<EngineId> = new Set();
 	readonly #suspects: EngineSuspects;
 	#snapshot: CatalogueSnapshot | undefined;
@@ -114,13 +116,14 @@
 		server?.registerMethod(POOL_PREFILL_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'prefillDone', hold: params}));
 		server?.registerMethod(POOL_TRANSFER_DONE, params => this.#feed(params.service, params.dataCentre, {kind: 'transferDone', hold: params}));
 		server?.registerMethod(POOL_RENEW, params => this.#feed(params.service, params.dataCentre, {kind: 'renew', holder: params.holder, places: params.places}));
+		if (this.parts.engines === undefined) {
+			return;
+		}
+
 		this.#timers.push(
 			setInterval(() => {
 				this.#tick();
 			}, tickMs),
-			setInterval(() => {
-				this.#drain();
-			}, drainMs),
 			setInterval(() => {
 				void this.#pollReports(this.#pools.values());
 			}, reportMs),
@@ -128,6 +131,7 @@
 	}
 
 	stop(): void {
+		clearTimeout(this.#draining);
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
@@ -333,13 +337,18 @@
 		}
 	}
 
-	/** Lets waiting requests start whose time has come. */
-	#drain(): void {
-		for (const hosted of this.#pools.values()) {
-			if (hosted.pool.waiting > 0) {
-				this.#perform(hosted, hosted.pool.step({kind: 'drain'}, this.parts.clock.now()));
+	/** Looks at waiting requests again soon: time alone may let one start, or end its wait. */
+	#drainSoon(): void {
+		this.#draining ??= setTimeout(() => {
+			this.#draining = undefined;
+			for (const hosted of this.#pools.values()) {
+				if (hosted.pool.waiting > 0) {
+					// Where no timer ends waits, this does
+					const kind = this.parts.engines === undefined ? 'tick' : 'drain';
+					this.#perform(hosted, hosted.pool.step({kind}, this.parts.clock.now()));
+				}
 			}
-		}
+		}, drainMs);
 	}
 
 	async #pollReports(pools: Iterable<HostedPool>): Promise<void> {
@@ -355,7 +364,7 @@
 
 		hosted.polling.add(engine.id);
 		const askedAt = this.parts.clock.now();
-		const report = await this.parts.engines.report(engine);
+		const report = await this.parts.engines?.report(engine);
 		hosted.polling.delete(engine.id);
 		if (report === 'unreachable') {
 			hosted.silent.add(engine.id);
@@ -371,6 +380,10 @@
 	}
 
 	#perform(hosted: HostedPool, effects: readonly PoolEffect[]): void {
+		if (hosted.pool.waiting > 0) {
+			this.#drainSoon();
+		}
+
 		for (const effect of effects) {
 			if (effect.kind === 'cancel') {
 				void this.#cancel(hosted, effect.engine, effect.hold);
@@ -391,7 +404,7 @@
 
 	async #cancel(hosted: HostedPool, engine: EngineAddress, hold: EngineHold): Promise<void> {
 		log('Memory without a live holder is freed.', {engine: engine.id, requestId: hold.requestId, attempt: hold.attempt});
-		await this.parts.engines.cancel(engine, hold);
+		await this.parts.engines?.cancel(engine, hold);
 		this.#perform(hosted, hosted.pool.step({kind: 'freed', hold}, this.parts.clock.now()));
 	}
 }
