--- a/packages/core/src/__tests__/unit/learned-engines.test.ts
+++ b/packages/core/src/__tests__/unit/learned-engines.test.ts
@@ -193,3 +193,13 @@
 		expect(readersOf(pool)).toHaveLength(6);
 	});
 });
+
+test('a prompt that fits no engine is refused at once, also while others wait', () => {
+	const pool = createPool([createEntry('p1', 'prefill'), createEntry('d1', 'decode')]);
+	for (let index = 0; index < 30; index++) {
+		pool.step({kind: 'place', req: createRequest(`r${index}`)}, at(0));
+	}
+
+	const effects = pool.step({kind: 'place', req: createRequest('huge', {promptTokens: 100_000})}, at(1));
+	expect([pool.waiting > 0, effects.map(effect => effect.kind === 'refused' ? effect.error.kind : effect.kind)]).toEqual([true, ['promptTooLong']]);
+});
--- a/packages/core/src/placement/engine-pool.ts
+++ b/packages/core/src/placement/engine-pool.ts
@@ -214,6 +214,10 @@
 			return [this.#placedEffect(granted)];
 		}
 
+		if (this.#index.largestPieces > 0 && req.pieces > this.#index.largestPieces) {
+			return [{kind: 'refused', hold: req, error: routerError('promptTooLong', `${req.promptTokens} tokens need ${req.pieces} pieces`)}];
+		}
+
 		const admission = this.#queue.length >= this.limits.queue ? {kind: 'refuse' as const, error: routerError('overloaded')} : this.policy.admit?.(req, this.#queue, now);
 		if (admission?.kind === 'refuse') {
 			return [{kind: 'refused', hold: req, error: admission.error}];
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -110,7 +110,7 @@
 			log('A stream got no place.', {
 				requestId: call.requestId, round, kind: asked.error.kind, retryAfterMs: asked.error.retryAfterMs, leftMs: Math.round(scope.remainingMs()),
 			});
-			return asked.error.kind === 'noBackend' ? this.#withoutPrefill(progress, asked.error) : {isFinal: true, reply: errorReply({...asked.error, retryAfterMs: this.#comeBackMs(call, asked.error)})};
+			return this.#refused(progress, asked.error);
 		}
 
 		const {place} = asked;
@@ -120,6 +120,25 @@
 		return this.#whileHeld(progress, place, async () => this.#usePlace(progress, place));
 	}
 
+	/** What a refused place comes to. */
+	async #refused(progress: Progress, error: RouterError): Promise<RoundResult> {
+		const {call} = progress;
+		switch (error.kind) {
+			case 'noBackend': {
+				return this.#withoutPrefill(progress, error);
+			}
+
+			case 'promptTooLong': {
+				// The call is proper: engines without enough memory refuse it as full engines do, and it need not come back soon
+				return {isFinal: true, reply: errorReply(routerError('noBackend', error.detail, call.route.timeoutMs))};
+			}
+
+			default: {
+				return {isFinal: true, reply: errorReply({...error, retryAfterMs: this.#comeBackMs(call, error)})};
+			}
+		}
+	}
+
 	/** Gives the place back after its use, with what was met there. */
 	async #whileHeld(progress: Progress, place: Place, use: () => Promise<RoundResult>): Promise<RoundResult> {
 		try {
