Give no work to engines that fail it, and learn latency from idle engines alone

Ruled out: too few prefill engines (8 read 60 prompts a second until then), a leader short of processor time (0.28 of 0.81 cores). Change: entry instances tell which engines failed or served a call; two failures, halved by each success, take an engine out for 1 s, doubled to 8 s, whatever it says of itself, and never half of a pool. A prefill engine with an overdue prompt gets one each 0.5 s. Only prompts that found an engine without any teach latency; broken reads start from a milder estimate of their pauses.

--- a/packages/core/src/__tests__/unit/learned-engines.test.ts
+++ b/packages/core/src/__tests__/unit/learned-engines.test.ts
@@ -203,3 +203,48 @@
 	const effects = pool.step({kind: 'place', req: createRequest('huge', {promptTokens: 100_000})}, at(1));
 	expect([pool.waiting > 0, effects.map(effect => effect.kind === 'refused' ? effect.error.kind : effect.kind)]).toEqual([true, ['promptTooLong']]);
 });
+
+describe('a prefill engine that takes prompts and answers none', () => {
+	/** Replays ten calls a second while one of three prefill engines is silent; returns how many it got. */
+	const countLost = (): number => {
+		const pool = createPool([createEntry('p1', 'prefill'), createEntry('p2', 'prefill'), createEntry('p3', 'prefill'), ...Array.from({length: 6}, (_, index) => createEntry(`d${index}`, 'decode'))]);
+		const events: Array<{readonly at: number; readonly run: () => void}> = [];
+		let lost = 0;
+		const take = (effects: ReturnType<EnginePool['step']>, now: number): void => {
+			for (const effect of effects) {
+				if (effect.kind !== 'placed') {
+					continue;
+				}
+
+				const {hold} = effect;
+				const isSilent = effect.placement.prefill.id === toId<EngineId>('p1');
+				lost += isSilent ? 1 : 0;
+				const doneAt = now + (isSilent ? 1500 : 110);
+				events.push(
+					{
+						at: doneAt, run: () => take(pool.step({kind: 'prefillDone', hold}, at(doneAt)), doneAt),
+					},
+					{at: doneAt + 400, run: () => take(pool.step({kind: 'release', hold}, at(doneAt + 400)), doneAt + 400)},
+				);
+			}
+		};
+
+		for (let now = 0; now < 10_000; now += 10) {
+			if (now % 100 === 0) {
+				take(pool.step({kind: 'place', req: createRequest(`r${now}`, {maxTokens: 100})}, at(now)), now);
+			}
+
+			for (const event of events.filter(({at: due}) => due > now - 10 && due <= now)) {
+				event.run();
+			}
+
+			take(pool.step({kind: 'drain'}, at(now)), now);
+		}
+
+		return lost;
+	};
+
+	test('gets a prompt now and then, not its share', () => {
+		expect(countLost()).toBeLessThan(20);
+	});
+});
--- a/packages/core/src/placement/forecast-policy.ts
+++ b/packages/core/src/placement/forecast-policy.ts
@@ -132,11 +132,16 @@
 	/** The engine that ends the prefill first, among the least loaded. */
 	#choosePrefill(req: PlacementRequest, engines: EngineIndex, isUsable: (engine: EngineView) => boolean, now: Instant): {engine: EngineView; prediction: Prediction} | undefined {
 		let best: {engine: EngineView; prediction: Prediction} | undefined;
+		let stalled: typeof best;
 		let examined = 0;
 		for (const engine of engines.byLoad('prefill')) {
 			if (isUsable(engine)) {
 				const prediction = this.#forecast.predict(engine.id, req.promptTokens, now);
-				best = best === undefined || prediction.transferEndsAt < best.prediction.transferEndsAt ? {engine, prediction} : best;
+				if (this.#forecast.isStalled(engine.id, now)) {
+					stalled ??= {engine, prediction};
+				} else {
+					best = best === undefined || prediction.transferEndsAt < best.prediction.transferEndsAt ? {engine, prediction} : best;
+				}
 			}
 
 			examined += 1;
@@ -145,6 +150,6 @@
 			}
 		}
 
-		return best;
+		return best ?? stalled;
 	}
 }
--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -22,8 +22,8 @@
 /** Time constant of the queue's learned speed. */
 const drainMemoryMs = 5000;
 
-/** A prompt teaches the speed of reading when its engine is predicted to be free within this, in milliseconds. */
-const certainWaitMs = 30;
+/** A prefill engine gets no further prompts when one is overdue by this, in milliseconds: several usual prompts. */
+const stalledMs = 500;
 /** Standard deviations of the memory that running streams hold, kept free: overrun five times out of six below it. */
 const reserveDeviations = 1;
 /** Weight of the last engine's rate in the usual rate of a prefill. */
@@ -152,6 +152,11 @@
 		};
 	}
 
+	/** Whether an engine owes an answer for so long that it may not answer at all. */
+	isStalled(prefill: EngineId, now: Instant): boolean {
+		return this.#line(prefill).overdueMs(now) > stalledMs;
+	}
+
 	/** Predicts the first output of a decode engine that reads a prompt itself; undefined where engines can't. */
 	predictDirect(decode: EngineId, tokens: number, now: Instant): {readonly startsAt: Instant; readonly firstOutputAt: Instant} | undefined {
 		if (this.#directSpeed === undefined) {
@@ -223,7 +228,8 @@
 		const {prefillEndsAt} = this.predict(prefill, req.promptTokens, now);
 		const line = this.#line(prefill, isDirect ? this.#directSpeed : this.#prefillSpeed);
 		const freeAt = line.endsAt(now);
-		const isCertain = freeAt > now ? freeAt - now <= certainWaitMs : line.jobs === 0;
+		// Behind an unanswered prompt, a wait inside the engine would pass for latency
+		const isCertain = freeAt <= now && line.jobs === 0;
 		line.add(req, req.promptTokens, now);
 		if (isDirect && req.steadyGapMs !== undefined) {
 			this.#pauses.noteRead(decode, req.promptTokens, req.steadyGapMs, now);
--- a/packages/core/src/placement/pipelined-line.ts
+++ b/packages/core/src/placement/pipelined-line.ts
@@ -4,6 +4,7 @@
 import type {Instant} from '../time.js';
 import {holdKey} from './hold-table.js';
 import type {ReadSpeedEstimate} from './read-speed.js';
+import {markOvertaken} from './work-line.js';
 import type {Line} from './work-line.js';
 
 /** Weight of the newest completion in the learned rate. */
@@ -16,6 +17,8 @@
 	readonly readyAt: Instant;
 	startsAt: Instant;
 	endsAt: Instant;
+	/** Whether a later job was completed. */
+	isOvertaken: boolean;
 };
 
 /**
@@ -56,7 +59,7 @@
 		const startsAt = Math.max(readyAt, this.#freeAt ?? readyAt) as Instant;
 		const endsAt = after(startsAt, this.durationMs(tokens));
 		this.#jobs.set(holdKey(hold), {
-			tokens, readyAt, startsAt, endsAt,
+			tokens, readyAt, startsAt, endsAt, isOvertaken: false,
 		});
 		this.#freeAt = endsAt;
 	}
@@ -68,6 +71,10 @@
 			return;
 		}
 
+		if (completed) {
+			markOvertaken(this.#jobs, key);
+		}
+
 		this.#jobs.delete(key);
 		if (!completed) {
 			this.#giveBack(job, now);
@@ -84,6 +91,11 @@
 		return Math.max(now, this.#freeAt ?? now) as Instant;
 	}
 
+	overdueMs(now: Instant): number {
+		const oldest = [...this.#jobs.values()].find(({isOvertaken}) => !isOvertaken);
+		return oldest === undefined ? 0 : Math.max(0, now - oldest.endsAt - this.speed.latencyMs);
+	}
+
 	/** Moves what the engine has still to do, where there is anything. */
 	#shift(ms: number): void {
 		if (this.#jobs.size === 0 || ms === 0) {
--- a/packages/core/src/placement/read-pauses.ts
+++ b/packages/core/src/placement/read-pauses.ts
@@ -2,8 +2,10 @@
 import type {EngineId} from '../ids.js';
 import type {Instant} from '../time.js';
 
-/** Weight of the newest stream in the learned figures. */
-const learningWeight = 0.1;
+/** Weight of the newest stream in the learned figures, once several were seen. */
+const learningWeight = 0.05;
+/** Pause for each token read as a part of the time that the read takes, until streams teach it. */
+const initialStoppedPart = 0.6;
 /** How long reads are remembered for the streams that they delayed, in milliseconds: several times a stream's length. */
 const keptMs = 30_000;
 /** A pause may come out longer than the mean by this factor. */
@@ -28,7 +30,7 @@
 /**
  * Learns how long the outputs of an engine's streams pause while it reads a prompt, and says whether one more prompt
  * keeps them steady. Answers the loss of an engine under load: its streams are read again elsewhere, and read all at
- * once they make every stream there late. Until streams teach it, a read is taken to stop the others.
+ * once they make every stream there late.
  *
  * @see Agrawal et al., "Taming Throughput-Latency Tradeoff in LLM Inference with Sarathi-Serve", 2024, on stalls of decodes by prefills.
  * @example
@@ -39,7 +41,8 @@
 	readonly #reads = new Map<EngineId, Read[]>();
 	#betweenMs = 0;
 	/** Pause for each token read, as a part of the time that the read takes. */
-	#stoppedPart = 1;
+	#stoppedPart = initialStoppedPart;
+	#streams = 0;
 
 	/** Whether streams stay within `gapMs` between outputs when the engine reads `tokens` more now, at `msPerToken`. */
 	fits(engine: EngineId, tokens: number, msPerToken: number, gapMs: number, now: Instant): boolean {
@@ -56,7 +59,7 @@
 
 	/** Learns from a stream that ended on an engine. */
 	learn(engine: EngineId, {startedAt, betweenMs, longestMs}: StreamPace, msPerToken: number): void {
-		this.#betweenMs += (this.#betweenMs === 0 ? 1 : learningWeight) * (betweenMs - this.#betweenMs);
+		this.#betweenMs += (this.#betweenMs === 0 ? 1 : learningWeight * 2) * (betweenMs - this.#betweenMs);
 		const most = Math.max(0, ...(this.#reads.get(engine) ?? []).filter(({at}) => at > startedAt).map(({windowTokens}) => windowTokens));
 		if (most === 0) {
 			return;
@@ -64,7 +67,8 @@
 
 		// Longer pauses have other causes, such as a preemption
 		const part = Math.min(1, Math.max(0, longestMs - betweenMs) / (most * msPerToken));
-		this.#stoppedPart += learningWeight * (part - this.#stoppedPart);
+		this.#streams += 1;
+		this.#stoppedPart += Math.max(learningWeight, 1 / (this.#streams + 2)) * (part - this.#stoppedPart);
 	}
 
 	#windowTokens(engine: EngineId, gapMs: number, now: Instant): number {
--- a/packages/core/src/placement/read-speed.ts
+++ b/packages/core/src/placement/read-speed.ts
@@ -2,8 +2,8 @@
 
 /** Weight that older prompts keep at each new one: the last fifty count most. */
 const forgetting = 0.98;
-/** Weight of each of the two points that stand for the estimate. */
-const estimateWeight = 1;
+/** Weight of each of the two points that stand for the estimate: the first prompts go before it. */
+const estimateWeight = 0.1;
 /** Tokens of the two prompts that stand for the estimate: far enough apart to tell the rate from the latency. */
 const estimatedTokens = [500, 8000] as const;
 /** A prompt counts with at most this many times its predicted time: what is beyond was held up by something else. */
--- a/packages/core/src/placement/work-line.ts
+++ b/packages/core/src/placement/work-line.ts
@@ -11,6 +11,8 @@
 	readonly tokens: number;
 	/** When the job can start at the earliest. */
 	readonly readyAt: Instant;
+	/** Whether a later job was completed: the engine works, and this one's answer was lost. */
+	isOvertaken: boolean;
 };
 
 /** A line of work on one engine or link. */
@@ -19,6 +21,8 @@
 	readonly tokensPerMs: number;
 	/** Jobs that have not ended. */
 	readonly jobs: number;
+	/** How long the oldest job is overdue of those that no later completion has overtaken, in milliseconds; 0 when none is. */
+	overdueMs(now: Instant): number;
 	/** How long `tokens` take, in milliseconds. */
 	durationMs(tokens: number): number;
 	/** Appends a job that can start at `readyAt`. */
@@ -29,6 +33,17 @@
 	endsAt(now: Instant): Instant;
 };
 
+/** Marks the jobs before a completed one. */
+export const markOvertaken = (jobs: ReadonlyMap<string, {isOvertaken: boolean}>, completed: string): void => {
+	for (const [key, job] of jobs) {
+		if (key === completed) {
+			return;
+		}
+
+		job.isOvertaken = true;
+	}
+};
+
 /**
  * Predicts when a line of jobs ends: the prefills of one engine, or the transfers over one link.
  *
@@ -67,7 +82,7 @@
 			this.#headStartedAt = readyAt;
 		}
 
-		this.#jobs.set(holdKey(hold), {tokens, readyAt});
+		this.#jobs.set(holdKey(hold), {tokens, readyAt, isOvertaken: false});
 		this.#tokens += tokens;
 	}
 
@@ -80,6 +95,10 @@
 		}
 
 		const [head] = this.#jobs.keys();
+		if (completed) {
+			markOvertaken(this.#jobs, key);
+		}
+
 		this.#jobs.delete(key);
 		this.#tokens -= job.tokens;
 		if (head !== key) {
@@ -95,6 +114,11 @@
 		this.#headStartedAt = next === undefined ? undefined : Math.max(now, next.readyAt) as Instant;
 	}
 
+	overdueMs(now: Instant): number {
+		const head = [...this.#jobs.values()].find(({isOvertaken}) => !isOvertaken);
+		return head === undefined ? 0 : Math.max(0, now - Math.max(this.#headStartedAt!, head.readyAt) - this.durationMs(this.#tokens));
+	}
+
 	/** When all jobs of the line will be done; `now` for an empty line. */
 	endsAt(now: Instant): Instant {
 		if (this.#headStartedAt === undefined) {
--- a/packages/core/src/rpc/commands.ts
+++ b/packages/core/src/rpc/commands.ts
@@ -80,6 +80,10 @@
 export type PoolReleaseParams = PoolHoldParams & StreamOutcome & {
 	/** Engines that could not be reached, or were not the listed ones. */
 	readonly unreachable?: readonly EngineId[];
+	/** Engines that took the call and failed it: broke it off, fell silent, or sent what is no answer. */
+	readonly failed?: readonly EngineId[];
+	/** Engines that did their part. */
+	readonly served?: readonly EngineId[];
 };
 
 /** The places that a holder still uses in one pool. */
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/engine-suspects.test.ts
@@ -0,0 +1,55 @@
+import {expect, test} from 'vitest';
+import {ManualClock, toId} from '@baobabpier/core';
+import type {EngineId} from '@baobabpier/core';
+import {EngineSuspects} from '../../pools/engine-suspects.js';
+
+const engine = toId<EngineId>('e1');
+
+type Step = 'answered' | 'failed' | 'served' | 'unreachable' | number;
+
+const cases: ReadonlyArray<{readonly name: string; readonly steps: readonly Step[]; readonly isSuspect: boolean}> = [
+	{name: 'one failure', steps: ['failed'], isSuspect: false},
+	{name: 'two failures', steps: ['failed', 'failed'], isSuspect: true},
+	{name: 'two failures among many served calls', steps: ['failed', 'served', 'served', 'failed'], isSuspect: false},
+	{name: 'failures whose engine answers questions about itself', steps: ['failed', 'failed', 10, 'answered'], isSuspect: true},
+	{name: 'silence that ended', steps: ['unreachable', 10, 'answered'], isSuspect: false},
+	{name: 'silence on top of failures that ended', steps: ['failed', 'failed', 'unreachable', 10, 'answered'], isSuspect: true},
+	{name: 'failures a second ago', steps: ['failed', 'failed', 1100], isSuspect: false},
+	{name: 'another failure after that, a second ago', steps: ['failed', 'failed', 1100, 'failed', 1100], isSuspect: true},
+	{name: 'another failure after served calls', steps: ['failed', 'failed', 1100, 'served', 'served', 'served', 'failed'], isSuspect: false},
+];
+
+test.each(cases)('$name: suspect $isSuspect', ({steps, isSuspect}) => {
+	const clock = new ManualClock();
+	const suspects = new EngineSuspects(clock, () => undefined);
+	for (const step of steps) {
+		switch (step) {
+			case 'failed': {
+				suspects.fail(engine);
+				break;
+			}
+
+			case 'served': {
+				suspects.succeed(engine);
+				break;
+			}
+
+			case 'unreachable': {
+				suspects.add([engine]);
+				break;
+			}
+
+			case 'answered': {
+				suspects.trust(engine, clock.now());
+				break;
+			}
+
+			default: {
+				clock.advance(step);
+				suspects.expire();
+			}
+		}
+	}
+
+	expect(suspects.ids.has(engine)).toBe(isSuspect);
+});
--- a/packages/daemon/src/gateway/places.ts
+++ b/packages/daemon/src/gateway/places.ts
@@ -30,7 +30,7 @@
 const firstOwnAttempt = 1000;
 
 /** What a place's use showed. */
-export type PlaceUse = Pick<ReleaseFacts, 'pace' | 'unreachable'> & {
+export type PlaceUse = Omit<ReleaseFacts, 'outputTokens'> & {
 	/** Events of a stream that completed. */
 	readonly events: number | undefined;
 };
@@ -247,13 +247,14 @@
 				this.#noteAlone(pool, place);
 				void client.hold(pool, place);
 			},
-			release({events, pace, unreachable}) {
+			release({events, ...met}) {
+				const {pace} = met;
 				const outputTokens = events === undefined ? undefined : tokensOf(pool.service, events);
 				alone.note(pool, {
 					kind: 'release', hold, pace, outputTokens,
 				});
 				void client.release(pool, {
-					...hold, pace, outputTokens, unreachable,
+					...hold, ...met, outputTokens,
 				});
 			},
 			isOwned: false,
--- a/packages/daemon/src/gateway/prompt-reader.ts
+++ b/packages/daemon/src/gateway/prompt-reader.ts
@@ -9,7 +9,7 @@
 import type {Place} from './places.js';
 import type {SecondTries} from './second-tries.js';
 import type {SendFault, ServerTransport} from './server-transport.js';
-import {rejectedComeBackMs} from './stream-progress.js';
+import {noteResult, rejectedComeBackMs} from './stream-progress.js';
 import type {Progress} from './stream-progress.js';
 import type {KvSource, ServerDialect} from './types.js';
 
@@ -58,7 +58,9 @@
 		place.prefillDone();
 		const handle = answer.kind === 'head' && answer.status === 200 && Buffer.isBuffer(body) ? dialect.readPrefill(body) : undefined;
 		const isMisplaced = answer.kind === 'head' && dialect.readHead(answer.status, answer.rawHeaders).isMisplaced;
-		end(prefillResultOf(answer.kind, handle !== undefined, isMisplaced, scope));
+		const result = prefillResultOf(answer.kind, handle !== undefined, isMisplaced, scope);
+		end(result);
+		noteResult(progress, server, result);
 		log('A prompt was read.', {
 			requestId: call.requestId, engine: server.id, tokens: call.promptTokens, ms: Math.round(this.parts.clock.now() - startedAt), isRead: handle !== undefined,
 			status: answer.kind === 'head' ? answer.status : undefined, detail: 'detail' in answer ? answer.detail : undefined,
--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -2,7 +2,9 @@
 import type {
 	EngineId, ListedServer, PaceSample, ServiceName,
 } from '@baobabpier/core';
+import {toId} from '@baobabpier/core';
 import type {CallScope} from './call-scope.js';
+import type {CallResult} from './fleet-view.js';
 import type {SendFault} from './server-transport.js';
 import type {AnswerHead, Call} from './types.js';
 
@@ -36,6 +38,15 @@
 	readonly lease: string | undefined;
 };
 
+/** Takes note of what a call's result says of its engine. */
+export const noteResult = ({failed, served}: Progress, {id}: ListedServer, result: CallResult): void => {
+	if (result === 'failed') {
+		failed.push(toId<EngineId>(id));
+	} else if (result === 'good') {
+		served.push(toId<EngineId>(id));
+	}
+};
+
 /** What is known of one stream on its way. */
 export type Progress = {
 	readonly call: Call;
@@ -48,6 +59,9 @@
 	/** Prefills that were sent. */
 	prefills: number;
 	lastEventId: string | undefined;
+	/** Engines that failed or did their part since the last place was given back. */
+	readonly failed: EngineId[];
+	readonly served: EngineId[];
 	/** Events that the caller got. */
 	events: number;
 	isComplete: boolean;
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -17,7 +17,7 @@
 import type {Reply} from './reply.js';
 import type {SecondTries} from './second-tries.js';
 import type {OpenAnswer, ServerTransport} from './server-transport.js';
-import {rejectedComeBackMs} from './stream-progress.js';
+import {noteResult, rejectedComeBackMs} from './stream-progress.js';
 import type {
 	DecodeOutcome, EngineRoom, Progress, StreamOutput,
 } from './stream-progress.js';
@@ -70,7 +70,7 @@
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
 		this.parts.tries.noteCall(service);
 		const progress: Progress = {
-			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, events: 0, isComplete: false, pace: undefined,
+			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], events: 0, isComplete: false, pace: undefined,
 		};
 		let reply: Reply = errorReply(routerError('noBackend', undefined, rejectedComeBackMs));
 		for (let round = 1; round <= maxRounds && scope.reason === undefined; round++) {
@@ -145,7 +145,9 @@
 			return await use();
 		} finally {
 			const unreachable = [place.decode, place.prefill].map(({id}) => id).filter(id => this.parts.fleet.isUnreachable(toId<BackendId>(id)));
-			place.release({unreachable, pace: progress.pace, events: progress.isComplete ? progress.events : undefined});
+			place.release({
+				unreachable, pace: progress.pace, events: progress.isComplete ? progress.events : undefined, failed: progress.failed.splice(0), served: progress.served.splice(0),
+			});
 		}
 	}
 
@@ -329,7 +331,9 @@
 			: answer;
 		progress.pace = pace.sample;
 		limit.release();
-		end(resultOf(outcome, scope));
+		const result = resultOf(outcome, scope);
+		end(result);
+		noteResult(progress, server, result);
 		log('A stream got an outcome at an engine.', {
 			requestId: call.requestId, engine: server.id, purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: answer.kind === 'head' ? answer.status : undefined,
 			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, firstEventMs: pace.firstAt === undefined ? undefined : Math.round(pace.firstAt - startedAt), longestPauseMs: pace.sample === undefined ? undefined : Math.round(pace.sample.longestMs ?? 0), ms: Math.round(clock.now() - startedAt), ended: scope.reason,
--- a/packages/daemon/src/pools/place-client.ts
+++ b/packages/daemon/src/pools/place-client.ts
@@ -57,7 +57,7 @@
 };
 
 /** What a release tells besides its hold. */
-export type ReleaseFacts = Pick<PoolReleaseParams, 'outputTokens' | 'pace' | 'unreachable'>;
+export type ReleaseFacts = Pick<PoolReleaseParams, 'failed' | 'outputTokens' | 'pace' | 'served' | 'unreachable'>;
 
 /** What a place client needs. */
 export type PlaceClientParts = {
@@ -202,6 +202,8 @@
 				pace: hold.pace,
 				outputTokens: hold.outputTokens,
 				unreachable: hold.unreachable,
+				failed: hold.failed,
+				served: hold.served,
 			}, callMs);
 		} catch {
 			// The owner takes the place back when its lease ends
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -21,6 +21,7 @@
 	PlaceParams,
 	PlacementPolicy,
 	PoolEffect,
+	PoolReleaseParams,
 	PoolEvent,
 	PoolTimings,
 	ServiceName,
@@ -109,6 +110,7 @@
 		server?.registerMethod(POOL_PLACE, async (params, {signal}) => this.place(params, signal));
 		server?.registerMethod(POOL_RELEASE, params => {
 			this.#suspects.add(params.unreachable ?? []);
+			this.#judge(params);
 			return this.#feed(params.service, params.dataCentre, {
 				kind: 'release', hold: params, pace: params.pace, outputTokens: params.outputTokens,
 			});
@@ -241,6 +243,19 @@
 		}
 	}
 
+	/** Judges engines by what holders met; where half of a pool would be out, the fault is taken to lie elsewhere. */
+	#judge({service, dataCentre, failed = [], served = []}: PoolReleaseParams): void {
+		for (const engine of served) {
+			this.#suspects.succeed(engine);
+		}
+
+		const engines = this.#pools.get(poolKey(service, dataCentre))?.engines ?? [];
+		const suspected = engines.filter(({id}) => this.#suspects.ids.has(id)).length;
+		for (const engine of suspected < engines.length / 2 ? failed : []) {
+			this.#suspects.fail(engine);
+		}
+	}
+
 	#applyLeaving(): void {
 		const leaving = this.#unusable;
 		for (const hosted of this.#pools.values()) {
