--- a/packages/core/src/__tests__/unit/learned-engines.test.ts
+++ b/packages/core/src/__tests__/unit/learned-engines.test.ts
@@ -222,9 +222,15 @@
 				const doneAt = now + (isSilent ? 1500 : 110);
 				events.push(
 					{
-						at: doneAt, run: () => take(pool.step({kind: 'prefillDone', hold}, at(doneAt)), doneAt),
+						at: doneAt, run() {
+							take(pool.step({kind: 'prefillDone', hold}, at(doneAt)), doneAt);
+						},
+					},
+					{
+						at: doneAt + 400, run() {
+							take(pool.step({kind: 'release', hold}, at(doneAt + 400)), doneAt + 400);
+						},
 					},
-					{at: doneAt + 400, run: () => take(pool.step({kind: 'release', hold}, at(doneAt + 400)), doneAt + 400)},
 				);
 			}
 		};
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -100,7 +100,7 @@
 	}
 
 	async #round(progress: Progress, round: number): Promise<RoundResult> {
-		const {call, service, scope, out} = progress;
+		const {call, scope, out} = progress;
 		if (out.isBegun) {
 			return this.#goOn(progress, round);
 		}
