Cut off answers whose head or events never end, and give runs and reports parts of their own

Cause: found by a test: a status line without end, and interim answers without end, are bounded by neither the HTTP parser nor us; they went on until the call's deadline (5 s in the test, 14 s for a stream). An event without end was kept whole in memory, and a byte now and then that makes no event kept a stalled stream alive. Ruled out: header fields (16 KiB by the parser), bytes that are no head, bodies (8 MiB): bounded before. Change: a connection with over 64 KiB between request and head is destroyed, an event over 256 KiB breaks the stream off, and only whole events count as life.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -276,7 +276,7 @@
 export type {ForecastOptions} from './placement/forecast.js';
 export {RolePlanner} from './placement/role-planner.js';
 export type {
-	RoleCandidate, RoleCapacity, RoleChange, UsualMix,
+	RoleCandidate, RoleCapacity, RoleChange, ExpectedMix,
 } from './placement/role-planner.js';
 export {PipelinedLine} from './placement/pipelined-line.js';
 export {planMembership} from './consensus/membership.js';
--- a/packages/core/src/placement/role-planner.ts
+++ b/packages/core/src/placement/role-planner.ts
@@ -48,7 +48,7 @@
 };
 
 /** The usual mix of a deployment, until requests teach it. */
-export type UsualMix = {
+export type ExpectedMix = {
 	/** Tokens of a prompt. */
 	readonly promptTokens: number;
 	/** Memory pieces of a stream. */
@@ -82,7 +82,7 @@
 	/** Weight of the time before the first sample in the averages. */
 	#unseenPart = 1;
 
-	constructor(private readonly capacity: RoleCapacity, private readonly usual?: UsualMix) {}
+	constructor(private readonly capacity: RoleCapacity, private readonly usual?: ExpectedMix) {}
 
 	/** Counts a prompt that was given to an engine. */
 	noteGrant(promptTokens: number): void {
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/endless-answers.test.ts
@@ -0,0 +1,126 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterAll, expect, test} from 'vitest';
+import {toId} from '@baobabpier/core';
+import type {
+	BackendId, DataCentreId, Route, ServiceName,
+} from '@baobabpier/core';
+import {CallScope} from '../../gateway/call-scope.js';
+import {EngineRuns} from '../../gateway/engine-runs.js';
+import {FleetView} from '../../gateway/fleet-view.js';
+import {ServerTransport} from '../../gateway/server-transport.js';
+import type {Progress} from '../../gateway/stream-progress.js';
+import type {Call, ServerDialect} from '../../gateway/types.js';
+import {monotonicClock} from '../../monotonic-clock.js';
+
+const transport = new ServerTransport(() => 2);
+const servers: Server[] = [];
+const mebibyte = 1024 * 1024;
+const block = Buffer.alloc(64 * 1024, 'x');
+
+/** Sends `head`, then `part` over and over until its caller closes; counts what it could write. */
+const listenEndless = async (head: string, part: Uint8Array, pauseMs = 0): Promise<{readonly address: string; readonly sent: () => number; readonly closed: Promise<unknown>}> => {
+	let sent = 0;
+	let close: (value: unknown) => void;
+	const closed = new Promise(resolve => {
+		close = resolve;
+	});
+	const serve = async (socket: Socket): Promise<void> => {
+		socket.on('error', () => undefined);
+		socket.once('close', close);
+		await once(socket, 'data');
+		socket.write(head);
+		while (!socket.destroyed) {
+			sent += part.length;
+			const isTaken = socket.write(part);
+			const drained = isTaken
+				? sleep(pauseMs)
+				: new Promise(resolve => {
+					socket.once('drain', resolve);
+				});
+			// eslint-disable-next-line no-await-in-loop
+			await Promise.race([drained, closed]);
+		}
+	};
+
+	const server = createServer(socket => {
+		void serve(socket);
+	});
+	servers.push(server);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, sent: () => sent, closed};
+};
+
+afterAll(async () => {
+	await transport.close();
+	for (const server of servers) {
+		server.close();
+	}
+});
+
+const chunk = Buffer.concat([Buffer.from('10000\r\n'), block, Buffer.from('\r\n')]);
+
+test.each([
+	{name: 'a head line', head: 'HTTP/1.1 200 ', part: block},
+	{name: 'interim answers', head: '', part: Buffer.from('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(500))},
+	{name: 'head lines', head: 'HTTP/1.1 200 OK\r\n', part: Buffer.from('x-filler: 1\r\n'.repeat(500))},
+	{name: 'bytes that are no head', head: '', part: block},
+	{name: 'a body in chunks', head: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n', part: chunk},
+	{name: 'a body without a length', head: 'HTTP/1.1 200 OK\r\n\r\n', part: block},
+])('$name without end is cut off within a bound, and its connection is closed', async ({head, part}) => {
+	const server = await listenEndless(head, part);
+	const before = process.memoryUsage.rss();
+	const answer = await transport.open({
+		address: server.address, method: 'GET', target: '/', headers: [], body: undefined, signal: AbortSignal.timeout(5000),
+	});
+	const outcome = answer.kind === 'head' ? await transport.readBody(answer) : answer;
+	expect('kind' in outcome && outcome.kind).toBe('broken');
+	await server.closed;
+	expect(server.sent()).toBeLessThan(32 * mebibyte);
+	expect(process.memoryUsage.rss() - before).toBeLessThan(96 * mebibyte);
+});
+
+const dialect = {
+	sendHeaders: () => [],
+	readHead: (status: number, rawHeaders: readonly string[]) => ({
+		status, rawHeaders, requestId: undefined, isVouched: true, isMisplaced: false, isNotRun: false, isEncoded: false, load: undefined,
+	}),
+} as unknown as ServerDialect;
+
+const resumableRoute = {resumable: true} as unknown as Route;
+const streamHead = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+
+test.each([
+	{
+		name: 'an event without end', part: chunk, pauseMs: 0, detail: 'an event is over', withinMs: 2000,
+	},
+	{
+		name: 'a byte now and then that makes no event', part: Buffer.from('1\r\n:\r\n'), pauseMs: 200, detail: 'the engine is silent', withinMs: 3500,
+	},
+])('a stream of $name is broken off', async ({part, pauseMs, detail, withinMs}) => {
+	const server = await listenEndless(streamHead, part, pauseMs);
+	const runs = new EngineRuns({
+		fleet: new FleetView(monotonicClock), transport, dialect, clock: monotonicClock,
+	});
+	const now = monotonicClock.now();
+	const call = {
+		method: 'POST', target: '/', rawHeaders: [], body: new Uint8Array(0), route: resumableRoute, arrivedAt: now, deadlineAt: (now + 20_000) as typeof now, lastEventId: undefined,
+	} as unknown as Call;
+	const scope = new CallScope(monotonicClock, call.deadlineAt);
+	const progress = {
+		call, scope, sent: 0, events: 0, failed: [], served: [], lastEventId: undefined, out: {
+			isBegun: false, begin: () => undefined, write: () => undefined, end: () => undefined, breakOff: () => undefined,
+		},
+	} as unknown as Progress;
+	const outcome = await runs.run(progress, {
+		id: toId<BackendId>('e1'), address: server.address, service: toId<ServiceName>('lm'), dataCentre: toId<DataCentreId>('a'), leaving: false,
+	} as never, {kind: 'run'}, () => undefined);
+	expect([outcome.kind, 'detail' in outcome && outcome.detail.startsWith(detail), progress.failed]).toEqual(['broken', true, ['e1']]);
+	await server.closed;
+	expect(monotonicClock.now() - now).toBeLessThan(withinMs);
+});
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -180,7 +180,7 @@
 			return service === undefined ? undefined : piecesOfEngine(service);
 		},
 		prefillTokensPerMs: service => pools.prefillTokensPerMs(service) ?? first.estimates.prefill.tokensPerMs,
-		usualMix: {
+		expectedMix: {
 			promptTokens: calls.promptTokens, pieces: countPieces(calls.promptTokens + calls.outputTokens, pieceTokens), decodeMs: calls.streamMs,
 		},
 		isFirstLead: () => first.isFirstStart && shares.fencing === 1,
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -1,7 +1,7 @@
 /** Orders engines to change their role while this instance leads, as the role planner says. */
 import {RolePlanner, toId} from '@baobabpier/core';
 import type {
-	BackendId, Clock, EngineId, EngineRole, FencingNumber, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, UsualMix,
+	BackendId, Clock, EngineId, EngineRole, FencingNumber, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, ExpectedMix,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../gateway/server-transport.js';
@@ -59,7 +59,7 @@
 	/** Rate at which a service's prefill engines read. */
 	readonly prefillTokensPerMs: (service: ServiceName) => number;
 	/** Mix of prompts and answers until requests teach it. */
-	readonly usualMix: UsualMix;
+	readonly expectedMix: ExpectedMix;
 	/** Whether no earlier leader can have given orders. */
 	readonly isFirstLead: () => boolean;
 	/** Called when the engines that are changing are others than before. */
@@ -121,7 +121,7 @@
 			return;
 		}
 
-		const planner = this.#planners.get(service) ?? new RolePlanner({pieces}, this.parts.usualMix);
+		const planner = this.#planners.get(service) ?? new RolePlanner({pieces}, this.parts.expectedMix);
 		this.#planners.set(service, planner);
 		const used = engines.filter(({role}) => role === 'decode').reduce((sum, engine) => sum + engine.pieces - engine.freePieces, 0);
 		planner.noteSpeed(this.parts.prefillTokensPerMs(service));
--- a/packages/daemon/src/gateway/server-transport.ts
+++ b/packages/daemon/src/gateway/server-transport.ts
@@ -4,6 +4,7 @@
 import {Pool} from 'undici';
 import {isConnectFailure} from '../connect-failure.js';
 import {createTimedConnect} from '../timed-connect.js';
+import {registerHeadGuard} from './head-guard.js';
 
 /** Longest time for a new connection, in milliseconds: a machine without power does not answer at all, others within a few. */
 const connectTimeoutMs = 250;
@@ -58,6 +59,7 @@
 export class ServerTransport {
 	readonly #pools = new Map<string, PoolEntry>();
 	readonly #sweeper: NodeJS.Timeout;
+	readonly #stopGuard = registerHeadGuard();
 
 	/** `connectionsTo` bounds the connections to one address. */
 	constructor(private readonly connectionsTo: (address: string) => number) {
@@ -117,6 +119,7 @@
 	/** Closes all connections. */
 	async close(): Promise<void> {
 		clearInterval(this.#sweeper);
+		this.#stopGuard();
 		await Promise.all([...this.#pools.values()].map(async ({pool}) => pool.destroy()));
 	}
 
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -1,41 +1,32 @@
 /** Serves streams of model services: a place, a prefill, the memory's move, the events, and going on elsewhere. */
-import {Buffer} from 'node:buffer';
 import {routerError, toId} from '@baobabpier/core';
 import type {
-	Clock, EngineAddress, EngineId, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
+	Clock, EngineAddress, EngineId, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
-import {OutputPace} from '../requests/output-pace.js';
 import type {CallScope} from './call-scope.js';
 import {EngineRooms} from './engine-rooms.js';
-import {EventSplitter} from './event-splitter.js';
-import type {CallResult, FleetView} from './fleet-view.js';
+import {EngineRuns} from './engine-runs.js';
+import type {FleetView} from './fleet-view.js';
 import type {Place, Places} from './places.js';
-import {findFault} from './plain-route.js';
 import {PromptReader} from './prompt-reader.js';
 import {errorReply} from './reply.js';
 import type {Reply} from './reply.js';
 import type {SecondTries} from './second-tries.js';
-import type {OpenAnswer, ServerTransport} from './server-transport.js';
-import {noteResult, rejectedComeBackMs} from './stream-progress.js';
+import type {ServerTransport} from './server-transport.js';
+import {rejectedComeBackMs} from './stream-progress.js';
 import type {
 	DecodeOutcome, EngineRoom, Progress, StreamOutput,
 } from './stream-progress.js';
 import type {
-	AnswerHead, Call, KvSource, SendPurpose, ServerDialect,
+	Call, KvSource, SendPurpose, ServerDialect,
 } from './types.js';
 
 const log = createLog('stream');
 /** Rounds of place, prefill and decode for one call at most. */
 const maxRounds = 4;
-/** Longest time to a resumable stream's first event, in milliseconds. */
-const firstEventMs = 2000;
-/** Silence after which a resumable stream goes on elsewhere, in milliseconds: several pauses that still count as steady. */
-const silentMs = 1200;
 /** How long a prefill's result may be offered to another engine, in milliseconds: engines keep it for half a second. */
 const resultUsableMs = 350;
-/** Bytes of an engine's reason for a rejection that are logged at most. */
-const maxReasonBytes = 160;
 /** Shortest time to come back to a full pool, and its spread, in targets to the first event: a burst passes in some seconds. */
 const comeBackTargets = 1.5;
 
@@ -60,10 +51,12 @@
 export class StreamRoute {
 	readonly #rooms: EngineRooms;
 	readonly #prompts: PromptReader;
+	readonly #engines: EngineRuns;
 
 	constructor(private readonly parts: StreamRouteParts) {
 		this.#rooms = new EngineRooms(parts);
 		this.#prompts = new PromptReader({...parts, rooms: this.#rooms});
+		this.#engines = new EngineRuns(parts);
 	}
 
 	/** Serves a call; resolves once its answer is out or known. */
@@ -189,7 +182,7 @@
 				engine = toId<EngineId>(room.server.id);
 				// One engine after the other
 				// eslint-disable-next-line no-await-in-loop
-				outcome = await this.#run(progress, room.server, {kind: 'decode', source, lease: room.lease}, () => {
+				outcome = await this.#engines.run(progress, room.server, {kind: 'decode', source, lease: room.lease}, () => {
 					place.transferDone();
 				});
 			}
@@ -228,7 +221,7 @@
 
 	/** Lets the decode engine read the prompt itself. */
 	async #useDirectly(progress: Progress, place: Place, {server, lease}: EngineRoom): Promise<RoundResult> {
-		const outcome = await this.#run(progress, server, directPurpose(progress, lease), () => {
+		const outcome = await this.#engines.run(progress, server, directPurpose(progress, lease), () => {
 			place.prefillDone();
 		});
 		return this.#conclude(progress, place.decode.id, outcome);
@@ -280,7 +273,7 @@
 		const engine = addressOf(room);
 		const place = this.parts.places.take(progress.call, progress.service, engine);
 		return this.#whileHeld(progress, place, async () => {
-			const outcome = await this.#run(progress, room.server, purpose, () => undefined);
+			const outcome = await this.#engines.run(progress, room.server, purpose, () => undefined);
 			return this.#conclude(progress, engine.id, outcome);
 		});
 	}
@@ -307,108 +300,6 @@
 		const reply = errorReply(mayRun ? routerError(scope.reason === 'deadline' ? 'timeout' : 'answerLost', outcome.detail) : routerError('overloaded', 'the engine had no room', rejectedComeBackMs));
 		return mayRepeat ? {isFinal: false, reply} : {isFinal: true, reply: this.#giveUp(progress, reply)};
 	}
-
-	/** Sends the call to an engine and passes its events on. */
-	async #run(progress: Progress, server: ListedServer, purpose: SendPurpose, onHead: () => void): Promise<DecodeOutcome> {
-		const {call, scope} = progress;
-		const {transport, dialect, fleet, clock} = this.parts;
-		const limit = scope.limit(call.route.resumable ? Math.min(firstEventMs, scope.remainingMs()) : scope.remainingMs());
-		const end = fleet.begin(server.id);
-		const startedAt = clock.now();
-		const answer = await transport.open({
-			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal,
-		});
-		progress.sent += answer.kind === 'unsent' ? 0 : 1;
-		const pace = new OutputPace(startedAt);
-		const outcome = answer.kind === 'head'
-			? await this.#pass(progress, answer, limit, () => {
-				if (pace.firstAt === undefined) {
-					onHead();
-				}
-
-				pace.add(1, clock.now());
-			})
-			: answer;
-		progress.pace = pace.sample;
-		limit.release();
-		const result = resultOf(outcome, scope);
-		end(result);
-		noteResult(progress, server, result);
-		log('A stream got an outcome at an engine.', {
-			requestId: call.requestId, engine: server.id, purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: answer.kind === 'head' ? answer.status : undefined,
-			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, firstEventMs: pace.firstAt === undefined ? undefined : Math.round(pace.firstAt - startedAt), longestPauseMs: pace.sample === undefined ? undefined : Math.round(pace.sample.longestMs ?? 0), ms: Math.round(clock.now() - startedAt), ended: scope.reason,
-		});
-		return outcome;
-	}
-
-	async #pass(progress: Progress, answer: OpenAnswer, limit: ReturnType<CallScope['limit']>, onEvent: () => void): Promise<DecodeOutcome> {
-		const {call, out} = progress;
-		const head = this.parts.dialect.readHead(answer.status, answer.rawHeaders);
-		const fault = findFault(call, head);
-		if (fault !== undefined) {
-			answer.body.destroy();
-			return {kind: 'broken', detail: fault};
-		}
-
-		if (head.isNotRun) {
-			const body = await this.parts.transport.readBody(answer);
-			return {
-				kind: 'notRun', isMisplaced: head.isMisplaced, load: head.load, detail: 'kind' in body ? body.detail : Buffer.from(body).toString('utf8', 0, maxReasonBytes),
-			};
-		}
-
-		if (head.status !== 200) {
-			const body = await this.parts.transport.readBody(answer);
-			return 'kind' in body ? body : {kind: 'relay', head, body};
-		}
-
-		const splitter = new EventSplitter();
-		try {
-			for await (const chunk of answer.body as AsyncIterable<Uint8Array>) {
-				for (const event of splitter.push(chunk)) {
-					onEvent();
-					this.#passEvent(progress, head, event);
-				}
-
-				if (call.route.resumable) {
-					limit.extend(silentMs);
-				}
-			}
-		} catch (error) {
-			return {kind: 'broken', detail: limit.isOver() ? 'the engine is silent' : (error as Error).message};
-		}
-
-		if (answer.mayBeCut()) {
-			return {kind: 'broken', detail: 'the connection was reset before the end of a stream without framing'};
-		}
-
-		if (splitter.rest > 0) {
-			return {kind: 'broken', detail: 'the stream ended within an event'};
-		}
-
-		if (!out.isBegun) {
-			out.begin(head);
-		}
-
-		out.end();
-		return {kind: 'complete'};
-	}
-
-	/** Passes an event on, unless the caller has it from an engine before. */
-	#passEvent(progress: Progress, head: AnswerHead, event: {readonly id: string | undefined; readonly bytes: Uint8Array}): void {
-		const {out} = progress;
-		if (progress.lastEventId !== undefined && event.id !== undefined && Number(event.id) <= Number(progress.lastEventId)) {
-			return;
-		}
-
-		if (!out.isBegun) {
-			out.begin(head);
-		}
-
-		progress.lastEventId = event.id ?? progress.lastEventId;
-		progress.events += 1;
-		out.write(event.bytes);
-	}
 }
 
 /** A run whose engine reads the prompt itself, after the events that the caller has. */
@@ -416,25 +307,3 @@
 	!out.isBegun || lastEventId === undefined ? {kind: 'run', lease} : {kind: 'resume', lastEventId, lease};
 
 const addressOf = ({server}: EngineRoom): EngineAddress => ({id: toId<EngineId>(server.id), address: server.address});
-
-/** What a run's outcome says of its engine. */
-const resultOf = (outcome: DecodeOutcome, scope: CallScope): CallResult => {
-	switch (outcome.kind) {
-		case 'complete': {
-			return 'good';
-		}
-
-		case 'notRun': {
-			return outcome.isMisplaced ? 'misplaced' : 'none';
-		}
-
-		case 'unsent': {
-			return 'unreachable';
-		}
-
-		case 'relay':
-		case 'broken': {
-			return scope.reason === undefined ? 'failed' : 'none';
-		}
-	}
-};
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -30,6 +30,7 @@
 import {createLog} from '../log.js';
 import type {RpcServer} from '../rpc/rpc-server.js';
 import {EngineSuspects} from './engine-suspects.js';
+import {ReportPoller} from './report-poller.js';
 
 const tickMs = 100;
 /** How often waiting requests are looked at between events. */
@@ -50,10 +51,8 @@
 	readonly current: {service: ModelService};
 	engines: readonly EngineEntry[];
 	readonly waiting: Map<string, (answer: PlaceAnswer) => void>;
-	/** Engines whose report is on its way. */
-	readonly polling: Set<EngineId>;
-	/** Engines that did not answer the last request for a report. */
-	readonly silent: Set<EngineId>;
+	/** Undefined where no engine is asked. */
+	readonly reports: ReportPoller | undefined;
 };
 
 const poolKey = (service: ServiceName, dataCentre: DataCentreId): string => `${service}@${dataCentre}`;
@@ -127,7 +126,9 @@
 				this.#tick();
 			}, tickMs),
 			setInterval(() => {
-				void this.#pollReports(this.#pools.values());
+				for (const {reports, engines} of this.#pools.values()) {
+					void reports?.poll(engines);
+				}
 			}, reportMs),
 		);
 	}
@@ -234,15 +235,6 @@
 		return true;
 	}
 
-	/** Suspects an engine that did not answer; where most are silent, this instance is the one that is cut off. */
-	#weighSilence({silent, engines}: HostedPool, engine: EngineId): void {
-		if (silent.size <= engines.length / 2) {
-			this.#suspects.add([engine]);
-		} else {
-			this.#suspects.acquit(silent);
-		}
-	}
-
 	/** Judges engines by what holders met; where half of a pool would be out, the fault is taken to lie elsewhere. */
 	#judge({service, dataCentre, failed = [], served = []}: PoolReleaseParams): void {
 		for (const engine of served) {
@@ -282,7 +274,7 @@
 			hosted.engines = engines;
 			this.#pools.set(key, hosted);
 			this.#perform(hosted, hosted.pool.step({kind: 'engines', engines, leaving: this.#unusable}, this.parts.clock.now()));
-			void this.#pollReports([hosted]);
+			void hosted.reports?.poll(engines);
 		}
 	}
 
@@ -309,11 +301,24 @@
 			pool: new EnginePool(this.parts.self, policy, limits, this.parts.timings ?? {leaseMs, orphanMs, adoptMs: leaseMs}),
 			engines: [],
 			waiting: new Map(),
-			polling: new Set(),
-			silent: new Set(),
+			reports: this.#createPoller(poolKey(service.name, dataCentre)),
 		};
 	}
 
+	#createPoller(key: string): ReportPoller | undefined {
+		const {clock, engines} = this.parts;
+		return engines === undefined
+			? undefined
+			: new ReportPoller({
+				clock, engines, suspects: this.#suspects, onReport: report => {
+					const hosted = this.#pools.get(key);
+					if (hosted !== undefined) {
+						this.#perform(hosted, hosted.pool.step({kind: 'report', report}, clock.now()));
+					}
+				},
+			});
+	}
+
 	/** The number under which this instance holds a pool's engines now. */
 	#heldFencing(service: ServiceName, dataCentre: DataCentreId): FencingNumber | undefined {
 		const id = {kind: 'engines', service, dataCentre} as const;
@@ -366,34 +371,6 @@
 		}, drainMs);
 	}
 
-	async #pollReports(pools: Iterable<HostedPool>): Promise<void> {
-		const polls = [...pools].flatMap(hosted => hosted.engines.map(async engine => this.#pollReport(hosted, engine)));
-		await Promise.all(polls);
-	}
-
-	/** Asks an engine for one report at a time, so that an old one never follows a newer one. */
-	async #pollReport(hosted: HostedPool, engine: EngineEntry): Promise<void> {
-		if (hosted.polling.has(engine.id)) {
-			return;
-		}
-
-		hosted.polling.add(engine.id);
-		const askedAt = this.parts.clock.now();
-		const report = await this.parts.engines?.report(engine);
-		hosted.polling.delete(engine.id);
-		if (report === 'unreachable') {
-			hosted.silent.add(engine.id);
-			this.#weighSilence(hosted, engine.id);
-			return;
-		}
-
-		hosted.silent.delete(engine.id);
-		if (report !== undefined) {
-			this.#suspects.trust(engine.id, askedAt);
-			this.#perform(hosted, hosted.pool.step({kind: 'report', report}, this.parts.clock.now()));
-		}
-	}
-
 	#perform(hosted: HostedPool, effects: readonly PoolEffect[]): void {
 		if (hosted.pool.waiting > 0) {
 			this.#drainSoon();
