--- a/packages/core/src/control/control-command.ts
+++ b/packages/core/src/control/control-command.ts
@@ -7,8 +7,10 @@
 	InstanceLife,
 	OrderId,
 	RequestId,
+	ServiceName,
 } from '../ids.js';
 import type {ClaimOutcome, ClaimRequest, ClaimVerdict} from '../ledger/claim-ledger.js';
+import type {LearnedFigures} from '../placement/learned-figures.js';
 import type {ShareRenewal, ShareTake} from '../shares/share-table.js';
 import type {PlannedStop, StopPlan, StopVerdict} from '../stops/stop-types.js';
 import type {RoutingDocument, RoutingVerdict} from './routing-history.js';
@@ -32,6 +34,8 @@
 	| {readonly kind: 'stop.complete'; readonly orderId: OrderId}
 	/** The stop is no longer in force. */
 	| {readonly kind: 'stop.cancel'; readonly orderId: OrderId}
+	/** What the owner of a service's engines learned, for the next one. */
+	| {readonly kind: 'engines.learned'; readonly service: ServiceName; readonly figures: LearnedFigures}
 	| {readonly kind: 'share.take'; readonly take: ShareTake}
 	| {readonly kind: 'share.renew'; readonly holder: InstanceId; readonly renewals: readonly ShareRenewal[]}
 	| {readonly kind: 'share.release'; readonly holder: InstanceId};
@@ -49,6 +53,7 @@
 	'stop.plan': StopVerdict;
 	'stop.complete': {readonly found: boolean};
 	'stop.cancel': {readonly found: boolean; readonly stop: PlannedStop | undefined};
+	'engines.learned': {readonly noted: true};
 	'share.take': {readonly taken: boolean};
 	'share.renew': {readonly renewed: readonly ShareRenewal[]};
 	'share.release': {readonly released: number};
--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -3,6 +3,8 @@
 import type {ClaimTableBounds, ClaimTableCapture} from '../ledger/claim-table.js';
 import type {LogEntry} from '../consensus/types.js';
 import {toId} from '../ids.js';
+import type {ServiceName} from '../ids.js';
+import type {LearnedFigures} from '../placement/learned-figures.js';
 import {ShareTable} from '../shares/share-table.js';
 import type {ShareRecord} from '../shares/share-table.js';
 import {StopTable} from '../stops/stop-table.js';
@@ -27,6 +29,8 @@
 	readonly claims: ClaimTableCapture;
 	readonly stops: StopCapture;
 	readonly shares: readonly ShareRecord[];
+	/** Absent in captures from before learned figures were kept. */
+	readonly learned?: ReadonlyArray<readonly [ServiceName, LearnedFigures]>;
 };
 
 /**
@@ -43,12 +47,18 @@
 	readonly claims: ClaimTable;
 	readonly stops = new StopTable();
 	readonly shares = new ShareTable();
+	readonly #learned = new Map<ServiceName, LearnedFigures>();
 	#index = toId<LogIndex>(0);
 
 	constructor(bounds: ClaimTableBounds) {
 		this.claims = new ClaimTable(bounds);
 	}
 
+	/** What the last owner of a service's engines learned. */
+	learned(service: ServiceName): LearnedFigures | undefined {
+		return this.#learned.get(service);
+	}
+
 	/** Index of the last entry applied. */
 	get index(): LogIndex {
 		return this.#index;
@@ -92,6 +102,11 @@
 				return {found: stop !== undefined, stop};
 			}
 
+			case 'engines.learned': {
+				this.#learned.set(command.service, command.figures);
+				return {noted: true};
+			}
+
 			case 'share.take': {
 				return {taken: this.shares.take(command.take)};
 			}
@@ -119,7 +134,7 @@
 	/** Takes a copy for a snapshot. */
 	capture(): ControlCapture {
 		return {
-			index: this.#index, catalogue: this.catalogue.capture(), routing: this.routing.current, claims: this.claims.capture(), stops: this.stops.capture(), shares: this.shares.capture(),
+			index: this.#index, catalogue: this.catalogue.capture(), routing: this.routing.current, claims: this.claims.capture(), stops: this.stops.capture(), shares: this.shares.capture(), learned: [...this.#learned],
 		};
 	}
 
@@ -131,5 +146,9 @@
 		this.claims.restore(capture.claims);
 		this.stops.restore(capture.stops);
 		this.shares.restore(capture.shares);
+		this.#learned.clear();
+		for (const [service, figures] of capture.learned ?? []) {
+			this.#learned.set(service, figures);
+		}
 	}
 }
--- a/packages/core/src/placement/engine-pool.ts
+++ b/packages/core/src/placement/engine-pool.ts
@@ -10,6 +10,7 @@
 import {BucketedEngineIndex} from './engine-index.js';
 import {HoldTable} from './hold-table.js';
 import type {Grant, HeldPlace, PoolTimings} from './hold-table.js';
+import type {LearnedFigures} from './learned-figures.js';
 import {PlaceQueue} from './place-queue.js';
 import type {
 	EngineAddress, EngineView, Placement, PlacementDecision, PlacementPolicy, PlacementRequest, StreamOutcome,
@@ -82,6 +83,11 @@
 		return this.policy.prefillTokensPerMs;
 	}
 
+	/** What the next owner should know; undefined where the policy learns nothing. */
+	get learned(): LearnedFigures | undefined {
+		return this.policy.learned;
+	}
+
 	/** Engines that decisions have looked at so far. */
 	get examinedEngines(): number {
 		return this.#index.examined;
--- a/packages/core/src/placement/forecast-policy.ts
+++ b/packages/core/src/placement/forecast-policy.ts
@@ -7,6 +7,7 @@
 import {findEngine, maxExamined} from './find-engine.js';
 import {Forecast} from './forecast.js';
 import type {ForecastOptions, Prediction} from './forecast.js';
+import type {LearnedFigures} from './learned-figures.js';
 import type {
 	Admission, EngineIndex, EngineView, PlacementDecision, PlacementPolicy, PlacementRequest, PolicyEvent, QueueView,
 } from './types.js';
@@ -100,6 +101,10 @@
 		this.#forecast.observe(event, now);
 	}
 
+	get learned(): LearnedFigures {
+		return this.#forecast.learned;
+	}
+
 	/** Rate at which prefill engines read, in tokens per millisecond. */
 	get prefillTokensPerMs(): number {
 		return this.#forecast.prefillTokensPerMs;
--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -6,6 +6,7 @@
 import type {Instant} from '../time.js';
 import {BatchModel} from './batch-model.js';
 import {holdKey} from './hold-table.js';
+import type {LearnedFigures} from './learned-figures.js';
 import {OutputSizes} from './output-sizes.js';
 import {PipelinedLine} from './pipelined-line.js';
 import {ReadPauses} from './read-pauses.js';
@@ -65,6 +66,8 @@
 	readonly direct?: ReadSpeedEstimate;
 	/** How streams are counted in memory; by what they ask for where undefined. */
 	readonly memory?: MemoryOptions;
+	/** What an earlier owner learned; goes before the other options. */
+	readonly learned?: LearnedFigures | undefined;
 };
 
 /** How the memory of streams is forecast. */
@@ -99,7 +102,7 @@
 	readonly #prefillSpeed: ReadSpeed | undefined;
 	readonly #directSpeed: ReadSpeed | undefined;
 	readonly #batches = new Map<EngineId, Batch>();
-	readonly #pauses = new ReadPauses();
+	readonly #pauses: ReadPauses;
 	readonly #sizes: OutputSizes | undefined;
 	/** Usual variance of the memory that a running stream holds, in pieces squared. */
 	#pieceVariance = 0;
@@ -110,9 +113,22 @@
 
 	constructor(private readonly options: ForecastOptions = {}) {
 		this.#isLinkShared = options.links !== 'ample';
-		this.#prefillSpeed = options.prefill === undefined ? undefined : new ReadSpeed(options.prefill);
-		this.#directSpeed = options.direct === undefined ? undefined : new ReadSpeed(options.direct);
-		this.#sizes = options.memory === undefined ? undefined : new OutputSizes(options.memory.expectedOutputPart);
+		const {prefill, direct, memory, learned} = options;
+		this.#prefillSpeed = prefill === undefined ? undefined : new ReadSpeed(learned?.prefill ?? prefill);
+		this.#directSpeed = direct === undefined ? undefined : new ReadSpeed(learned?.direct ?? direct);
+		this.#sizes = memory === undefined ? undefined : new OutputSizes(learned?.outputs ?? memory.expectedOutputPart);
+		this.#pauses = new ReadPauses(learned?.reads);
+	}
+
+	/** What was learned so far, by this owner or before it. */
+	get learned(): LearnedFigures {
+		const {learned} = this.options;
+		return {
+			prefill: this.#prefillSpeed?.learned ?? learned?.prefill,
+			direct: this.#directSpeed?.learned ?? learned?.direct,
+			outputs: this.#sizes?.moments ?? learned?.outputs,
+			reads: this.#pauses.figures,
+		};
 	}
 
 	/** Rate at which prefill engines read, in tokens per millisecond. */
--- /dev/null
+++ b/packages/core/src/placement/learned-figures.ts
@@ -0,0 +1,41 @@
+/** What a pool's owner learned of its engines, to be handed to the next owner. */
+import type {OutputMoments} from './output-sizes.js';
+import type {ReadSpeedEstimate} from './read-speed.js';
+
+/** Learned figures of one service, as JSON values. */
+export type LearnedFigures = {
+	/** How prefill engines read; undefined where no prompt taught it. */
+	readonly prefill: ReadSpeedEstimate | undefined;
+	/** How decode engines read. */
+	readonly direct: ReadSpeedEstimate | undefined;
+	/** Powers of the outputs as parts of the most that callers allow. */
+	readonly outputs: OutputMoments | undefined;
+	readonly reads: {
+		/** Mean time between outputs, in milliseconds; 0 before the first stream. */
+		readonly betweenMs: number;
+		/** Pause for each token that a decode engine reads, as a part of the time that the read takes. */
+		readonly stoppedPart: number;
+	};
+};
+
+/** Change of a figure, as a part of it, from which the figures are worth writing down again. */
+const notablePart = 0.1;
+
+const numbersOf = (value: unknown): readonly number[] => {
+	if (typeof value === 'number') {
+		return [value];
+	}
+
+	return typeof value === 'object' && value !== null ? Object.values(value).flatMap(item => numbersOf(item)) : [];
+};
+
+/**
+ * Whether figures differ so much from those written down that a new owner would decide otherwise.
+ *
+ * @example
+ * if (areNotable(state.figures.get(service), pool.learned)) submit(pool.learned);
+ */
+export const areNotable = (before: LearnedFigures | undefined, now: LearnedFigures): boolean => {
+	const [earlier, later] = [numbersOf(before), numbersOf(now)];
+	return earlier.length !== later.length || later.some((figure, index) => Math.abs(figure - earlier[index]!) > notablePart * Math.abs(earlier[index]!));
+};
--- a/packages/core/src/placement/output-sizes.ts
+++ b/packages/core/src/placement/output-sizes.ts
@@ -3,6 +3,15 @@
 /** Weight of the newest stream in the learned figures, once several were seen. */
 const learningWeight = 0.02;
 
+/** Streams from which learned figures are worth more than an estimate: several lengths of all kinds. */
+const minStreams = 20;
+
+/** Mean first, second and third power of outputs as parts of the most that callers allow. */
+export type OutputMoments = {readonly first: number; readonly second: number; readonly third: number};
+
+/** Outputs of equal length, of which running streams hold `expectedPart` of the most. */
+const equalOutputs = (expectedPart: number): OutputMoments => ({first: 2 * expectedPart, second: (2 * expectedPart) ** 2, third: (2 * expectedPart) ** 3});
+
 /**
  * Learns how far a running stream is in its output. Streams that are met at any moment are longer than the mean one,
  * since long streams are met more often, and are half through on average.
@@ -15,18 +24,21 @@
  */
 export class OutputSizes {
 	#streams = 0;
-	/** Mean first, second and third power of the output as a part of the most. */
 	#first: number;
 	#second: number;
 	#third: number;
 
-	/** `expectedPart` is the part of the most output that running streams hold, until streams teach it. */
-	constructor(expectedPart: number) {
-		// Of outputs of equal length
-		const length = 2 * expectedPart;
-		this.#first = length;
-		this.#second = length ** 2;
-		this.#third = length ** 3;
+	/** `initial` are earlier figures, or the part of the most output that running streams hold until streams teach it. */
+	constructor(initial: OutputMoments | number) {
+		const {first, second, third} = typeof initial === 'number' ? equalOutputs(initial) : initial;
+		this.#first = first;
+		this.#second = second;
+		this.#third = third;
+	}
+
+	/** The learned figures; undefined while a few streams say little. */
+	get moments(): OutputMoments | undefined {
+		return this.#streams < minStreams ? undefined : {first: this.#first, second: this.#second, third: this.#third};
 	}
 
 	/** Learns from a stream that completed with `tokens` of `maxTokens`. */
--- a/packages/core/src/placement/read-pauses.ts
+++ b/packages/core/src/placement/read-pauses.ts
@@ -1,6 +1,7 @@
 /** What prompts read by decode engines cost the streams there: a pause between two of their outputs. */
 import type {EngineId} from '../ids.js';
 import type {Instant} from '../time.js';
+import type {LearnedFigures} from './learned-figures.js';
 
 /** Weight of the newest stream in the learned figures, once several were seen. */
 const learningWeight = 0.05;
@@ -39,11 +40,21 @@
  */
 export class ReadPauses {
 	readonly #reads = new Map<EngineId, Read[]>();
-	#betweenMs = 0;
+	#betweenMs: number;
 	/** Pause for each token read, as a part of the time that the read takes. */
-	#stoppedPart = initialStoppedPart;
+	#stoppedPart: number;
 	#streams = 0;
 
+	constructor(learned?: LearnedFigures['reads']) {
+		this.#betweenMs = learned?.betweenMs ?? 0;
+		this.#stoppedPart = learned?.stoppedPart ?? initialStoppedPart;
+	}
+
+	/** The learned figures. */
+	get figures(): LearnedFigures['reads'] {
+		return {betweenMs: this.#betweenMs, stoppedPart: this.#stoppedPart};
+	}
+
 	/** Whether streams stay within `gapMs` between outputs when the engine reads `tokens` more now, at `msPerToken`. */
 	fits(engine: EngineId, tokens: number, msPerToken: number, gapMs: number, now: Instant): boolean {
 		const pauseMs = (this.#windowTokens(engine, gapMs, now) + tokens) * msPerToken * this.#stoppedPart * spreadFactor;
--- a/packages/core/src/placement/read-speed.ts
+++ b/packages/core/src/placement/read-speed.ts
@@ -9,6 +9,9 @@
 /** A prompt counts with at most this many times its predicted time: what is beyond was held up by something else. */
 const maxStretch = 3;
 
+/** Prompts from which a learned speed is worth more than an estimate. */
+const minPrompts = 20;
+
 /** A rate of reading, and what each prompt takes besides. */
 export type ReadSpeedEstimate = {
 	readonly tokensPerMs: number;
@@ -30,6 +33,7 @@
 	#sumY = 0;
 	#sumXx = 0;
 	#sumXy = 0;
+	#prompts = 0;
 
 	constructor({tokensPerMs, latencyMs}: ReadSpeedEstimate) {
 		for (const tokens of estimatedTokens) {
@@ -37,6 +41,11 @@
 		}
 	}
 
+	/** The learned speed; undefined while a few prompts say little. */
+	get learned(): ReadSpeedEstimate | undefined {
+		return this.#prompts < minPrompts ? undefined : {tokensPerMs: this.tokensPerMs, latencyMs: this.latencyMs};
+	}
+
 	get tokensPerMs(): number {
 		return 1 / this.#msPerToken;
 	}
@@ -52,6 +61,7 @@
 
 	/** Learns from a prompt that found its engine free. */
 	learn(tokens: number, ms: number): void {
+		this.#prompts += 1;
 		const bounded = Math.min(ms, maxStretch * this.predictMs(tokens));
 		this.#weight *= forgetting;
 		this.#sumX *= forgetting;
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -7,6 +7,7 @@
 import type {EngineHold} from '../engine/engine-client.js';
 import type {RandomSource} from '../random.js';
 import type {Instant} from '../time.js';
+import type {LearnedFigures} from './learned-figures.js';
 
 /** What a request needs of the engines. */
 export type PlacementRequest = {
@@ -140,6 +141,8 @@
 	readonly name: string;
 	/** Learned rate at which prefill engines read, in tokens per millisecond. */
 	readonly prefillTokensPerMs?: number;
+	/** What the next owner should know; undefined where the policy learns nothing. */
+	readonly learned?: LearnedFigures;
 	/** Decides the request at the head of the queue; `late` when it was deferred before. */
 	decide(req: PlacementRequest, engines: EngineIndex, now: Instant, late?: boolean): PlacementDecision;
 	/** Refuses a request that would have to wait too long, or defers one that is too long for its target even alone. */
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/learned-notes.test.ts
@@ -0,0 +1,83 @@
+import {expect, test} from 'vitest';
+import {
+	ControlState, Forecast, toHold, toId,
+} from '@baobabpier/core';
+import type {
+	AttemptNumber, ControlEntry, EngineId, Instant, InstanceId, LearnedFigures, LogIndex, LogTime, PlacementRequest, RequestId, ServiceName,
+} from '@baobabpier/core';
+import {LearnedNotes} from '../../control-node/learned-notes.js';
+import type {LearnedNotesParts} from '../../control-node/learned-notes.js';
+
+const service = toId<ServiceName>('lm');
+const at = (ms: number): Instant => ms as Instant;
+
+const figuresOf = (tokensPerMs: number): LearnedFigures => ({
+	prefill: {tokensPerMs, latencyMs: 10}, direct: undefined, outputs: undefined, reads: {betweenMs: 50, stoppedPart: 0.5},
+});
+
+const createState = (): ControlState => new ControlState({maxRecords: 10, keptMs: 1000} as never);
+
+/** A control log of one instance. */
+const createLog = (state: ControlState) => {
+	let index = 0;
+	let written = 0;
+	const control = {
+		state,
+		async submit(command: ControlEntry['command']) {
+			index += 1;
+			written += 1;
+			return state.apply({index: toId<LogIndex>(index), at: 0 as LogTime, command});
+		},
+	} as unknown as LearnedNotesParts['control'];
+	return {control, written: () => written};
+};
+
+test.each([
+	{
+		name: 'the first figures', learned: [40], writes: 1, kept: 40,
+	},
+	{
+		name: 'figures that hardly change', learned: [40, 41, 39], writes: 1, kept: 40,
+	},
+	{
+		name: 'figures that change', learned: [40, 50, 20], writes: 3, kept: 20,
+	},
+	{
+		name: 'nothing while another instance leads', learned: [40], isLeading: false, writes: 0, kept: undefined,
+	},
+])('writes down $name', async ({learned, isLeading = true, writes, kept}) => {
+	const state = createState();
+	const {control, written} = createLog(state);
+	for (const tokensPerMs of learned) {
+		const notes = new LearnedNotes({control, pools: {learned: () => new Map([[service, figuresOf(tokensPerMs)]])}, isLeading: () => isLeading});
+		// eslint-disable-next-line no-await-in-loop
+		await notes.note();
+	}
+
+	const copy = createState();
+	copy.restore(structuredClone(state.capture()));
+	expect([written(), copy.learned(service)?.prefill?.tokensPerMs]).toEqual([writes, kept]);
+});
+
+test('a new owner begins with what the last one learned, and hands it on before it learned anything', () => {
+	const options = {links: 'ample', prefill: {tokensPerMs: 20, latencyMs: 0}, memory: {pieceTokens: 16, expectedOutputPart: 0.3}} as const;
+	const first = new Forecast(options);
+	const prefill = toId<EngineId>('p1');
+	for (let turn = 0; turn < 50; turn++) {
+		const hold = toHold(toId<RequestId>(`r${turn}`), toId<AttemptNumber>(1));
+		const promptTokens = 1000 * (1 + (turn % 6));
+		const req: PlacementRequest = {
+			...hold, service, class: 'patient', holder: toId<InstanceId>('i1'), promptTokens, maxTokens: 1000, pieces: 1, prefix: '', deadline: at(1e9), excluded: [],
+		};
+		first.observe({
+			kind: 'granted', req, decode: toId<EngineId>('d1'), prefill, waiting: 0,
+		}, at(turn * 1000));
+		first.observe({kind: 'prefillDone', hold}, at((turn * 1000) + 80 + (promptTokens / 50)));
+		first.observe({kind: 'released', hold, outputTokens: 800}, at((turn * 1000) + 900));
+	}
+
+	const second = new Forecast({...options, learned: first.learned});
+	expect(Math.abs(second.prefillTokensPerMs - 50)).toBeLessThan(2);
+	expect(second.learned.outputs?.first).toBeCloseTo(0.8, 1);
+	expect(second.predict(prefill, 5000, at(0)).prefillEndsAt).toBeGreaterThan(170);
+});
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -22,6 +22,7 @@
 import {RpcServer} from '../rpc/rpc-server.js';
 import type {EngineEstimates} from '../settings/engine-estimates.js';
 import {EngineReports} from './engine-reports.js';
+import {LearnedNotes} from './learned-notes.js';
 import {RoleTask} from './role-task.js';
 import type {OrderDialect} from './role-task.js';
 import {WatchDesk} from './watch-desk.js';
@@ -152,7 +153,7 @@
 		self: first.id,
 		clock,
 		shares,
-		createPolicy: targets => new ForecastPolicy(targets, forecastOptions(first.estimates)),
+		createPolicy: (targets, service) => new ForecastPolicy(targets, {...forecastOptions(first.estimates), learned: control.state.learned(service)}),
 		engines: new EngineReports({transport, dialect: dialect.orders}),
 		mayGrant: () => shares.isSettled(clock.now()) || control.status.role !== 'leader',
 		onPlaced(service, promptTokens) {
@@ -226,6 +227,8 @@
 			applyPools();
 		}
 	}, leadCheckMs);
+	const notes = new LearnedNotes({control, pools, isLeading: () => shares.isSettled(clock.now()) && control.status.hearsQuorum});
+	notes.start();
 	void control.start(rpc);
 	log('The control instance is up.', {
 		id: first.id, dataCentre: first.dataCentre, seeds: first.seeds.join(' '), firstStart: first.isFirstStart,
@@ -238,6 +241,7 @@
 		await control.stop();
 		pools.stop();
 		roles.stop();
+		notes.stop();
 		list.stop();
 		desk.stop();
 		peerPort.closeAllConnections();
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -16,6 +16,7 @@
 	InstanceId,
 	InstanceStatus,
 	LatencyTargets,
+	LearnedFigures,
 	ModelService,
 	PlaceAnswer,
 	PlaceParams,
@@ -65,7 +66,7 @@
 	readonly clock: Clock;
 	readonly shares: ShareMap;
 	/** Makes the policy of one pool; the targets follow the catalogue in force. */
-	readonly createPolicy: (targets: LatencyTargets) => PlacementPolicy;
+	readonly createPolicy: (targets: LatencyTargets, service: ServiceName) => PlacementPolicy;
 	/** Undefined for pools that only count what their own instance does: no engine is asked, and no lease ends. */
 	readonly engines: PoolEngines | undefined;
 	/** Whether places may be given out, where an owner first lets holders of an earlier owner's places come forward. */
@@ -203,6 +204,12 @@
 		this.#feed(pool.service, pool.dataCentre, event);
 	}
 
+	/** What the pools of this instance learned, by service. */
+	learned(): ReadonlyMap<ServiceName, LearnedFigures> {
+		const held = [...this.#pools.values()].filter(hosted => this.#holds(hosted));
+		return new Map(held.flatMap(({service, pool}) => pool.learned === undefined ? [] : [[service, pool.learned] as const]));
+	}
+
 	/** Learned rate at which a service's prefill engines read, in tokens per millisecond; undefined while it has no pool here. */
 	prefillTokensPerMs(service: ServiceName): number | undefined {
 		return [...this.#pools.values()].find(hosted => hosted.service === service)?.pool.prefillTokensPerMs;
@@ -287,7 +294,7 @@
 			get betweenOutputsMs() {
 				return current.service.targets.betweenOutputsMs;
 			},
-		});
+		}, service.name);
 		const limits = {
 			get queue() {
 				return current.service.limits.queue;
