--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -248,10 +248,16 @@
 			this.#suspects.succeed(engine);
 		}
 
+		if (failed.length === 0) {
+			return;
+		}
+
+		const suspects = this.#suspects.ids;
 		const engines = this.#pools.get(poolKey(service, dataCentre))?.engines ?? [];
-		const suspected = engines.filter(({id}) => this.#suspects.ids.has(id)).length;
-		for (const engine of suspected < engines.length / 2 ? failed : []) {
-			this.#suspects.fail(engine);
+		if (engines.filter(({id}) => suspects.has(id)).length < engines.length / 2) {
+			for (const engine of failed) {
+				this.#suspects.fail(engine);
+			}
 		}
 	}
 
