Plan roles by the estimate until enough prompts were read

Ruled out: pauses (none over the gap), suspicions (none), places (349 of 372 streams in time; the rest waited between 8 and 20 s). Change: the rate counts once 20 prompts taught it, or an earlier owner learned it; until then the estimate does.

--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -131,9 +131,10 @@
 		};
 	}
 
-	/** Rate at which prefill engines read, in tokens per millisecond. */
+	/** Rate at which prefill engines read, in tokens per millisecond: the estimate while a few prompts say little. */
 	get prefillTokensPerMs(): number {
-		return this.#prefillSpeed?.tokensPerMs ?? this.#usualTokensPerMs;
+		const {prefill, learned} = this.options;
+		return (this.#prefillSpeed?.learned ?? learned?.prefill ?? prefill)?.tokensPerMs ?? this.#usualTokensPerMs;
 	}
 
 	get #prefillLatencyMs(): number {
@@ -186,7 +187,7 @@
 
 	/** How long a prefill of `tokens` and its transfer take on idle engines, in milliseconds. */
 	aloneMs(tokens: number): number {
-		return (tokens / this.prefillTokensPerMs) + this.#prefillLatencyMs + this.#linkMs(tokens);
+		return (this.#prefillSpeed?.predictMs(tokens) ?? tokens / this.#usualTokensPerMs) + this.#linkMs(tokens);
 	}
 
 	/** How long a queue of `tokens` takes to drain, in milliseconds; 0 while unknown. */
--- a/packages/daemon/src/__tests__/unit/learned-notes.test.ts
+++ b/packages/daemon/src/__tests__/unit/learned-notes.test.ts
@@ -59,21 +59,36 @@
 	expect([written(), copy.learned(service)?.prefill?.tokensPerMs]).toEqual([writes, kept]);
 });
 
+const prefill = toId<EngineId>('p1');
+
+/** Lets an idle engine read a prompt in `ms`, and its stream complete. */
+const readOne = (forecast: Forecast, turn: number, promptTokens: number, ms: number): void => {
+	const hold = toHold(toId<RequestId>(`r${turn}`), toId<AttemptNumber>(1));
+	const req: PlacementRequest = {
+		...hold, service, class: 'patient', holder: toId<InstanceId>('i1'), promptTokens, maxTokens: 1000, pieces: 1, prefix: '', deadline: at(1e9), excluded: [],
+	};
+	forecast.observe({
+		kind: 'granted', req, decode: toId<EngineId>('d1'), prefill, waiting: 0,
+	}, at(turn * 1000));
+	forecast.observe({kind: 'prefillDone', hold}, at((turn * 1000) + ms));
+	forecast.observe({kind: 'released', hold, outputTokens: 800}, at((turn * 1000) + 900));
+};
+
+test('roles are planned by the estimate until enough prompts were read', () => {
+	const forecast = new Forecast({links: 'ample', prefill: {tokensPerMs: 45, latencyMs: 120}});
+	for (let turn = 0; turn < 5; turn++) {
+		readOne(forecast, turn, 1000 + (turn * 100), 120 + (turn * 100));
+	}
+
+	expect(forecast.prefillTokensPerMs).toBe(45);
+});
+
 test('a new owner begins with what the last one learned, and hands it on before it learned anything', () => {
 	const options = {links: 'ample', prefill: {tokensPerMs: 20, latencyMs: 0}, memory: {pieceTokens: 16, expectedOutputPart: 0.3}} as const;
 	const first = new Forecast(options);
-	const prefill = toId<EngineId>('p1');
 	for (let turn = 0; turn < 50; turn++) {
-		const hold = toHold(toId<RequestId>(`r${turn}`), toId<AttemptNumber>(1));
 		const promptTokens = 1000 * (1 + (turn % 6));
-		const req: PlacementRequest = {
-			...hold, service, class: 'patient', holder: toId<InstanceId>('i1'), promptTokens, maxTokens: 1000, pieces: 1, prefix: '', deadline: at(1e9), excluded: [],
-		};
-		first.observe({
-			kind: 'granted', req, decode: toId<EngineId>('d1'), prefill, waiting: 0,
-		}, at(turn * 1000));
-		first.observe({kind: 'prefillDone', hold}, at((turn * 1000) + 80 + (promptTokens / 50)));
-		first.observe({kind: 'released', hold, outputTokens: 800}, at((turn * 1000) + 900));
+		readOne(first, turn, promptTokens, 80 + (promptTokens / 50));
 	}
 
 	const second = new Forecast({...options, learned: first.learned});
