Kill the stopping instance while its booking is seen in progress

Cause: the test's kill had to fall within the 2.5 s that a delayed booking lasts, after a command-line call that takes up to 2.1 s on a busy machine. The booking could be answered whole before the kill, so nothing was left to interrupt. Ruled out: a fault of the stop itself; in the failed run the answer was whole and the stop completed. The instance's loss must still break the booking, and all later checks are as before.

--- a/bench/src/__tests__/process/planned-stops.test.ts
+++ b/bench/src/__tests__/process/planned-stops.test.ts
@@ -145,11 +145,15 @@
 
 test('a stop that a SIGKILL interrupts completes and leaves nothing behind', async () => {
 	const instance = find('bagmati-b-1');
+	// The booking lasts until the kill, however slow the machine is
+	await setFaults([{kind: 'hold', path: '/bookings'}]);
 	const work = await startWork(instance, 1);
-	await cluster.runCli(['stop', 'plan', 'instance', instance.id, '--no-wait']);
-	await sleep(300);
+	const {code, output} = await cluster.runCli(['stop', 'plan', 'instance', instance.id, '--within', '600']);
+	expect([code, output.includes(`in progress on ${instance.id}`)]).toEqual([7, true]);
+	expect(await isReady(instance)).toBe(false);
 	instance.process.child.kill('SIGKILL');
 	await expect(work.finished).rejects.toThrow();
+	await setFaults([]);
 	await until('the stop is over', async () => hasStop(({state}) => state === 'stopped'));
 	cluster.restart(instance);
 	await until('it is ready again', async () => isReady(instance));
