Lease what a stream is expected to hold, and drop leases that no stream used

Hypothesis: an entry instance's own lease asked for the prompt and the whole allowed output. Change: a lease covers the prompt and the output that a running stream is expected to hold, by what the instance's own streams have shown; a lease whose prefill failed is dropped.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -67,7 +67,7 @@
 export type {PoolEffect, PoolEvent} from './placement/engine-pool.js';
 export {TwoChoicesPolicy} from './placement/two-choices-policy.js';
 export type {
-	EngineView, PaceSample, Placement, PlacementDecision, PlacementPolicy, PlacementRequest, StreamOutcome,
+	EngineView, MemoryDemand, PaceSample, Placement, PlacementDecision, PlacementPolicy, PlacementRequest, StreamOutcome,
 } from './placement/types.js';
 export {createSeededRandom, pickIndex} from './random.js';
 export type {RandomSource} from './random.js';
--- a/packages/core/src/placement/engine-pool.ts
+++ b/packages/core/src/placement/engine-pool.ts
@@ -13,14 +13,14 @@
 import type {LearnedEstimates} from './learned-estimates.js';
 import {PlacementQueue} from './placement-queue.js';
 import type {
-	EngineAddress, EngineView, Placement, PlacementDecision, PlacementPolicy, PlacementRequest, StreamOutcome,
+	EngineAddress, EngineView, MemoryDemand, Placement, PlacementDecision, PlacementPolicy, PlacementRequest, StreamOutcome,
 } from './types.js';
 
 /** Input events of the pool. */
 export type PoolEvent =
 	| {readonly kind: 'place'; readonly req: PlacementRequest}
-	/** The request left the queue or released its placement. */
-	| ({readonly kind: 'release'; readonly hold: EngineHold} & StreamOutcome)
+	/** The request left the queue or released its placement; `rejectedBy` are the engines that had no memory for it. */
+	| ({readonly kind: 'release'; readonly hold: EngineHold; readonly rejectedBy?: readonly EngineId[]} & StreamOutcome)
 	/** The prefill is over: its engine can start the next one. */
 	| {readonly kind: 'prefillDone'; readonly hold: EngineHold}
 	/** The transfer is over: the link can carry the next one. */
@@ -88,6 +88,11 @@
 		return this.policy.learned;
 	}
 
+	/** Memory pieces that a stream is expected to need. */
+	expectedPieces(demand: MemoryDemand): number {
+		return this.policy.expectedPieces?.(demand) ?? demand.pieces;
+	}
+
 	/** Number of engines that decisions have examined so far. */
 	get examinedEngines(): number {
 		return this.#index.examined;
@@ -122,7 +127,7 @@
 
 			case 'release': {
 				this.#queue.remove(event.hold);
-				this.#holds.release(event.hold, now);
+				this.#holds.release(event.hold, now, event.rejectedBy);
 				this.policy.observe?.({...event, kind: 'released'}, now);
 				return this.#processQueue(now);
 			}
@@ -134,6 +139,7 @@
 			}
 
 			case 'transferDone': {
+				this.#holds.confirmStart(event.hold);
 				this.policy.observe?.({kind: 'transferDone', hold: event.hold}, now);
 				return this.#processQueue(now);
 			}
@@ -214,7 +220,7 @@
 	}
 
 	#handlePlace(original: PlacementRequest, now: Instant): PoolEffect[] {
-		const req = {...original, pieces: this.policy.expectedPieces?.(original) ?? original.pieces};
+		const req = {...original, pieces: this.expectedPieces(original)};
 		const granted = this.#holds.lookup(req);
 		if (granted !== undefined) {
 			return [this.#createPlacedEffect(granted)];
--- a/packages/core/src/placement/forecast-policy.ts
+++ b/packages/core/src/placement/forecast-policy.ts
@@ -9,7 +9,7 @@
 import type {ForecastOptions, PrefillPrediction} from './forecast.js';
 import type {LearnedEstimates} from './learned-estimates.js';
 import type {
-	PlacementAdmission, EngineIndex, EngineView, PlacementDecision, PlacementPolicy, PlacementRequest, PolicyEvent, QueueView,
+	PlacementAdmission, EngineIndex, EngineView, MemoryDemand, PlacementDecision, PlacementPolicy, PlacementRequest, PolicyEvent, QueueView,
 } from './types.js';
 
 /** How long before its engine is free a prefill may be dispatched: covers the network latency of the dispatch. */
@@ -110,8 +110,8 @@
 		return this.#forecast.prefillTokensPerMs;
 	}
 
-	expectedPieces(req: PlacementRequest): number {
-		return this.#forecast.expectedPieces(req);
+	expectedPieces(demand: MemoryDemand): number {
+		return this.#forecast.expectedPieces(demand);
 	}
 
 	headroomPieces(streams: number): number {
--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -11,7 +11,7 @@
 import {PipelinedQueueModel} from './pipelined-queue-model.js';
 import {DecodeStallModel} from './decode-stall-model.js';
 import type {
-	EngineView, PlacementRequest, PolicyEvent,
+	EngineView, MemoryDemand, PlacementRequest, PolicyEvent,
 } from './types.js';
 import {PrefillSpeedModel} from './prefill-speed-model.js';
 import type {PrefillSpeed} from './prefill-speed-model.js';
@@ -148,7 +148,7 @@
 	}
 
 	/** Memory pieces that a stream is expected to hold while it runs. */
-	expectedPieces({promptTokens, maxTokens, pieces}: PlacementRequest): number {
+	expectedPieces({promptTokens, maxTokens, pieces}: MemoryDemand): number {
 		const {memory} = this.options;
 		return memory === undefined ? pieces : countPieces(promptTokens + Math.ceil(this.#outputLengths!.expectedTokens(maxTokens)), memory.pieceTokens);
 	}
--- a/packages/core/src/placement/hold-table.ts
+++ b/packages/core/src/placement/hold-table.ts
@@ -6,6 +6,7 @@
 } from '../ids.js';
 import {addMs} from '../time.js';
 import type {Instant} from '../time.js';
+import {RejectionBackoff} from './rejection-backoff.js';
 import type {EngineAddress} from './types.js';
 
 /** Timings of a pool, in milliseconds. */
@@ -43,13 +44,13 @@
 
 /** Resource usage of one engine by the pool owner's count. */
 export type EngineUsage = {
-	/** Granted pieces plus pieces that the engine reports for holds unknown to the owner. */
+	/** Granted pieces plus what the engine reports beyond them: holds unknown to the owner, leases, and streams that outgrew their grant. */
 	readonly pieces: number;
 	readonly running: number;
 	readonly queuedTokens: number;
 	readonly reportedAt: Instant | undefined;
 	readonly incarnation: EngineIncarnation | undefined;
-	/** Whether placements may be granted; false while holders of an earlier owner's placements may still renew them. */
+	/** Whether placements may be granted; false while holders of an earlier owner's placements may still renew them, and after a rejection. */
 	readonly grantable: boolean;
 };
 
@@ -75,6 +76,10 @@
 	reportedAt: Instant | undefined;
 	incarnation: EngineIncarnation | undefined;
 	unknownHolds: Map<string, UnknownHold>;
+	/** Keys of the grants on this engine. */
+	readonly grantKeys: Set<string>;
+	/** Pieces in use beyond grants and unknown holds, by the last report: leases, and streams that outgrew their grants. */
+	excessPieces: number;
 };
 
 /** Placeholder in the keys of holds whose engines report no attempt; actual attempts are numbered from 1. */
@@ -101,6 +106,7 @@
 	/** Number of placements per request, including recently released ones; some engines report requests without attempts. */
 	readonly #placementCounts = new Map<RequestId, number>();
 	readonly #changedEngines = new Set<EngineId>();
+	readonly #rejections = new RejectionBackoff();
 	#startedAt: Instant | undefined;
 	#lastExpiryAt: Instant | undefined;
 
@@ -126,9 +132,19 @@
 		return [...this.#grants.values()];
 	}
 
-	/** Releases a placement whose holder has confirmed that the memory is free. */
-	release(hold: EngineHold, now: Instant): void {
+	/** Releases a placement whose holder has confirmed that the memory is free; `rejectedBy` are the engines that rejected its stream. */
+	release(hold: EngineHold, now: Instant, rejectedBy: readonly EngineId[] = []): void {
 		const key = holdKey(hold);
+		const engine = this.#grants.get(key)?.decode.id;
+		if (engine !== undefined && !rejectedBy.includes(engine)) {
+			this.#rejections.recordRelease(engine, now);
+		}
+
+		for (const rejecting of rejectedBy) {
+			this.#rejections.recordRejection(rejecting, now);
+			this.#changedEngines.add(rejecting);
+		}
+
 		this.#forgetReleased(key, hold.requestId);
 		this.#recentlyReleased.set(key, {requestId: hold.requestId, at: now});
 		this.#adjustPlacementCount(hold.requestId, 1);
@@ -196,6 +212,16 @@
 		}
 
 		record.unknownHolds = unknownHolds;
+		record.excessPieces = this.#excessPiecesOf(record, report);
+	}
+
+	/** Records that an engine accepted the stream of a placement. */
+	confirmStart(hold: EngineHold): void {
+		const tracked = this.#grants.get(holdKey(hold));
+		if (tracked !== undefined) {
+			this.#rejections.recordAcceptance(tracked.decode.id);
+			this.#changedEngines.add(tracked.decode.id);
+		}
 	}
 
 	/** Returns the holds to free because their lease expired or no holder claims them. */
@@ -226,15 +252,34 @@
 		const record = this.#engines.get(engine);
 		const unknownHolds = [...record?.unknownHolds.values() ?? []];
 		return {
-			pieces: (record?.grantedPieces ?? 0) + unknownHolds.reduce((sum, {pieces}) => sum + pieces, 0),
+			pieces: (record?.grantedPieces ?? 0) + unknownHolds.reduce((sum, {pieces}) => sum + pieces, 0) + (record?.excessPieces ?? 0),
 			running: record?.running ?? 0,
 			queuedTokens: record?.queuedTokens ?? 0,
 			reportedAt: record?.reportedAt,
 			incarnation: record?.incarnation,
-			grantable: this.#isGrantable(record, now),
+			grantable: this.#isGrantable(record, now) && !this.#rejections.isClosed(engine, now),
 		};
 	}
 
+	/**
+	 * Memory in use that neither the grants nor the unknown holds count. Grants that the report does not list yet may be
+	 * part of the memory in use, and holds of placements released since are part of it.
+	 */
+	#excessPiecesOf(record: EngineRecord, {pieces, freePieces, held}: EngineReport): number {
+		const listed = new Map(held.map(hold => [hold.requestId, hold.pieces]));
+		let outgrownPieces = 0;
+		let unlistedPieces = 0;
+		for (const key of record.grantKeys) {
+			const grant = this.#grants.get(key)!;
+			const heldPieces = listed.get(grant.requestId);
+			outgrownPieces += heldPieces === undefined ? 0 : heldPieces - grant.pieces;
+			unlistedPieces += heldPieces === undefined ? grant.pieces : 0;
+		}
+
+		const listedPieces = held.reduce((sum, hold) => sum + hold.pieces, 0);
+		return Math.max(0, outgrownPieces) + Math.max(0, pieces - freePieces - listedPieces - unlistedPieces);
+	}
+
 	/** Whether a reported hold belongs to a current or recently released placement; a delayed report still shows placements released since. */
 	#isGrantedOrReleased({requestId, attempt}: ReportedHold, key: string): boolean {
 		return attempt === undefined ? this.#placementCounts.has(requestId) : this.#grants.has(key) || this.#recentlyReleased.has(key);
@@ -322,6 +367,7 @@
 		const record = this.#getOrCreateRecord(tracked.decode);
 		record.grantedPieces += tracked.pieces;
 		record.running += 1;
+		record.grantKeys.add(key);
 		record.unknownHolds.delete(key);
 		record.unknownHolds.delete(holdKey({requestId: tracked.requestId, attempt: unknownAttempt}));
 	}
@@ -338,6 +384,7 @@
 		const record = this.#getOrCreateRecord(tracked.decode);
 		record.grantedPieces -= tracked.pieces;
 		record.running -= 1;
+		record.grantKeys.delete(key);
 	}
 
 	#getOrCreateRecord({id, address}: EngineAddress): EngineRecord {
@@ -349,7 +396,7 @@
 		}
 
 		const record: EngineRecord = {
-			address, grantedPieces: 0, running: 0, queuedTokens: 0, reportedAt: undefined, incarnation: undefined, unknownHolds: new Map(),
+			address, grantedPieces: 0, running: 0, queuedTokens: 0, reportedAt: undefined, incarnation: undefined, unknownHolds: new Map(), grantKeys: new Set(), excessPieces: 0,
 		};
 		this.#engines.set(id, record);
 		return record;
--- /dev/null
+++ b/packages/core/src/placement/rejection-backoff.ts
@@ -0,0 +1,55 @@
+/** Closes engines that rejected a request for lack of memory until there is evidence of free memory. */
+import type {EngineId} from '../ids.js';
+import {addMs} from '../time.js';
+import type {Instant} from '../time.js';
+
+/** Initial and maximum time for which an engine is closed after a rejection, in milliseconds; it doubles with each further rejection. */
+const closedMs = {initial: 100, max: 800} as const;
+
+type Rejections = {
+	count: number;
+	closedUntil: Instant;
+};
+
+/**
+ * Answers a burst on engines whose memory is used by streams that this owner does not know: without it, each engine that
+ * looks free is granted again within milliseconds of its rejection, and every prompt read for it is lost.
+ * A release on the engine reopens it at once; an accepted stream ends the backoff.
+ *
+ * @see Nygard, "Release It!", 2018, on circuit breakers.
+ * @example
+ * const rejections = new RejectionBackoff();
+ * rejections.recordRejection(engine, now);
+ * rejections.isClosed(engine, now); // true for 100 ms, or until a stream of the engine ends
+ */
+export class RejectionBackoff {
+	readonly #rejections = new Map<EngineId, Rejections>();
+
+	recordRejection(engine: EngineId, now: Instant): void {
+		const previous = this.#rejections.get(engine);
+		if (previous !== undefined && now < previous.closedUntil) {
+			// Sends that were under way when the engine was closed say nothing new
+			return;
+		}
+
+		const count = (previous?.count ?? 0) + 1;
+		this.#rejections.set(engine, {count, closedUntil: addMs(now, Math.min(closedMs.max, closedMs.initial * (2 ** (count - 1))))});
+	}
+
+	/** Reopens an engine on which memory became free. */
+	recordRelease(engine: EngineId, now: Instant): void {
+		const rejections = this.#rejections.get(engine);
+		if (rejections !== undefined && now < rejections.closedUntil) {
+			rejections.closedUntil = now;
+		}
+	}
+
+	/** Ends the backoff of an engine that accepted a stream. */
+	recordAcceptance(engine: EngineId): void {
+		this.#rejections.delete(engine);
+	}
+
+	isClosed(engine: EngineId, now: Instant): boolean {
+		return now < (this.#rejections.get(engine)?.closedUntil ?? now);
+	}
+}
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -39,6 +39,9 @@
 	readonly excluded: readonly EngineId[];
 };
 
+/** The part of a request that determines how much memory its stream needs. */
+export type MemoryDemand = Pick<PlacementRequest, 'maxTokens' | 'pieces' | 'promptTokens'>;
+
 /** The state of one engine in the view of the pool's owner. */
 export type EngineView = {
 	readonly id: EngineId;
@@ -151,7 +154,7 @@
 	/** Returns how many streams a decode engine may run; undefined while unknown. */
 	maxStreams?(engine: EngineId): number | undefined;
 	/** Returns the memory pieces that a request is expected to need; without this method, `pieces` of the request applies. */
-	expectedPieces?(req: PlacementRequest): number;
+	expectedPieces?(demand: MemoryDemand): number;
 	/** Returns the memory pieces to keep free on a decode engine for streams whose output grows longer than expected. */
 	headroomPieces?(streams: number): number;
 };
--- a/packages/core/src/rpc/rpc-methods.ts
+++ b/packages/core/src/rpc/rpc-methods.ts
@@ -82,6 +82,8 @@
 	readonly unreachable?: readonly EngineId[];
 	/** Engines that accepted the call and failed it: closed the connection early, stopped sending, or sent an invalid response. */
 	readonly failed?: readonly EngineId[];
+	/** Engines that rejected the stream for lack of memory. */
+	readonly rejectedBy?: readonly EngineId[];
 	/** Engines that completed their part of the request. */
 	readonly served?: readonly EngineId[];
 };
--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -51,7 +51,7 @@
 			incarnation: toId<EngineIncarnation>(engine.id),
 			role: status.role,
 			pieces: engine.pieces,
-			freePieces: engine.pieces - held.reduce((sum, {pieces}) => sum + pieces, 0),
+			freePieces: engine.pieces - Math.max(countPieces(status.usedTokens ?? 0, pieceTokens), held.reduce((sum, {pieces}) => sum + pieces, 0)),
 			queuedTokens: 0,
 			running: held.length,
 			held,
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -23,6 +23,8 @@
 	readonly sequence: number;
 	/** Whether an order is being carried out. */
 	readonly isBusy: boolean;
+	/** Tokens of memory in use, by running streams, leases and arriving transfers; undefined where the engine does not tell. */
+	readonly usedTokens: number | undefined;
 	/** The requests that run on it, with the tokens that each has in memory. */
 	readonly runs: ReadonlyArray<{readonly requestId: RequestId; readonly tokens: number}>;
 };
--- a/packages/daemon/src/gateway/engine-leases.ts
+++ b/packages/daemon/src/gateway/engine-leases.ts
@@ -2,17 +2,19 @@
 import {Buffer} from 'node:buffer';
 import {toId} from '@baobabpier/core';
 import type {
-	BackendId, EngineAddress, EngineId, ListedServer,
+	BackendId, EngineAddress, EngineId, ListedServer, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {FleetView} from './fleet-view.js';
 import type {ServerTransport} from './server-transport.js';
 import type {ReservedEngine, StreamProgress} from './stream-progress.js';
-import type {ServerDialect} from './types.js';
+import type {Call, ServerDialect} from './types.js';
 
 const log = createLog('rooms');
 /** Duration of a lease on an engine's memory, in milliseconds: covers a prefill and the network time of the request. */
 const leaseDurationMs = 1500;
+/** Timeout of the call that drops an unused lease, in milliseconds. */
+const dropTimeoutMs = 1000;
 /** Maximum number of engines that are tried for a lease, in sequence. */
 const maxLeaseAttempts = 3;
 /** Timeout of a lease call, in milliseconds. */
@@ -23,6 +25,8 @@
 	readonly fleet: FleetView;
 	readonly transport: ServerTransport;
 	readonly dialect: ServerDialect;
+	/** Returns the tokens that a stream of a service is expected to hold while it runs. */
+	readonly expectedTokens: (service: ServiceName, call: Pick<Call, 'promptTokens' | 'maxTokens'>) => number;
 };
 
 /** Selects engines by this instance's local state and reserves memory on them with leases. */
@@ -36,9 +40,9 @@
 	}
 
 	/** Returns the decode engine with the fewest requests of this instance. */
-	leastLoaded({service, excluded}: StreamProgress): ListedServer | undefined {
+	leastLoaded({service, excluded, rejectedBy}: StreamProgress): ListedServer | undefined {
 		const {fleet} = this.parts;
-		const loads = fleet.loads(service).filter(({id}) => fleet.get(id)?.role === 'decode' && !excluded.has(toId<EngineId>(id)));
+		const loads = fleet.loads(service).filter(({id}) => fleet.get(id)?.role === 'decode' && !excluded.has(toId<EngineId>(id)) && !rejectedBy.includes(toId<EngineId>(id)));
 		const [least] = loads.toSorted((a, b) => a.inFlight + a.failing - b.inFlight - b.failing);
 		return least === undefined ? undefined : fleet.get(least.id);
 	}
@@ -58,12 +62,16 @@
 		return undefined;
 	}
 
-	/** Acquires a lease on an engine, whose load from other instances is unknown here; undefined when the engine grants none. */
-	async acquire({call, scope, excluded}: StreamProgress, server: ListedServer): Promise<string | undefined> {
+	/**
+	 * Acquires a lease on an engine, whose load from other instances is unknown here; undefined when the engine grants none.
+	 * The engine keeps the leased memory for the stream as long as it runs, so a lease covers what the stream is expected to hold
+	 * and not the maximum output, which few streams reach.
+	 */
+	async acquire({call, service, scope, excluded, rejectedBy}: StreamProgress, server: ListedServer): Promise<string | undefined> {
 		const {transport, dialect, fleet} = this.parts;
 		const limit = scope.createTimeout(Math.min(leaseTimeoutMs, scope.remainingMs()));
 		const endCall = fleet.begin(server.id);
-		const response = await transport.sendRequest({address: server.address, ...dialect.leaseCall(call.promptTokens + call.maxTokens, leaseDurationMs), signal: limit.signal});
+		const response = await transport.sendRequest({address: server.address, ...dialect.leaseCall(this.parts.expectedTokens(service, call), leaseDurationMs), signal: limit.signal});
 		const body = response.kind === 'head' ? await transport.readBody(response) : response;
 		limit.release();
 		const lease = response.kind === 'head' && Buffer.isBuffer(body) ? dialect.readLease(response.status, body) : undefined;
@@ -72,9 +80,32 @@
 			log('An engine leases no room.', {
 				requestId: call.requestId, engine: server.id, status: response.kind === 'head' ? response.status : undefined, detail: 'detail' in response ? response.detail : undefined,
 			});
-			excluded.add(toId<EngineId>(server.id));
+			// A full engine has memory again when one of its streams ends
+			if (response.kind === 'head') {
+				rejectedBy.push(toId<EngineId>(server.id));
+			} else {
+				excluded.add(toId<EngineId>(server.id));
+			}
 		}
 
 		return lease;
 	}
+
+	/** Drops a lease that no stream used, so that its memory is free before the lease expires. */
+	async drop({server, lease}: ReservedEngine): Promise<void> {
+		if (lease === undefined) {
+			return;
+		}
+
+		const {transport, dialect} = this.parts;
+		const response = await transport.sendRequest({
+			address: server.address, method: 'DELETE', target: dialect.dropLeasePath(lease), headers: [], body: undefined, signal: AbortSignal.timeout(dropTimeoutMs),
+		});
+		if (response.kind === 'head') {
+			response.body.resume();
+			return;
+		}
+
+		log('An unused lease could not be dropped; it will expire on the engine.', {engine: server.id, detail: response.detail});
+	}
 }
--- a/packages/daemon/src/gateway/stream-placements.ts
+++ b/packages/daemon/src/gateway/stream-placements.ts
@@ -10,6 +10,7 @@
 import type {PoolHost} from '../pools/pool-host.js';
 import type {Peers} from '../rpc/peers.js';
 import type {CallScope} from './call-scope.js';
+import type {StreamProgress} from './stream-progress.js';
 import {pieceTokens, poolDataCentre} from './model-services.js';
 import type {Call} from './types.js';
 
@@ -20,10 +21,8 @@
 const pingTimeoutMs = 250;
 /** Time for which an unresponsive owner gets no placement requests, in milliseconds. */
 const ownerBackoffMs = 1000;
-/** Fraction of the callers' wait for the first event that may be spent waiting for a placement. */
+/** Fraction of the callers' wait for an event that may be spent waiting for a placement: the rest is for the read of the prompt. */
 const waitFraction = 0.6;
-/** Fraction of the same time that a broken stream may wait for a placement: the rest is for detecting the failure and the repeated prefill. */
-const resumeWaitFraction = 0.25;
 /** Callers' timeout for a silent stream, in multiples of the first event's target latency; the platform's clients use this factor. */
 const callerTimeoutTargets = 4;
 /** Attempt numbers of placements that the owner did not grant start after this one, far above the rounds of a call. */
@@ -112,7 +111,7 @@
 	}
 
 	/** Requests a placement at an engine that recomputes the prompt and the events already sent, without delaying its other streams too long. */
-	async placeResumed(request: StreamPlacementRequest, events: number): Promise<PlacementOutcome> {
+	async placeResumed(request: StreamPlacementRequest, {events, lastEventAt}: Pick<StreamProgress, 'events' | 'lastEventAt'>): Promise<PlacementOutcome> {
 		const {call, scope} = request;
 		const sentTokens = this.#tokensOf(request.service, events);
 		const promptTokens = call.promptTokens + sentTokens;
@@ -123,7 +122,7 @@
 			maxTokens,
 			pieces: this.#piecesOf(promptTokens, maxTokens),
 			readsDirectly: true,
-			waitMs: Math.min(scope.remainingMs(), call.route.targetLatencyMs * callerTimeoutTargets * resumeWaitFraction),
+			waitMs: Math.max(0, Math.min(scope.remainingMs(), (call.route.targetLatencyMs * callerTimeoutTargets * waitFraction) - (this.parts.clock.now() - (lastEventAt ?? call.arrivedAt)))),
 			firstOutputMs: undefined,
 		});
 	}
@@ -136,6 +135,11 @@
 		return placement;
 	}
 
+	/** Returns the tokens that a stream is expected to hold while it runs, by what this instance's own streams have shown. */
+	expectedTokens(service: ServiceName, {promptTokens, maxTokens}: Pick<Call, 'maxTokens' | 'promptTokens'>): number {
+		return pieceTokens * this.parts.localPool.expectedPieces(service, {promptTokens, maxTokens, pieces: this.#piecesOf(promptTokens, maxTokens)});
+	}
+
 	/** Returns the expected number of memory pieces of a stream; the pool's owner, which sees more streams, may estimate another number. */
 	#piecesOf(promptTokens: number, maxTokens: number): number {
 		return countPieces(promptTokens + Math.ceil(maxTokens * this.parts.outputPart), pieceTokens);
@@ -248,10 +252,10 @@
 				void client.registerHold(pool, placement);
 			},
 			release({events, ...facts}) {
-				const {pace} = facts;
+				const {pace, rejectedBy} = facts;
 				const outputTokens = events === undefined ? undefined : tokensOf(pool.service, events);
 				localPool.applyEvent(pool, {
-					kind: 'release', hold, pace, outputTokens,
+					kind: 'release', hold, pace, outputTokens, rejectedBy,
 				});
 				void client.release(pool, {
 					...hold, ...facts, outputTokens,
--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -1,6 +1,6 @@
 /** State of one stream while it is relayed to its caller. */
 import type {
-	EngineId, ListedServer, PaceSample, ServiceName,
+	EngineId, Instant, ListedServer, PaceSample, ServiceName,
 } from '@baobabpier/core';
 import {toId} from '@baobabpier/core';
 import type {CallScope} from './call-scope.js';
@@ -62,8 +62,12 @@
 	/** Engines that failed or succeeded since the last placement was released. */
 	readonly failed: EngineId[];
 	readonly served: EngineId[];
+	/** Engines that rejected the stream for lack of memory since the last placement was released. */
+	readonly rejectedBy: EngineId[];
 	/** Number of events that were passed to the caller. */
 	events: number;
+	/** When the last of them was passed on; undefined before the first. */
+	lastEventAt: Instant | undefined;
 	isComplete: boolean;
 	/** Timing of the last run's events; undefined unless there were several. */
 	pace: PaceSample | undefined;
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -23,8 +23,8 @@
 } from './types.js';
 
 const log = createLog('stream');
-/** Maximum number of rounds of placement, prefill and decode for one call. */
-const maxRounds = 4;
+/** Maximum number of rounds of one call in which it was sent to an engine; rounds without a send end with the wait for a placement. */
+const maxSentRounds = 4;
 /** Time for which a prefill's result may be offered to another engine, in milliseconds: engines keep it for half a second. */
 const prefillResultTtlMs = 350;
 /** Minimum retry delay after a full pool and the width of its jitter, in multiples of the first event's target latency: a burst passes in a few seconds. */
@@ -54,7 +54,7 @@
 	readonly #runner: StreamRunner;
 
 	constructor(private readonly parts: StreamRouteParts) {
-		this.#leases = new EngineLeases(parts);
+		this.#leases = new EngineLeases({...parts, expectedTokens: (service, call) => parts.places.expectedTokens(service, call)});
 		this.#prefillClient = new PrefillClient({...parts, leases: this.#leases});
 		this.#runner = new StreamRunner(parts);
 	}
@@ -63,10 +63,11 @@
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
 		this.parts.retryBudgets.recordCall(service);
 		const progress: StreamProgress = {
-			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], events: 0, isComplete: false, pace: undefined,
+			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined,
 		};
 		let reply: Reply = errorReply(routerError('noBackend', undefined, rejectedRetryAfterMs));
-		for (let round = 1; round <= maxRounds && scope.reason === undefined; round++) {
+		for (let round = 1, sentRounds = 0; sentRounds < maxSentRounds && scope.reason === undefined; round++) {
+			const sends = progress.sent + progress.prefills;
 			// eslint-disable-next-line no-await-in-loop
 			const result = await this.#runRound(progress, round);
 			if (result.isFinal) {
@@ -74,6 +75,7 @@
 			}
 
 			reply = result.reply;
+			sentRounds += progress.sent + progress.prefills > sends ? 1 : 0;
 		}
 
 		return this.#fail(progress, reply);
@@ -139,7 +141,7 @@
 		} finally {
 			const unreachable = [placement.decode, placement.prefill].map(({id}) => id).filter(id => this.parts.fleet.isUnreachable(toId<BackendId>(id)));
 			placement.release({
-				unreachable, pace: progress.pace, events: progress.isComplete ? progress.events : undefined, failed: progress.failed.splice(0), served: progress.served.splice(0),
+				unreachable, pace: progress.pace, events: progress.isComplete ? progress.events : undefined, failed: progress.failed.splice(0), served: progress.served.splice(0), rejectedBy: progress.rejectedBy.splice(0),
 			});
 		}
 	}
@@ -152,8 +154,11 @@
 
 		const placedServer = this.#leases.findListed(placement.decode);
 		const lease = placement.isFromOwner || placedServer === undefined ? undefined : await this.#leases.acquire(progress, placedServer);
-		if (placedServer === undefined || (!placement.isFromOwner && lease === undefined)) {
+		if (placedServer === undefined) {
 			progress.excluded.add(placement.decode.id);
+		}
+
+		if (placedServer === undefined || (!placement.isFromOwner && lease === undefined)) {
 			return {isFinal: false, reply: errorReply(routerError('overloaded', 'the engine has no free capacity', rejectedRetryAfterMs))};
 		}
 
@@ -163,6 +168,7 @@
 
 		const source = await this.#prefillClient.prefill(progress, placement);
 		if ('error' in source) {
+			void this.#leases.drop({server: placedServer, lease});
 			progress.excluded.add(placement.prefill.id);
 			return {isFinal: false, reply: errorReply(source.error)};
 		}
@@ -187,7 +193,10 @@
 				});
 			}
 
-			progress.excluded.add(engine);
+			if (outcome.kind !== 'notRun' || outcome.isMisdirected) {
+				progress.excluded.add(engine);
+			}
+
 			const isUsable = this.parts.clock.now() - prefilledAt <= prefillResultTtlMs && this.#mayTryAnotherEngine(progress, outcome);
 			// eslint-disable-next-line no-await-in-loop
 			reserved = isUsable ? await this.#leases.acquireLeastLoaded(progress) : undefined;
@@ -231,7 +240,7 @@
 	async #runWithoutPrefill(progress: StreamProgress, error: RouterError): Promise<RoundResult> {
 		const reserved = await this.#leases.acquireLeastLoaded(progress);
 		if (reserved === undefined) {
-			return {isFinal: true, reply: errorReply({...error, retryAfterMs: error.retryAfterMs ?? rejectedRetryAfterMs})};
+			return {isFinal: true, reply: errorReply({...error, retryAfterMs: this.#retryAfterMs(progress.call, error)})};
 		}
 
 		return this.#runWithLease(progress, reserved, {kind: 'run', lease: reserved.lease});
@@ -242,19 +251,26 @@
 	 * and the events, which delays its other streams; the pool therefore chooses the engine and the time.
 	 */
 	async #resume(progress: StreamProgress, round: number): Promise<RoundResult> {
-		const placementOutcome = await this.parts.places.placeResumed({...progress, round}, progress.events);
+		const placementOutcome = await this.parts.places.placeResumed({...progress, round}, progress);
 		const server = placementOutcome.kind === 'placed' ? this.#leases.findListed(placementOutcome.placement.decode) : undefined;
 		log('A broken stream looks for another engine.', {
 			requestId: progress.call.requestId, round, outcome: placementOutcome.kind, reason: placementOutcome.kind === 'refused' ? placementOutcome.error.kind : undefined, engine: server?.id, events: progress.events,
 		});
-		if (placementOutcome.kind === 'refused' || server === undefined) {
+		if (placementOutcome.kind === 'refused') {
 			return this.#resumeWithLease(progress);
 		}
 
 		const {placement} = placementOutcome;
 		return this.#withPlacement(progress, placement, async () => {
-			const lease = placement.isFromOwner ? undefined : await this.#leases.acquire(progress, server);
-			return placement.isFromOwner || lease !== undefined ? this.#runDirectly(progress, placement, {server, lease}) : this.#resumeWithLease(progress);
+			if (server === undefined) {
+				progress.excluded.add(placement.decode.id);
+			}
+
+			const lease = placement.isFromOwner || server === undefined ? undefined : await this.#leases.acquire(progress, server);
+			return server !== undefined && (placement.isFromOwner || lease !== undefined)
+				? this.#runDirectly(progress, placement, {server, lease})
+				// The engines that can be reached read broken streams one after another, so the pool is asked again
+				: {isFinal: false, reply: {kind: 'streamed'}};
 		});
 	}
 
@@ -281,7 +297,10 @@
 	/** Decides from the outcome at one engine whether the call is retried. */
 	#handleOutcome(progress: StreamProgress, engine: EngineId, outcome: DecodeOutcome): RoundResult {
 		const {call, service, scope} = progress;
-		progress.excluded.add(engine);
+		if (outcome.kind !== 'notRun' || outcome.isMisdirected) {
+			progress.excluded.add(engine);
+		}
+
 		if (outcome.kind === 'complete') {
 			progress.isComplete = true;
 			return {isFinal: true, reply: {kind: 'streamed'}};
--- a/packages/daemon/src/gateway/stream-runner.ts
+++ b/packages/daemon/src/gateway/stream-runner.ts
@@ -1,6 +1,7 @@
 /** Runs streams at engines: sends the call, relays the events to the caller and classifies the outcome for the engine's health. */
 import {Buffer} from 'node:buffer';
-import type {Clock, ListedServer} from '@baobabpier/core';
+import {toId} from '@baobabpier/core';
+import type {Clock, EngineId, ListedServer} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import {OutputPace} from '../requests/output-pace.js';
 import type {CallScope} from './call-scope.js';
@@ -61,6 +62,10 @@
 		const result = callResultOf(outcome, scope);
 		endCall(result);
 		recordResult(progress, server, result);
+		if (outcome.kind === 'notRun' && !outcome.isMisdirected) {
+			progress.rejectedBy.push(toId<EngineId>(server.id));
+		}
+
 		log('A stream got an outcome at an engine.', {
 			requestId: call.requestId, engine: server.id, purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: response.kind === 'head' ? response.status : undefined,
 			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, firstEventMs: pace.firstAt === undefined ? undefined : Math.round(pace.firstAt - startedAt), longestPauseMs: pace.sample === undefined ? undefined : Math.round(pace.sample.longestMs ?? 0), ms: Math.round(clock.now() - startedAt), ended: scope.reason,
@@ -96,6 +101,7 @@
 				for (const event of events) {
 					onEvent();
 					relayEvent(progress, head, event);
+					progress.lastEventAt = this.parts.clock.now();
 				}
 
 				if (splitter.pendingBytes > maxEventBytes) {
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -83,6 +83,8 @@
 	leaseCall(tokens: number, ms: number): {readonly method: string; readonly target: string; readonly headers: string[]; readonly body: Uint8Array};
 	/** Returns the lease from the response to that request; undefined when the engine has no capacity. */
 	readLease(status: number, body: Uint8Array): string | undefined;
+	/** Path of the DELETE request that drops an unused lease. */
+	dropLeasePath(lease: string): string;
 	/** Path of the DELETE request that frees a prefill's result. */
 	freePath(handle: string): string;
 };
--- a/packages/daemon/src/pools/placement-client.ts
+++ b/packages/daemon/src/pools/placement-client.ts
@@ -57,7 +57,7 @@
 };
 
 /** Fields that a release reports besides its hold. */
-export type ReleaseDetails = Pick<PoolReleaseParams, 'failed' | 'outputTokens' | 'pace' | 'served' | 'unreachable'>;
+export type ReleaseDetails = Pick<PoolReleaseParams, 'failed' | 'outputTokens' | 'pace' | 'rejectedBy' | 'served' | 'unreachable'>;
 
 /** Dependencies of a placement client. */
 export type PlacementClientParts = {
@@ -204,6 +204,7 @@
 				unreachable: hold.unreachable,
 				failed: hold.failed,
 				served: hold.served,
+				rejectedBy: hold.rejectedBy,
 			}, callTimeoutMs);
 		} catch {
 			// The owner reclaims the placement when its lease expires
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -17,6 +17,7 @@
 	InstanceStatus,
 	LatencyTargets,
 	LearnedEstimates,
+	MemoryDemand,
 	ModelService,
 	PlaceResponse,
 	PlaceParams,
@@ -112,7 +113,7 @@
 			this.#suspects.markUnreachable(params.unreachable ?? []);
 			this.#recordCallResults(params);
 			return this.#dispatchEvent(params.service, params.dataCentre, {
-				kind: 'release', hold: params, pace: params.pace, outputTokens: params.outputTokens,
+				kind: 'release', hold: params, pace: params.pace, outputTokens: params.outputTokens, rejectedBy: params.rejectedBy,
 			});
 		});
 		server?.registerMethod(POOL_PREFILL_DONE, params => this.#dispatchEvent(params.service, params.dataCentre, {kind: 'prefillDone', hold: params}));
@@ -215,6 +216,11 @@
 		return [...this.#pools.values()].find(hosted => hosted.service === service)?.pool.prefillTokensPerMs;
 	}
 
+	/** Returns the memory pieces that a stream of a service is expected to need; `pieces` of the demand while this instance has no pool of it. */
+	expectedPieces(service: ServiceName, demand: MemoryDemand): number {
+		return [...this.#pools.values()].find(hosted => hosted.service === service)?.pool.expectedPieces(demand) ?? demand.pieces;
+	}
+
 	/** Returns the pools for the status report. */
 	status(): InstanceStatus['pools'] {
 		return [...this.#pools.values()].filter(hosted => this.#isOwner(hosted)).map(({service, dataCentre, pool}) => ({
