Spread the election timeouts of the voters over slots

Hypothesis: replicas that start at the same moment, or lose their leader together, time out in the same tick of their timers and split the vote. Ruled out: the disks (the votes are synced in 5 ms) and the programs' start (0.7 s, the same before). Change: each voter's timeout ends in its own slot of the range, at a random time in it; the term shifts the slots. The minimum, which covers the lease of an earlier leader, is as before.

--- a/packages/core/src/consensus/consensus-replica.ts
+++ b/packages/core/src/consensus/consensus-replica.ts
@@ -3,6 +3,7 @@
 import {invariant} from '../invariant.js';
 import type {Instant} from '../time.js';
 import {Election} from './election.js';
+import type {ElectionSlot} from './election.js';
 import {createAppendReply, handleAppend, handleSnapshot} from './follower-replication.js';
 import {LeaderTerm} from './leader-term.js';
 import type {ReplicaOptions} from './replica-options.js';
@@ -53,7 +54,7 @@
 		// The replica may have replied to a leader right before its restart
 		this.#lastLeaderContactAt = now;
 		this.#lastStepAt = now;
-		this.#election = new Election(options.timings, options.random, now);
+		this.#election = new Election(options.timings, options.random, () => this.#electionSlot(), now);
 	}
 
 	/** Returns the effects that apply the entries known to be committed. */
@@ -167,6 +168,13 @@
 		return new Map(recent.toSorted(([, a], [, b]) => a - b).map(([replica]) => [instanceOf(replica), replica]));
 	}
 
+	/** The term shifts the slots, so that a replica that can't be elected is not always the first candidate. */
+	#electionSlot(): ElectionSlot {
+		const {voters} = this.#store.log.membership;
+		const rank = voters.toSorted().indexOf(this.#options.self);
+		return rank === -1 ? {position: 0, count: 1} : {position: (rank + this.#store.hardState.term) % voters.length, count: voters.length};
+	}
+
 	#startPreVote(now: Instant): void {
 		this.#setRole('candidate', undefined);
 		this.#election.startPhase('preVote', now);
--- a/packages/core/src/consensus/election.ts
+++ b/packages/core/src/consensus/election.ts
@@ -5,13 +5,24 @@
 import {VoteTally} from './vote-tally.js';
 import type {ConsensusTimings, ReplicaId, ReplicaMembership} from './types.js';
 
-/** The randomized election timer and the votes of the phase in progress. */
+/** A replica's position among the voters, which decides when its election timeout ends. */
+export type ElectionSlot = {
+	/** From 0 to `count` - 1. */
+	readonly position: number;
+	readonly count: number;
+};
+
+/**
+ * The election timer and the votes of the phase in progress. The timeouts of the voters end in consecutive slots of the election
+ * timeout's range, each at a random time in its slot: replicas that lost their leader or started at the same moment would
+ * otherwise often become candidates together and split the vote.
+ */
 export class Election {
 	#deadline: Instant;
 	#tally: VoteTally | undefined;
 	#ownVoteSequence: number | undefined;
 
-	constructor(private readonly timings: ConsensusTimings, private readonly random: RandomSource, now: Instant) {
+	constructor(private readonly timings: ConsensusTimings, private readonly random: RandomSource, private readonly slot: () => ElectionSlot, now: Instant) {
 		this.#deadline = this.#randomDeadline(now);
 	}
 
@@ -68,6 +79,7 @@
 
 	#randomDeadline(now: Instant): Instant {
 		const {minElectionTimeoutMs, maxElectionTimeoutMs} = this.timings;
-		return addMs(now, minElectionTimeoutMs + (this.random.next() * (maxElectionTimeoutMs - minElectionTimeoutMs)));
+		const {position, count} = this.slot();
+		return addMs(now, minElectionTimeoutMs + ((position + this.random.next()) / count * (maxElectionTimeoutMs - minElectionTimeoutMs)));
 	}
 }
