Distrust the report of another start at an engine's address

Cause: an engine that is lost stays on the platform's list for some seconds while another one starts at its address. Reports name no engine, but tell when theirs started. Change: a report with another start than before counts as an engine that can't be reached, for 3 s; by then the list has dropped the lost engine, or the engine started again under its own id.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -65,6 +65,9 @@
 export type {AdmissionDecision, Limiter} from './limits/limiter.js';
 export {EnginePool, toHold} from './placement/engine-pool.js';
 export type {PoolEffect, PoolEvent} from './placement/engine-pool.js';
+export {EngineStarts} from './placement/engine-starts.js';
+export type {EngineStart} from './placement/engine-starts.js';
+export {RejectionBackoff} from './placement/rejection-backoff.js';
 export {TwoChoicesPolicy} from './placement/two-choices-policy.js';
 export type {
 	EngineView, MemoryDemand, PaceSample, Placement, PlacementDecision, PlacementPolicy, PlacementRequest, StreamOutcome,
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -154,7 +154,7 @@
 		clock,
 		shares,
 		createPolicy: (targets, service) => new ForecastPolicy(targets, {...forecastOptions(first.estimates), learned: control.state.learnedEstimates(service)}),
-		engines: new EngineReports({transport, dialect: dialect.orders}),
+		engines: new EngineReports({clock, transport, dialect: dialect.orders}),
 		mayGrant: () => shares.isSettled(clock.now()) || control.status.role !== 'leader',
 		onPlaced(service, promptTokens) {
 			roles.noteGrant(service, promptTokens);
--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -1,7 +1,7 @@
 /** Asks engines what they hold, for the pools that this instance leads. */
-import {countPieces, toId} from '@baobabpier/core';
+import {countPieces, EngineStarts, toId} from '@baobabpier/core';
 import type {
-	BackendId, EngineEntry, EngineReport, EngineIncarnation,
+	BackendId, Clock, EngineEntry, EngineReport, EngineIncarnation,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../gateway/server-transport.js';
@@ -17,12 +17,15 @@
 
 /** What the reports work with. */
 export type EngineReportsParts = {
+	readonly clock: Clock;
 	readonly transport: ServerTransport;
 	readonly dialect: Pick<OrderDialect, 'statusCall' | 'readStatus'>;
 };
 
 /** Reads the reports of engines; frees nothing, since engines end requests whose connections close. */
 export class EngineReports implements PoolEngineClient {
+	readonly #starts = new EngineStarts();
+
 	constructor(private readonly parts: EngineReportsParts) {}
 
 	/** An engine's account of what runs on it. */
@@ -45,6 +48,11 @@
 			return undefined;
 		}
 
+		if (status.start !== undefined && !this.#starts.isTrusted(engine.id, status.start, this.parts.clock.now())) {
+			log('Another start of an engine answers at its address.', {engine: engine.id, start: status.start});
+			return 'unreachable';
+		}
+
 		const held = status.runs.map(({requestId, tokens}) => ({requestId, attempt: undefined, pieces: countPieces(tokens, pieceTokens)}));
 		return {
 			engine: engine.id,
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -1,7 +1,7 @@
 /** Orders engines to change their role while this instance leads, as the role planner says. */
 import {RolePlanner, toId} from '@baobabpier/core';
 import type {
-	BackendId, Clock, EngineId, EngineRole, FencingToken, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, ExpectedMix,
+	BackendId, Clock, EngineId, EngineRole, EngineStart, FencingToken, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, ExpectedMix,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../gateway/server-transport.js';
@@ -21,6 +21,8 @@
 	readonly role: EngineRole;
 	/** Orders that it accepted so far. */
 	readonly sequence: number;
+	/** When the engine started, by its own clock; undefined where it does not tell. */
+	readonly start: EngineStart | undefined;
 	/** Whether an order is being carried out. */
 	readonly isBusy: boolean;
 	/** Tokens of memory in use, by running streams, leases and arriving transfers; undefined where the engine does not tell. */
