--- a/packages/core/src/__tests__/unit/hold-table.test.ts
+++ b/packages/core/src/__tests__/unit/hold-table.test.ts
@@ -14,7 +14,7 @@
 	| {readonly renew: readonly HeldPlacement[]}
 	| {readonly release: HeldPlacement}
 	/** A report of an engine that identifies requests only by their ids: pieces by request. */
-	| {readonly report: string; readonly piecesByRequest: Readonly<Record<string, number>>};
+	| {readonly report: string; readonly piecesByRequest: Readonly<Record<string, number>>; readonly otherPieces?: number};
 
 describe('placements that their holders renew', () => {
 	test.each<{name: string; steps: readonly Step[]; pieces: Readonly<Record<string, number>>}>([
@@ -63,6 +63,26 @@
 			steps: [{report: 'd1', piecesByRequest: {r1: 4}}, {renew: [placement('r1', 'd1', 5)]}],
 			pieces: {d1: 5},
 		},
+		{
+			name: 'memory in use that no stream explains counts beside the grants, such as leases of other instances',
+			steps: [{grant: placement('r1', 'd1')}, {report: 'd1', piecesByRequest: {r1: 4}, otherPieces: 9}],
+			pieces: {d1: 13},
+		},
+		{
+			name: 'a grant that the report does not list yet may be part of the memory in use and counts once',
+			steps: [{grant: placement('r1', 'd1')}, {report: 'd1', piecesByRequest: {}, otherPieces: 9}],
+			pieces: {d1: 9},
+		},
+		{
+			name: 'streams that outgrew their grants count with what they hold',
+			steps: [{grant: placement('r1', 'd1')}, {grant: placement('r2', 'd1')}, {report: 'd1', piecesByRequest: {r1: 9, r2: 3}}],
+			pieces: {d1: 12},
+		},
+		{
+			name: 'streams that hold less than their grants count with their grants',
+			steps: [{grant: placement('r1', 'd1')}, {report: 'd1', piecesByRequest: {r1: 2}}],
+			pieces: {d1: 4},
+		},
 	])('$name', ({steps, pieces}) => {
 		const holds = new HoldTable({leaseMs: 5000, orphanTimeoutMs: 6000});
 		for (const [index, step] of steps.entries()) {
@@ -80,7 +100,7 @@
 					incarnation: toId<EngineIncarnation>('1'),
 					role: 'decode',
 					pieces: 40,
-					freePieces: 0,
+					freePieces: 40 - Object.values(step.piecesByRequest).reduce((sum, reported) => sum + reported, step.otherPieces ?? 0),
 					queuedTokens: 0,
 					running: 0,
 					held: Object.entries(step.piecesByRequest).map(([id, reportedPieces]) => ({requestId: toId<RequestId>(id), attempt: undefined, pieces: reportedPieces})),
--- a/packages/daemon/src/gateway/stream-placements.ts
+++ b/packages/daemon/src/gateway/stream-placements.ts
@@ -22,7 +22,7 @@
 /** Time for which an unresponsive owner gets no placement requests, in milliseconds. */
 const ownerBackoffMs = 1000;
 /** Fraction of the callers' wait for an event that may be spent waiting for a placement: the rest is for the read of the prompt. */
-const waitFraction = 0.6;
+const waitFraction = 0.75;
 /** Callers' timeout for a silent stream, in multiples of the first event's target latency; the platform's clients use this factor. */
 const callerTimeoutTargets = 4;
 /** Attempt numbers of placements that the owner did not grant start after this one, far above the rounds of a call. */
