Count prefills that no output separates as one stall of a decode engine's streams

Hypothesis: the stall model adds up the prefills of the last target gap and multiplies with a learned mean. The model's test uses the new call and learns from 200 streams where it learned from 60; cases for chains are added.

--- a/packages/core/src/__tests__/unit/learned-engines.test.ts
+++ b/packages/core/src/__tests__/unit/learned-engines.test.ts
@@ -54,28 +54,44 @@
 describe('pauses caused by prompt reads', () => {
 	const gapMs = 300;
 
-	test('admits one prompt read at a time while reads pause streams, and several while they are spread over the outputs', () => {
-		const settle = (longestMs: number): DecodeStallModel => {
-			const pauses = new DecodeStallModel();
-			for (let turn = 0; turn < 60; turn++) {
-				pauses.recordPrefill(engineId, 3000, gapMs, at(turn * 1000));
-				pauses.learn(engineId, {startedAt: at((turn * 1000) - 1), betweenMs: 50, longestMs}, 0.04);
-			}
+	const msPerToken = 0.04;
+	const settle = (longestMs: number): DecodeStallModel => {
+		const pauses = new DecodeStallModel();
+		for (let turn = 0; turn < 200; turn++) {
+			pauses.recordPrefill(engineId, 3000, msPerToken, at(turn * 1000));
+			pauses.learn(engineId, {startedAt: at((turn * 1000) - 1), betweenMs: 50, longestMs});
+		}
 
-			return pauses;
-		};
+		return pauses;
+	};
 
+	test('admits one prompt read at a time while reads pause streams, and several while they are spread over the outputs', () => {
 		const stopping = settle(50 + 120);
 		const spread = settle(50 + 20);
-		const now = at(100_000);
+		const now = at(300_000);
 		for (const pauses of [stopping, spread]) {
-			expect(pauses.staysWithinGap(engineId, 4500, 0.04, gapMs, now)).toBe(true);
-			pauses.recordPrefill(engineId, 4500, gapMs, now);
+			expect(pauses.staysWithinGap(engineId, 4500, msPerToken, gapMs, now)).toBe(true);
+			pauses.recordPrefill(engineId, 4500, msPerToken, now);
+		}
+
+		const soon = at(300_100);
+		expect([stopping.staysWithinGap(engineId, 4500, msPerToken, gapMs, soon), spread.staysWithinGap(engineId, 4500, msPerToken, gapMs, soon)]).toEqual([false, true]);
+		expect(stopping.staysWithinGap(engineId, 4500, msPerToken, gapMs, at(300_400))).toBe(true);
+	});
+
+	test.each([
+		{name: 'a read that alone lasts longer than the gap', reads: [], tokens: 6500, at: 0, isAdmitted: false},
+		{name: 'a read within the gap', reads: [], tokens: 5400, at: 0, isAdmitted: true},
+		{name: 'a read right after another one, before the streams had an output', reads: [{tokens: 4500, at: 0}], tokens: 4500, at: 190, isAdmitted: false},
+		{name: 'a read after the streams had an output', reads: [{tokens: 4500, at: 0}], tokens: 4500, at: 250, isAdmitted: true},
+		{name: 'a third read of a chain that started more than a gap ago', reads: [{tokens: 3000, at: 0}, {tokens: 3000, at: 130}], tokens: 3000, at: 310, isAdmitted: false},
+	])('$name: admitted $isAdmitted', ({reads, tokens, at: readAt, isAdmitted}) => {
+		const pauses = settle(50 + 120);
+		for (const read of reads) {
+			pauses.recordPrefill(engineId, read.tokens, msPerToken, at(300_000 + read.at));
 		}
 
-		const soon = at(100_100);
-		expect([stopping.staysWithinGap(engineId, 4500, 0.04, gapMs, soon), spread.staysWithinGap(engineId, 4500, 0.04, gapMs, soon)]).toEqual([false, true]);
-		expect(stopping.staysWithinGap(engineId, 4500, 0.04, gapMs, at(100_400))).toBe(true);
+		expect(pauses.staysWithinGap(engineId, tokens, msPerToken, gapMs, at(300_000 + readAt))).toBe(isAdmitted);
 	});
 });
 
--- a/packages/core/src/placement/forecast.ts
+++ b/packages/core/src/placement/forecast.ts
@@ -249,8 +249,8 @@
 		// Behind an unanswered prompt, queueing inside the engine would be measured as latency
 		const isStartCertain = availableAt <= now && queue.jobCount === 0;
 		queue.add(req, req.promptTokens, now);
-		if (isDirect && req.steadyGapMs !== undefined) {
-			this.#stallModel.recordPrefill(decode, req.promptTokens, req.steadyGapMs, now);
+		if (isDirect) {
+			this.#stallModel.recordPrefill(decode, req.promptTokens, this.#directPrefillMsPerToken(decode), now);
 		}
 
 		if (this.#isLinkShared) {
@@ -336,7 +336,7 @@
 
 		if (pace?.longestMs !== undefined) {
 			const {betweenMs, longestMs} = pace;
-			this.#stallModel.learn(stream.decode, {startedAt: stream.startedAt, betweenMs, longestMs}, this.#directPrefillMsPerToken(stream.decode));
+			this.#stallModel.learn(stream.decode, {startedAt: stream.startedAt, betweenMs, longestMs});
 		}
 	}
 
