--- a/packages/core/src/__tests__/unit/consensus-replica.test.ts
+++ b/packages/core/src/__tests__/unit/consensus-replica.test.ts
@@ -132,3 +132,27 @@
 
 	expect(['replaced', 'ACCEPTED_ENTRY_CHANGED']).toContain(problem);
 });
+
+test('replicas that start in the same moment do not become candidates in the same tick of their timers', () => {
+	const tickMs = 100;
+	const startTimings = {...timings, minElectionTimeoutMs: 700, maxElectionTimeoutMs: 1100};
+	/** Number of replicas whose timeout ends in the first tick in which one does. */
+	const countFirstCandidates = (term: number): number => {
+		const hard = {
+			cluster: 'c', term: toId<Term>(term), vote: undefined, commit: toId<LogIndex>(0),
+		};
+		const replicas = ids.map((self, index) => new ConsensusReplica({
+			self, timings: startTimings, random: createSeededRandom((term * ids.length) + index), requiresDurableCommit: () => false,
+		}, {hard, snapshot: {...emptySnapshot, membership: {voters: ids, learners: []}}, entries: []}, 0 as Instant));
+		for (let now = tickMs; now <= startTimings.maxElectionTimeoutMs + tickMs; now += tickMs) {
+			const candidates = replicas.filter(replica => replica.step({kind: 'tick'}, now as Instant).length > 0);
+			if (candidates.length > 0) {
+				return candidates.length;
+			}
+		}
+
+		return 0;
+	};
+
+	expect(Array.from({length: 100}, (_, term) => countFirstCandidates(term)).filter(count => count !== 1)).toEqual([]);
+});
--- a/packages/core/src/consensus/election.ts
+++ b/packages/core/src/consensus/election.ts
@@ -5,6 +5,9 @@
 import {VoteTally} from './vote-tally.js';
 import type {ConsensusTimings, ReplicaId, ReplicaMembership} from './types.js';
 
+/** Fraction of a slot over which a timeout is randomized: the rest keeps the timeouts of two voters further apart than a timer's tick. */
+const slotJitter = 0.25;
+
 /** A replica's position among the voters, which decides when its election timeout ends. */
 export type ElectionSlot = {
 	/** From 0 to `count` - 1. */
@@ -14,7 +17,7 @@
 
 /**
  * The election timer and the votes of the phase in progress. The timeouts of the voters end in consecutive slots of the election
- * timeout's range, each at a random time in its slot: replicas that lost their leader or started at the same moment would
+ * timeout's range, each at a random time early in its slot: replicas that lost their leader or started at the same moment would
  * otherwise often become candidates together and split the vote.
  */
 export class Election {
@@ -80,6 +83,6 @@
 	#randomDeadline(now: Instant): Instant {
 		const {minElectionTimeoutMs, maxElectionTimeoutMs} = this.timings;
 		const {position, count} = this.slot();
-		return addMs(now, minElectionTimeoutMs + ((position + this.random.next()) / count * (maxElectionTimeoutMs - minElectionTimeoutMs)));
+		return addMs(now, minElectionTimeoutMs + ((position + (this.random.next() * slotJitter)) / count * (maxElectionTimeoutMs - minElectionTimeoutMs)));
 	}
 }
