Plan no quick change of role right after an engine was lost

Change: the quick window applies once the number of engines has not changed for the length of the slow window.

--- a/packages/core/src/placement/role-planner.ts
+++ b/packages/core/src/placement/role-planner.ts
@@ -79,6 +79,8 @@
 	#deviatingSince: Instant | undefined;
 	#lastChangeAt: Instant | undefined;
 	#engineCount = 0;
+	/** When an engine was last lost or added; undefined before. */
+	#engineCountChangedAt: Instant | undefined;
 	/** Weight of the time before the first sample in the average of the memory in use. */
 	#unsampledWeight = 1;
 
@@ -134,6 +136,7 @@
 		const targetCount = fraction === undefined ? prefillCount : Math.min(engines.length - 1, Math.max(1, engines.length * fraction));
 		if (engines.length !== this.#engineCount) {
 			// While the list of engines still grows, its split of roles is not representative
+			this.#engineCountChangedAt = this.#engineCount === 0 ? undefined : now;
 			this.#engineCount = engines.length;
 			this.#deviatingSince = undefined;
 		}
@@ -146,7 +149,9 @@
 
 		this.#deviatingSince ??= now;
 		const isIdle = this.#grantCount === 0 && engines.every(({running}) => running === 0);
-		const isUrgent = Math.abs(targetCount - prefillCount) >= engines.length * urgentDeviationFraction;
+		// A lost engine is often back before a change of role ends, and the change would take another one from a load that is short of engines
+		const isSettled = this.#engineCountChangedAt === undefined || now - this.#engineCountChangedAt >= stabilizationWindowMs;
+		const isUrgent = isSettled && Math.abs(targetCount - prefillCount) >= engines.length * urgentDeviationFraction;
 		if (now - this.#deviatingSince < (isIdle ? idleStabilizationWindowMs : (isUrgent ? urgentStabilizationWindowMs : stabilizationWindowMs))
 			|| (this.#lastChangeAt !== undefined && now - this.#lastChangeAt < cooldownMs)) {
 			return [];
