--- a/packages/core/src/placement/hold-table.ts
+++ b/packages/core/src/placement/hold-table.ts
@@ -115,6 +115,7 @@
 	/** Records a placement; the calling code has checked that it fits. */
 	grant(grant: Grant, now: Instant): void {
 		this.#startedAt ??= now;
+		this.#rejections.recordGrant(grant.decode.id, now);
 		this.#forgetReleased(holdKey(grant), grant.requestId);
 		this.#addGrant({
 			...grant, renewedAt: now, prefilling: grant.prefill !== undefined, reclaiming: false,
@@ -170,6 +171,10 @@
 		const tracked = this.#grants.get(holdKey(hold));
 		if (tracked?.prefilling === true) {
 			tracked.prefilling = false;
+			if (tracked.prefill!.id === tracked.decode.id) {
+				this.#rejections.recordAcceptance(tracked.decode.id);
+			}
+
 			this.#getOrCreateRecord(tracked.prefill!).queuedTokens -= tracked.promptTokens;
 		}
 	}
--- a/packages/core/src/placement/rejection-backoff.ts
+++ b/packages/core/src/placement/rejection-backoff.ts
@@ -5,16 +5,20 @@
 
 /** Initial and maximum time for which an engine is closed after a rejection, in milliseconds; it doubles with each further rejection. */
 const closedMs = {initial: 100, max: 800} as const;
+/** How long an engine that reopened is closed again for the first stream granted on it, unless it accepts the stream earlier, in milliseconds. */
+const probeMs = 400;
 
 type Rejections = {
 	count: number;
 	closedUntil: Instant;
+	/** Whether the engine is closed for a stream granted on it, whose rejection is news. */
+	isProbing: boolean;
 };
 
 /**
  * Answers a burst on engines whose memory is used by streams that this owner does not know: without it, each engine that
  * looks free is granted again within milliseconds of its rejection, and every prompt read for it is lost.
- * A release on the engine reopens it at once; an accepted stream ends the backoff.
+ * A release on the engine reopens it at once. A reopened engine gets one stream, and the next ones once it accepted that one.
  *
  * @see Nygard, "Release It!", 2018, on circuit breakers.
  * @example
@@ -27,13 +31,22 @@
 
 	recordRejection(engine: EngineId, now: Instant): void {
 		const previous = this.#rejections.get(engine);
-		if (previous !== undefined && now < previous.closedUntil) {
+		if (previous !== undefined && !previous.isProbing && now < previous.closedUntil) {
 			// Sends that were under way when the engine was closed say nothing new
 			return;
 		}
 
 		const count = (previous?.count ?? 0) + 1;
-		this.#rejections.set(engine, {count, closedUntil: addMs(now, Math.min(closedMs.max, closedMs.initial * (2 ** (count - 1))))});
+		this.#rejections.set(engine, {count, closedUntil: addMs(now, Math.min(closedMs.max, closedMs.initial * (2 ** (count - 1)))), isProbing: false});
+	}
+
+	/** Closes an engine that reopened until it accepts the stream that was granted now. */
+	recordGrant(engine: EngineId, now: Instant): void {
+		const rejections = this.#rejections.get(engine);
+		if (rejections !== undefined) {
+			rejections.closedUntil = addMs(now, probeMs);
+			rejections.isProbing = true;
+		}
 	}
 
 	/** Reopens an engine on which memory became free. */
