--- a/packages/core/src/__tests__/unit/role-planner.test.ts
+++ b/packages/core/src/__tests__/unit/role-planner.test.ts
@@ -125,3 +125,14 @@
 	replay(new RolePlanner(capacity, expectedMix), fleet, longPrompts, 0, 120_000);
 	expect(fleet.filter(({role}) => role === 'prefill')).toHaveLength(5);
 });
+
+test('a prefill engine that is lost under load and back within seconds causes no change of role', () => {
+	const planner = new RolePlanner(capacity);
+	const fleet = engines(2, 4);
+	const load = {
+		perSecond: 6, tokens: 9000, pieces: 345, heldMs: 2870,
+	};
+	expect(replay(planner, fleet, load, 0, 60_000)).toEqual([]);
+	expect(replay(planner, fleet.filter(({id}) => id !== toId<EngineId>('p0')), load, 60_000, 6000)).toEqual([]);
+	expect(replay(planner, fleet, load, 66_000, 20_000)).toEqual([]);
+});
