--- a/packages/core/src/__tests__/unit/role-planner.test.ts
+++ b/packages/core/src/__tests__/unit/role-planner.test.ts
@@ -136,3 +136,15 @@
 	expect(replay(planner, fleet.filter(({id}) => id !== toId<EngineId>('p0')), load, 60_000, 6000)).toEqual([]);
 	expect(replay(planner, fleet, load, 66_000, 20_000)).toEqual([]);
 });
+
+test('engines that are listed one after another at the start are split as soon as the list is whole', () => {
+	const planner = new RolePlanner(capacity, {promptTokens: 5200, pieces: 355, decodeMs: 3500});
+	planner.setPrefillRate(prefillTokensPerMs);
+	const fleet = engines(4, 4).map(engine => ({...engine, running: engine.role === 'decode' ? 1 : 0}));
+	const changes: number[] = [];
+	for (let now = 0; now < 4000; now += 100) {
+		changes.push(...planner.plan(fleet.slice(0, 1 + Math.floor(now / 100)), at(now)).map(() => now));
+	}
+
+	expect(changes.length).toBeGreaterThan(0);
+});
--- a/packages/core/src/placement/role-planner.ts
+++ b/packages/core/src/placement/role-planner.ts
@@ -79,8 +79,8 @@
 	#deviatingSince: Instant | undefined;
 	#lastChangeAt: Instant | undefined;
 	#engineCount = 0;
-	/** When an engine was last lost or added; undefined before. */
-	#engineCountChangedAt: Instant | undefined;
+	/** When an engine was last lost; undefined before. */
+	#engineLostAt: Instant | undefined;
 	/** Weight of the time before the first sample in the average of the memory in use. */
 	#unsampledWeight = 1;
 
@@ -136,7 +136,7 @@
 		const targetCount = fraction === undefined ? prefillCount : Math.min(engines.length - 1, Math.max(1, engines.length * fraction));
 		if (engines.length !== this.#engineCount) {
 			// While the list of engines still grows, its split of roles is not representative
-			this.#engineCountChangedAt = this.#engineCount === 0 ? undefined : now;
+			this.#engineLostAt = engines.length < this.#engineCount ? now : this.#engineLostAt;
 			this.#engineCount = engines.length;
 			this.#deviatingSince = undefined;
 		}
@@ -150,7 +150,7 @@
 		this.#deviatingSince ??= now;
 		const isIdle = this.#grantCount === 0 && engines.every(({running}) => running === 0);
 		// A lost engine is often back before a change of role ends, and the change would take another one from a load that is short of engines
-		const isSettled = this.#engineCountChangedAt === undefined || now - this.#engineCountChangedAt >= stabilizationWindowMs;
+		const isSettled = this.#engineLostAt === undefined || now - this.#engineLostAt >= stabilizationWindowMs;
 		const isUrgent = isSettled && Math.abs(targetCount - prefillCount) >= engines.length * urgentDeviationFraction;
 		if (now - this.#deviatingSince < (isIdle ? idleStabilizationWindowMs : (isUrgent ? urgentStabilizationWindowMs : stabilizationWindowMs))
 			|| (this.#lastChangeAt !== undefined && now - this.#lastChangeAt < cooldownMs)) {
