--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -53,6 +53,10 @@
 			return 'unreachable';
 		}
 
+		for (const {field, value} of status.faults) {
+			log('A report has an impossible figure, which counts as missing.', {engine: engine.id, field, value: JSON.stringify(value)});
+		}
+
 		const held = status.runs.map(({requestId, tokens}) => ({requestId, attempt: undefined, pieces: countPieces(tokens, pieceTokens)}));
 		return {
 			engine: engine.id,
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -25,8 +25,10 @@
 	readonly start: EngineStart | undefined;
 	/** Whether an order is being carried out. */
 	readonly isBusy: boolean;
-	/** Tokens of memory in use, by running streams, leases and arriving transfers; undefined where the engine does not tell. */
+	/** Tokens of memory in use, by running streams, leases and arriving transfers; undefined where the engine reports none or an impossible figure. */
 	readonly usedTokens: number | undefined;
+	/** The impossible figures of the report, which count as missing. */
+	readonly faults: ReadonlyArray<{readonly field: string; readonly value: unknown}>;
 	/** The requests that run on it, with the tokens that each has in memory. */
 	readonly runs: ReadonlyArray<{readonly requestId: RequestId; readonly tokens: number}>;
 };
