Reword the control node folder in the terms of the field

Renames (file, old, new): learned-notes.ts LearnedNotes LearnedEstimatesRecorder; LearnedNotesParts LearnedEstimatesRecorderParts; note record; noteMs recordIntervalMs; move learned-notes.ts learned-estimates-recorder.ts watch-desk.ts WatchDesk WatchServer; WatchDeskParts WatchServerParts; entryMs entryTimeoutMs; checkMs checkIntervalMs; sweepMs sweepIntervalMs; move watch-desk.ts watch-server.ts control-node.ts settleMs holderGraceMs; reopenMs reopenDelayMs; listMs listIntervalMs; leadCheckMs leadCheckIntervalMs; notes recorder; desk watchServer role-task.ts noteGrant recordGrant; sampleMs sampleIntervalMs; settleMs minLeadMs; callMs callTimeoutMs; changeMs changeTimeoutMs engine-reports.ts reportMs reportTimeoutMs Log components, log sentences and wire names stay.

--- a/packages/daemon/src/__tests__/unit/learned-notes.test.ts
+++ b/packages/daemon/src/__tests__/unit/learned-estimates-recorder.test.ts
@@ -5,8 +5,8 @@
 import type {
 	AttemptNumber, ControlEntry, EngineId, Instant, InstanceId, LearnedEstimates, LogIndex, LogTime, PlacementRequest, RequestId, ServiceName,
 } from '@baobabpier/core';
-import {LearnedNotes} from '../../control-node/learned-notes.js';
-import type {LearnedNotesParts} from '../../control-node/learned-notes.js';
+import {LearnedEstimatesRecorder} from '../../control-node/learned-estimates-recorder.js';
+import type {LearnedEstimatesRecorderParts} from '../../control-node/learned-estimates-recorder.js';
 
 const service = toId<ServiceName>('lm');
 const at = (ms: number): Instant => ms as Instant;
@@ -28,7 +28,7 @@
 			written += 1;
 			return state.apply({index: toId<LogIndex>(index), at: 0 as LogTime, command});
 		},
-	} as unknown as LearnedNotesParts['control'];
+	} as unknown as LearnedEstimatesRecorderParts['control'];
 	return {control, written: () => written};
 };
 
@@ -49,9 +49,9 @@
 	const state = createState();
 	const {control, written} = createLog(state);
 	for (const tokensPerMs of learned) {
-		const notes = new LearnedNotes({control, pools: {learnedEstimates: () => new Map([[service, figuresOf(tokensPerMs)]])}, isLeading: () => isLeading});
+		const recorder = new LearnedEstimatesRecorder({control, pools: {learnedEstimates: () => new Map([[service, figuresOf(tokensPerMs)]])}, isLeading: () => isLeading});
 		// eslint-disable-next-line no-await-in-loop
-		await notes.note();
+		await recorder.record();
 	}
 
 	const copy = createState();
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -1,4 +1,4 @@
-/** Wires the parts of a control instance: its replica, the operators' configuration, the list, and the engine pools it leads. */
+/** Wires the parts of a control instance: its replica, the operators' configuration, the server list and the engine pools that it owns while it leads. */
 import {
 	countPieces, createSeededRandom, ForecastPolicy, hashText, toId,
 } from '@baobabpier/core';
@@ -22,28 +22,28 @@
 import {RpcServer} from '../rpc/rpc-server.js';
 import type {EngineEstimates} from '../settings/engine-estimates.js';
 import {EngineReports} from './engine-reports.js';
-import {LearnedNotes} from './learned-notes.js';
+import {LearnedEstimatesRecorder} from './learned-estimates-recorder.js';
 import {RoleTask} from './role-task.js';
 import type {OrderDialect} from './role-task.js';
-import {WatchDesk} from './watch-desk.js';
+import {WatchServer} from './watch-server.js';
 
 const log = createLog('control-node');
-/** How often a failed disk is tried again, in milliseconds. */
-const reopenMs = 1000;
-/** How often the list is read, in milliseconds: a leaving server must be known within seconds, and readings are paid for. */
-const listMs = 700;
-/** Connections to the platform's list, and to each engine for reports and orders. */
+/** Delay before a failed disk is opened again, in milliseconds. */
+const reopenDelayMs = 1000;
+/** Interval between reads of the server list, in milliseconds: a leaving server must be known within seconds, and the platform charges for reads. */
+const listIntervalMs = 700;
+/** Number of connections to the platform's list, and to each engine for reports and orders. */
 const serverConnections = 2;
 /**
- * How long a new leader waits for the places that entry instances hold before it gives out more, in milliseconds:
- * they hear of it by an open call and renew at once, within some tens of milliseconds on a loaded machine.
+ * How long a new leader waits for entry instances to renew the placements that they hold before it grants more, in milliseconds:
+ * they learn of the leader from a long poll and renew at once, which takes some tens of milliseconds on a loaded machine.
  */
-const settleMs = 400;
-const leadCheckMs = 100;
+const holderGraceMs = 400;
+const leadCheckIntervalMs = 100;
 
 /** Settings of a control instance. */
 export type ControlNodeSettings = {
-	/** Its peer address: instances that nobody lists are named by where they are reached. */
+	/** Its peer address, which identifies an instance that no list names. */
 	readonly id: InstanceId;
 	readonly dataCentre: DataCentreId;
 	readonly listen: {readonly peers: string; readonly metrics: string};
@@ -55,11 +55,11 @@
 	readonly folder: string;
 	readonly list: string;
 	readonly secret: string;
-	/** What is expected of engines until calls teach it. */
+	/** Engine estimates that are used until measurements replace them. */
 	readonly estimates: EngineEstimates;
 };
 
-/** What an adapter translates for a control instance. */
+/** All translations that a platform adapter provides to a control instance. */
 export type ControlNodeDialect = {
 	readonly list: ListDialect;
 	readonly routing: RoutingCodec;
@@ -76,7 +76,7 @@
 	stop(): Promise<void>;
 };
 
-/** Leads the engine pools while this instance leads the control log, after a pause in which holders come forward. */
+/** Owns the engine pools while this instance leads the control log. Grants start after a grace period in which holders renew their placements. */
 class LeaderShares implements ShareMap {
 	#leadingSince: Instant | undefined;
 
@@ -86,7 +86,7 @@
 		return toId<FencingToken>(this.control.status.term ?? 0);
 	}
 
-	/** Notes whether this instance leads; true when it changed. */
+	/** Records whether this instance leads; returns true when that changed. */
 	check(now: Instant): boolean {
 		const {role, hearsQuorum} = this.control.status;
 		const isLeading = role === 'leader' && hearsQuorum;
@@ -108,9 +108,9 @@
 		return this.#leadingSince !== undefined && this.control.position.leader === this.self && now >= this.#leadingSince;
 	}
 
-	/** Whether places may be given out: entry instances had the time to tell of those that they hold. */
+	/** Whether placements may be granted: entry instances have had the time to renew those that they hold. */
 	isSettled(now: Instant): boolean {
-		return this.#leadingSince !== undefined && this.control.status.role === 'leader' && now - this.#leadingSince >= settleMs;
+		return this.#leadingSince !== undefined && this.control.status.role === 'leader' && now - this.#leadingSince >= holderGraceMs;
 	}
 }
 
@@ -145,7 +145,7 @@
 		founders: first.isFirstStart ? first.seeds : [],
 		discovered: () => settings.seeds,
 		voters: first.voters,
-		reopenMs,
+		reopenMs: reopenDelayMs,
 	});
 	const shares = new LeaderShares(first.id, control);
 	const transport = new ServerTransport(() => serverConnections);
@@ -157,14 +157,14 @@
 		engines: new EngineReports({clock, transport, dialect: dialect.orders}),
 		mayGrant: () => shares.isSettled(clock.now()) || control.status.role !== 'leader',
 		onPlaced(service, promptTokens) {
-			roles.noteGrant(service, promptTokens);
+			roles.recordGrant(service, promptTokens);
 		},
 		timings: placementLeaseTimings,
 	});
 	const list = new ServerListPoller({
-		address: first.list, dialect: dialect.list, transport, clock, intervalMs: listMs, shouldPoll: () => true, onList(read) {
+		address: first.list, dialect: dialect.list, transport, clock, intervalMs: listIntervalMs, shouldPoll: () => true, onList(read) {
 			servers = read;
-			desk.setList(read);
+			watchServer.setList(read);
 			applyPools();
 		},
 	});
@@ -189,7 +189,7 @@
 			applyPools();
 		},
 	});
-	const desk: WatchDesk = new WatchDesk({
+	const watchServer: WatchServer = new WatchServer({
 		dataCentre: first.dataCentre, control, clock, listAgeMs: () => list.ageMs,
 	});
 	const tableInForce = (): RoutingTable | undefined => {
@@ -215,8 +215,8 @@
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => control.state.routing.current?.version ?? 0);
 	metrics.registerGauge('control_term', 'Term of the control log', () => control.status.term ?? 0);
 	metrics.registerGauge('control_leads', 'Whether this instance leads the control log', () => control.status.role === 'leader' ? 1 : 0);
-	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => desk.entries);
-	desk.start(rpc);
+	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => watchServer.entries);
+	watchServer.start(rpc);
 	pools.start(rpc);
 	list.start();
 	roles.start();
@@ -226,9 +226,9 @@
 			log('The lead of the engine pools changed.', {leads: control.status.role === 'leader', term: control.status.term, leader: control.position.leader});
 			applyPools();
 		}
-	}, leadCheckMs);
-	const notes = new LearnedNotes({control, pools, isLeading: () => shares.isSettled(clock.now()) && control.status.hearsQuorum});
-	notes.start();
+	}, leadCheckIntervalMs);
+	const recorder = new LearnedEstimatesRecorder({control, pools, isLeading: () => shares.isSettled(clock.now()) && control.status.hearsQuorum});
+	recorder.start();
 	void control.start(rpc);
 	log('The control instance is up.', {
 		id: first.id, dataCentre: first.dataCentre, seeds: first.seeds.join(' '), firstStart: first.isFirstStart,
@@ -241,9 +241,9 @@
 		await control.stop();
 		pools.stop();
 		roles.stop();
-		notes.stop();
+		recorder.stop();
 		list.stop();
-		desk.stop();
+		watchServer.stop();
 		peerPort.closeAllConnections();
 		peerPort.close();
 		metricsPort.closeAllConnections();
--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -1,4 +1,4 @@
-/** Asks engines what they hold, for the pools that this instance leads. */
+/** Fetches the reports of engines for the pools that this instance owns. */
 import {countPieces, EngineStarts, toId} from '@baobabpier/core';
 import type {
 	BackendId, Clock, EngineEntry, EngineReport, EngineIncarnation,
@@ -10,28 +10,28 @@
 import type {OrderDialect} from './role-task.js';
 
 const log = createLog('reports');
-/** Longest time for a report, in milliseconds: a packet that is lost is sent again within it. */
-const reportMs = 600;
-/** Another engine has the address. */
+/** Timeout of a report request, in milliseconds: long enough for one retransmission of a lost packet. */
+const reportTimeoutMs = 600;
+/** Status with which another engine at the address refuses a request. */
 const misdirected = 421;
 
-/** What the reports work with. */
+/** Dependencies of the engine reports. */
 export type EngineReportsParts = {
 	readonly clock: Clock;
 	readonly transport: ServerTransport;
 	readonly dialect: Pick<OrderDialect, 'statusCall' | 'readStatus'>;
 };
 
-/** Reads the reports of engines; frees nothing, since engines end requests whose connections close. */
+/** Fetches reports. Cancels nothing, since engines end the requests whose connections close. */
 export class EngineReports implements PoolEngineClient {
 	readonly #starts = new EngineStarts();
 
 	constructor(private readonly parts: EngineReportsParts) {}
 
-	/** An engine's account of what runs on it. */
+	/** Fetches the report of the streams that run on an engine and of its memory in use. */
 	async fetchReport(engine: EngineEntry): Promise<EngineReport | 'unreachable' | undefined> {
 		const {transport, dialect} = this.parts;
-		const answer = await transport.sendRequest({address: engine.address, ...dialect.statusCall(toId<BackendId>(engine.id)), signal: AbortSignal.timeout(reportMs)});
+		const answer = await transport.sendRequest({address: engine.address, ...dialect.statusCall(toId<BackendId>(engine.id)), signal: AbortSignal.timeout(reportTimeoutMs)});
 		const body = answer.kind === 'head' ? await transport.readBody(answer) : answer;
 		if (answer.kind !== 'head' || 'kind' in body) {
 			transport.discardPool(engine.address);
@@ -70,7 +70,7 @@
 		};
 	}
 
-	/** A holder that is gone has closed its connections, on which engines end its requests. */
+	/** Does nothing: the connections of a lost holder are closed, and engines end the requests on them. */
 	async cancel(): Promise<void> {
 		// Nothing to send
 	}
--- a/packages/daemon/src/control-node/learned-notes.ts
+++ b/packages/daemon/src/control-node/learned-estimates-recorder.ts
@@ -1,40 +1,40 @@
-/** Writes down what the pools' owner learns of its engines, so that the next owner need not learn it anew. */
+/** Records the estimates that the pools' owner has learned in the control log, so that the next owner starts with them. */
 import {differSignificantly} from '@baobabpier/core';
 import type {ControlLog} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {PoolHost} from '../pools/pool-host.js';
 
 const log = createLog('learned');
-/** How often learned figures are compared with those written down, in milliseconds: several streams long, and few writes. */
-const noteMs = 3000;
+/** Interval at which the learned estimates are compared with the recorded ones, in milliseconds: several streams long, so that few are written. */
+const recordIntervalMs = 3000;
 
-/** What the notes work with. */
-export type LearnedNotesParts = {
+/** Dependencies of the recorder. */
+export type LearnedEstimatesRecorderParts = {
 	readonly control: Pick<ControlLog, 'state' | 'submit'>;
 	readonly pools: Pick<PoolHost, 'learnedEstimates'>;
-	/** Whether this instance surely owns the pools. */
+	/** Whether this instance is certain to own the pools. */
 	readonly isLeading: () => boolean;
 };
 
-/** Appends figures that changed notably to the control log. */
-export class LearnedNotes {
+/** Appends estimates that changed significantly to the control log. */
+export class LearnedEstimatesRecorder {
 	#timer: NodeJS.Timeout | undefined;
 	#isWriting = false;
 
-	constructor(private readonly parts: LearnedNotesParts) {}
+	constructor(private readonly parts: LearnedEstimatesRecorderParts) {}
 
 	start(): void {
 		this.#timer = setInterval(() => {
-			void this.note();
-		}, noteMs);
+			void this.record();
+		}, recordIntervalMs);
 	}
 
 	stop(): void {
 		clearInterval(this.#timer);
 	}
 
-	/** Writes what is worth it, one service after the other. */
-	async note(): Promise<void> {
+	/** Records the estimates that changed significantly, one service after another. */
+	async record(): Promise<void> {
 		const {control, pools, isLeading} = this.parts;
 		if (this.#isWriting || !isLeading()) {
 			return;
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -1,4 +1,4 @@
-/** Orders engines to change their role while this instance leads, as the role planner says. */
+/** Orders engines to change their roles according to the role planner while this instance leads. */
 import {RolePlanner, toId} from '@baobabpier/core';
 import type {
 	BackendId, Clock, EngineId, EngineRole, EngineStart, FencingToken, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, ExpectedMix,
@@ -7,19 +7,19 @@
 import type {ServerTransport} from '../gateway/server-transport.js';
 
 const log = createLog('roles');
-/** How often the load is sampled and changes are planned, in milliseconds. */
-const sampleMs = 200;
-/** How long a new leader gives no orders, in milliseconds: longer than any lease under which an earlier one may still act. */
-const settleMs = 5000;
-/** Longest time for a report or an order, in milliseconds. */
-const callMs = 1000;
-/** How long an engine may take to come back in its new role, in milliseconds. */
-const changeMs = 15_000;
-
-/** What an engine says of itself. */
+/** Interval at which the load is sampled and changes are planned, in milliseconds. */
+const sampleIntervalMs = 200;
+/** How long an instance must lead before it orders anything, in milliseconds: longer than the lease under which an earlier leader may still act. */
+const minLeadMs = 5000;
+/** Timeout of a report request or an order, in milliseconds. */
+const callTimeoutMs = 1000;
+/** How long an engine may take until it is listed in its new role, in milliseconds. */
+const changeTimeoutMs = 15_000;
+
+/** An engine's report of its own state. */
 export type EngineStatus = {
 	readonly role: EngineRole;
-	/** Orders that it accepted so far. */
+	/** Number of orders that the engine has accepted. */
 	readonly sequence: number;
 	/** When the engine started, by its own clock; undefined where it does not tell. */
 	readonly start: EngineStart | undefined;
@@ -43,14 +43,14 @@
 
 /** Translates orders to engines. */
 export type OrderDialect = {
-	/** Asks an engine for its status; another engine at its address refuses the call. */
+	/** Creates the request for an engine's report; another engine at its address refuses it. */
 	statusCall(engine: BackendId): EngineCall;
 	readStatus(body: Uint8Array): EngineStatus | undefined;
-	/** An order that holds only while the engine has accepted `sequence` orders. */
+	/** Creates an order that applies only if the engine has accepted `sequence` orders. */
 	orderCall(engine: BackendId, role: EngineRole, holder: InstanceId, fencing: FencingToken, sequence: number): EngineCall;
 };
 
-/** What a role task works with. */
+/** Dependencies of a role task. */
 export type RoleTaskParts = {
 	readonly self: InstanceId;
 	readonly clock: Clock;
@@ -58,21 +58,21 @@
 	readonly dialect: OrderDialect;
 	readonly servers: () => readonly ListedServer[];
 	readonly pools: () => InstanceStatus['pools'];
-	/** The number of this instance's lead; undefined while it does not surely lead. */
+	/** Fencing token of this instance's leadership; undefined while it is not certain to lead. */
 	readonly fencing: () => FencingToken | undefined;
 	/** Memory pieces of one engine of a service. */
 	readonly piecesOf: (service: ServiceName) => number | undefined;
-	/** Rate at which a service's prefill engines read. */
+	/** Prefill rate of a service's engines, in tokens per millisecond. */
 	readonly prefillTokensPerMs: (service: ServiceName) => number;
-	/** Mix of prompts and answers until requests teach it. */
+	/** Request mix that is assumed until enough requests were observed. */
 	readonly expectedMix: ExpectedMix;
-	/** Whether no earlier leader can have given orders. */
+	/** Whether no earlier leader can have sent orders. */
 	readonly isFirstLead: () => boolean;
-	/** Called when the engines that are changing are others than before. */
+	/** Called when the set of engines that are changing their role changes. */
 	readonly onChanging: () => void;
 };
 
-/** Samples the pools, and gives orders one engine after the other. */
+/** Samples the pools and orders the changes, one engine after another. */
 export class RoleTask {
 	readonly #planners = new Map<ServiceName, RolePlanner>();
 	readonly #changing = new Map<EngineId, {readonly role: EngineRole; readonly until: number}>();
@@ -82,7 +82,7 @@
 
 	constructor(private readonly parts: RoleTaskParts) {}
 
-	/** Engines that are changing their role: they get no work. */
+	/** Engines that are changing their role and get no work. */
 	get changing(): ReadonlySet<EngineId> {
 		return new Set(this.#changing.keys());
 	}
@@ -90,22 +90,22 @@
 	start(): void {
 		this.#timer = setInterval(() => {
 			this.#sample();
-		}, sampleMs);
+		}, sampleIntervalMs);
 	}
 
 	stop(): void {
 		clearInterval(this.#timer);
 	}
 
-	/** Counts a prompt that was given to an engine. */
-	noteGrant(service: ServiceName, promptTokens: number): void {
+	/** Counts a prompt that was placed on an engine. */
+	recordGrant(service: ServiceName, promptTokens: number): void {
 		this.#planners.get(service)?.recordGrant(promptTokens);
 	}
 
 	#sample(): void {
 		const now = this.parts.clock.now();
-		// After a freeze the lead must be confirmed anew before it counts
-		const wasFrozen = this.#steppedAt !== undefined && now - this.#steppedAt > settleMs / 2;
+		// After a pause of the process, leadership must be confirmed again before it counts
+		const wasFrozen = this.#steppedAt !== undefined && now - this.#steppedAt > minLeadMs / 2;
 		this.#steppedAt = now;
 		const fencing = this.parts.fencing();
 		if (fencing === undefined || wasFrozen) {
@@ -132,7 +132,7 @@
 		const used = engines.filter(({role}) => role === 'decode').reduce((sum, engine) => sum + engine.pieces - engine.freePieces, 0);
 		planner.setPrefillRate(this.parts.prefillTokensPerMs(service));
 		planner.recordMemoryUse(used, now);
-		if ((now - this.#leadingSince! < settleMs && !this.parts.isFirstLead()) || this.#changing.size > 0) {
+		if ((now - this.#leadingSince! < minLeadMs && !this.parts.isFirstLead()) || this.#changing.size > 0) {
 			return;
 		}
 
@@ -143,7 +143,7 @@
 			log('An engine is to change its role.', {
 				engine: change.engine, role: change.role, service, prefillPart: Number((planner.prefillFraction ?? 0).toFixed(3)), prefilling: candidates.filter(({role}) => role === 'prefill').length, engines: candidates.length, fencing,
 			});
-			this.#changing.set(change.engine, {role: change.role, until: now + changeMs});
+			this.#changing.set(change.engine, {role: change.role, until: now + changeTimeoutMs});
 			void this.#order(change, fencing);
 		}
 
@@ -152,7 +152,7 @@
 		}
 	}
 
-	/** Forgets engines that are listed in their new role, or that took too long. */
+	/** Removes the engines that are listed in their new role, or that exceeded the timeout. */
 	#dropChanged(now: Instant): void {
 		const servers = new Map(this.parts.servers().map(server => [toId<EngineId>(server.id), server]));
 		let isChanged = false;
@@ -175,7 +175,7 @@
 	async #order({engine, role}: RoleChange, fencing: FencingToken): Promise<void> {
 		const server = this.parts.servers().find(({id}) => toId<EngineId>(id) === engine);
 		const report = server === undefined ? undefined : await this.#report(server);
-		// The lead is checked right before the order goes out
+		// Leadership is checked immediately before the order is sent
 		if (server === undefined || report === undefined || report.isBusy || report.role === role || this.parts.fencing() !== fencing) {
 			log('An order is not given.', {
 				engine, role, isReported: report !== undefined, isBusy: report?.isBusy, reportedRole: report?.role,
@@ -190,7 +190,7 @@
 		log('An order was given.', {
 			engine, role, fencing, sequence: report.sequence, status: answer?.status, isAccepted,
 		});
-		// Without an answer it may still be carried out: the engine stays out until it is listed or the time is over
+		// An order without a response may still be carried out: the engine gets no work until it is listed in its new role or the timeout passes
 		if (answer !== undefined && !isAccepted) {
 			this.#changing.delete(engine);
 			this.parts.onChanging();
@@ -203,7 +203,7 @@
 	}
 
 	async #call(server: ListedServer, call: EngineCall): Promise<{readonly status: number; readonly body: Uint8Array} | undefined> {
-		const answer = await this.parts.transport.sendRequest({address: server.address, ...call, signal: AbortSignal.timeout(callMs)});
+		const answer = await this.parts.transport.sendRequest({address: server.address, ...call, signal: AbortSignal.timeout(callTimeoutMs)});
 		const body = answer.kind === 'head' ? await this.parts.transport.readBody(answer) : answer;
 		if (answer.kind !== 'head' || 'kind' in body) {
 			log('An engine did not answer.', {engine: server.id, detail: 'detail' in body ? body.detail : undefined});
--- a/packages/daemon/src/control-node/watch-desk.ts
+++ b/packages/daemon/src/control-node/watch-server.ts
@@ -1,4 +1,4 @@
-/** Answers the entry instances that follow this control instance. */
+/** Serves the long polls of the entry instances that watch this control instance. */
 import {CONTROL_WATCH, digestServerList} from '@baobabpier/core';
 import type {
 	Clock, DataCentreId, InstanceId, ListedServer, RoutingVersion, WatchResponse, WatchParams,
@@ -8,15 +8,15 @@
 import type {RpcServer} from '../rpc/rpc-server.js';
 
 const log = createLog('desk');
-/** An entry instance that did not ask for this long is gone, in milliseconds. */
-const entryMs = 5000;
-/** How often the open calls are looked through for news that no event tells of, in milliseconds. */
-const checkMs = 50;
-/** How often entry instances that went silent are looked for, in milliseconds: a small part of `entryMs`. */
-const sweepMs = 500;
-
-/** What the desk works with. */
-export type WatchDeskParts = {
+/** An entry instance counts as gone when it has not polled for this long, in milliseconds. */
+const entryTimeoutMs = 5000;
+/** Interval at which open polls are checked for changes that cause no event, in milliseconds. */
+const checkIntervalMs = 50;
+/** Interval at which silent entry instances are removed, in milliseconds: a small fraction of `entryTimeoutMs`. */
+const sweepIntervalMs = 500;
+
+/** Dependencies of a watch server. */
+export type WatchServerParts = {
 	readonly dataCentre: DataCentreId;
 	readonly control: ReplicatedControlLog;
 	readonly clock: Clock;
@@ -29,8 +29,8 @@
 	readonly resolve: () => void;
 };
 
-/** Holds the calls of entry instances until there is news for them. */
-export class WatchDesk {
+/** Delays the responses to entry instances until a change that they don't know. */
+export class WatchServer {
 	readonly #entries = new Map<InstanceId, number>();
 	readonly #waiting = new Set<Waiting>();
 	#list: readonly ListedServer[] | undefined;
@@ -39,7 +39,7 @@
 	#timer: NodeJS.Timeout | undefined;
 	#confirming: Promise<boolean> | undefined;
 
-	constructor(private readonly parts: WatchDeskParts) {}
+	constructor(private readonly parts: WatchServerParts) {}
 
 	start(server: RpcServer): void {
 		server.registerMethod(CONTROL_WATCH, async params => this.#answer(params));
@@ -48,7 +48,7 @@
 		});
 		this.#timer = setInterval(() => {
 			this.#wake();
-		}, checkMs);
+		}, checkIntervalMs);
 	}
 
 	stop(): void {
@@ -60,7 +60,7 @@
 		this.#waiting.clear();
 	}
 
-	/** Takes a new list. */
+	/** Replaces the server list. */
 	setList(servers: readonly ListedServer[]): void {
 		this.#list = servers;
 		const digest = digestServerList(servers);
@@ -71,7 +71,7 @@
 		}
 	}
 
-	/** Entry instances that asked lately. */
+	/** Number of entry instances that polled recently. */
 	get entries(): number {
 		return this.#entries.size;
 	}
@@ -79,7 +79,7 @@
 	#forgetSilent(): void {
 		const now = this.parts.clock.now();
 		for (const [id, at] of this.#entries) {
-			if (now - at > entryMs) {
+			if (now - at > entryTimeoutMs) {
 				this.#entries.delete(id);
 				log('An entry instance is gone.', {entry: id, silentMs: Math.round(now - at)});
 			}
@@ -130,7 +130,7 @@
 			|| (now.hearsQuorum && now.leader !== undefined && now.leader !== leader);
 	}
 
-	/** Whether a majority confirms that the state is the newest; calls at the same time share the question. */
+	/** Returns whether a majority confirms that the state is the newest; concurrent calls share one confirmation. */
 	async #confirm(): Promise<boolean> {
 		this.#confirming ??= (async () => {
 			try {
@@ -154,7 +154,7 @@
 
 	#wake(): void {
 		const now = this.parts.clock.now();
-		if (now - this.#sweptAt >= sweepMs) {
+		if (now - this.#sweptAt >= sweepIntervalMs) {
 			this.#sweptAt = now;
 			this.#forgetSilent();
 		}
