--- a/packages/core/src/__tests__/unit/learned-engines.test.ts
+++ b/packages/core/src/__tests__/unit/learned-engines.test.ts
@@ -80,11 +80,21 @@
 	});
 
 	test.each([
-		{name: 'a read that alone lasts longer than the gap', reads: [], tokens: 6500, at: 0, isAdmitted: false},
-		{name: 'a read within the gap', reads: [], tokens: 5400, at: 0, isAdmitted: true},
-		{name: 'a read right after another one, before the streams had an output', reads: [{tokens: 4500, at: 0}], tokens: 4500, at: 190, isAdmitted: false},
-		{name: 'a read after the streams had an output', reads: [{tokens: 4500, at: 0}], tokens: 4500, at: 250, isAdmitted: true},
-		{name: 'a third read of a chain that started more than a gap ago', reads: [{tokens: 3000, at: 0}, {tokens: 3000, at: 130}], tokens: 3000, at: 310, isAdmitted: false},
+		{
+			name: 'a read that alone lasts longer than the gap', reads: [], tokens: 6500, at: 0, isAdmitted: false,
+		},
+		{
+			name: 'a read within the gap', reads: [], tokens: 5400, at: 0, isAdmitted: true,
+		},
+		{
+			name: 'a read right after another one, before the streams had an output', reads: [{tokens: 4500, at: 0}], tokens: 4500, at: 190, isAdmitted: false,
+		},
+		{
+			name: 'a read after the streams had an output', reads: [{tokens: 4500, at: 0}], tokens: 4500, at: 250, isAdmitted: true,
+		},
+		{
+			name: 'a third read of a chain that started more than a gap ago', reads: [{tokens: 3000, at: 0}, {tokens: 3000, at: 130}], tokens: 3000, at: 310, isAdmitted: false,
+		},
 	])('$name: admitted $isAdmitted', ({reads, tokens, at: readAt, isAdmitted}) => {
 		const pauses = settle(50 + 120);
 		for (const read of reads) {
--- a/packages/daemon/src/__tests__/unit/engine-leases.test.ts
+++ b/packages/daemon/src/__tests__/unit/engine-leases.test.ts
@@ -27,9 +27,9 @@
 beforeEach(async () => {
 	received = [];
 	engine = createServer(async (req, res) => {
-		const chunks: Buffer[] = [];
+		const chunks: Uint8Array[] = [];
 		for await (const chunk of req) {
-			chunks.push(chunk as Buffer);
+			chunks.push(chunk as Uint8Array);
 		}
 
 		received.push(`${req.method} ${req.url} ${Buffer.concat(chunks).toString()}`.trim());
