--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,7 +8,7 @@
 } from './catalogue-commands.js';
 import {exitCodes} from './exit-codes.js';
 import type {ExitCode} from './exit-codes.js';
-import {explain} from './explain-command.js';
+import {explain, explainStreams} from './explain-command.js';
 import {createOutput} from './output.js';
 import {showStatus} from './status-command.js';
 import {
@@ -75,6 +75,13 @@
 	.command('explain <request-id> <files..>', 'Explains a request from collected log files.', command => command
 		.positional('request-id', fileArgument)
 		.positional('files', {type: 'string', array: true, demandOption: true}), async args => run(async () => explain(args.requestId, args.files, createOutput(args.json))))
+	.command('explain-streams <files..>', 'Counts the streams of collected log files by how they ended and why they were late.', command => command
+		.positional('files', {type: 'string', array: true, demandOption: true})
+		.option('wait', {type: 'number', default: 400, describe: 'Longest wait for a placement of a stream in time, in milliseconds'})
+		.option('pause', {type: 'number', default: 300, describe: 'Longest pause between outputs of a stream in time, in milliseconds'}), async args => run(async () => {
+		const limits = {waitMs: args.wait, pauseMs: args.pause};
+		return explainStreams(args.files, limits, createOutput(args.json));
+	}))
 	.demandCommand(1)
 	.strict()
 	.fail((message, error) => {
