Remove a placement's abort listener once it has its answer

Cause: the listener was removed only by an abort. Test: twelve placements under one signal leave none (twelve before).

--- a/packages/daemon/src/__tests__/unit/pool-host.test.ts
+++ b/packages/daemon/src/__tests__/unit/pool-host.test.ts
@@ -1,3 +1,4 @@
+import {getEventListeners} from 'node:events';
 import {
 	ForecastPolicy, StaticShareMap, toId,
 } from '@baobabpier/core';
@@ -67,11 +68,11 @@
 
 let requestCount = 0;
 
-const place = async (host: PoolHost): Promise<PlaceResponse> => {
+const place = async (host: PoolHost, signal: AbortSignal = new AbortController().signal): Promise<PlaceResponse> => {
 	requestCount += 1;
 	return host.place({
 		requestId: toId<RequestId>(`r${requestCount}`), attempt: toId<AttemptNumber>(1), service, dataCentre, class: 'patient', holder: self, promptTokens: 100, maxTokens: 10, pieces: 7, prefix: '', waitMs: 1000, firstOutputMs: 900, excluded: [],
-	}, new AbortController().signal);
+	}, signal);
 };
 
 const decodeEngineOrError = (response: PlaceResponse): string => response.kind === 'placed' ? response.placement.decode.id : response.error.kind;
@@ -114,3 +115,15 @@
 	const host = startHost({engines, unresponsive: new Set(), mayGrant: () => performance.now() >= grantsFrom});
 	expect(decodeEngineOrError(await place(host))).toMatch(outcome);
 });
+
+test('a call that asks for placements again and again leaves no listeners on its signal', async () => {
+	const host = startHost({engines: [engine('p1', 'prefill'), engine('d1', 'decode')], unresponsive: new Set()});
+	const {signal} = new AbortController();
+	for (let round = 0; round < 12; round++) {
+		// eslint-disable-next-line no-await-in-loop
+		const {kind} = await place(host, signal);
+		expect(kind).toBe('placed');
+	}
+
+	expect(getEventListeners(signal, 'abort')).toHaveLength(0);
+});
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -179,18 +179,22 @@
 
 		const now = this.parts.clock.now();
 		return new Promise(resolve => {
+			const abandon = (): void => {
+				if (hosted.pending.delete(holdKey(params))) {
+					this.#applyEffects(hosted, hosted.pool.step({kind: 'release', hold: params}, this.parts.clock.now()));
+				}
+			};
+
 			hosted.pending.set(holdKey(params), response => {
+				// A call may ask for many placements under one signal
+				signal.removeEventListener('abort', abandon);
 				if (response.kind === 'placed') {
 					this.parts.onPlaced?.(params.service, params.promptTokens);
 				}
 
 				resolve(response);
 			});
-			signal.addEventListener('abort', () => {
-				if (hosted.pending.delete(holdKey(params))) {
-					this.#applyEffects(hosted, hosted.pool.step({kind: 'release', hold: params}, this.parts.clock.now()));
-				}
-			}, {once: true});
+			signal.addEventListener('abort', abandon, {once: true});
 			this.#applyEffects(hosted, hosted.pool.step({
 				kind: 'place',
 				req: {
