--- a/packages/daemon/src/control/applied-log.ts
+++ b/packages/daemon/src/control/applied-log.ts
@@ -1,4 +1,4 @@
-/** This instance's copy of the control state, with the last entries for those that follow. */
+/** This instance's copy of the control state, with the latest entries for the instances that follow it. */
 import {ControlState, toId} from '@baobabpier/core';
 import type {
 	AppliedListener,
@@ -10,7 +10,7 @@
 	LogIndex,
 } from '@baobabpier/core';
 
-const keepMs = 24 * 60 * 60 * 1000;
+const retentionMs = 24 * 60 * 60 * 1000;
 const maxRecords = 100_000;
 const keptEntries = 2000;
 const maxEntriesPerUpdate = 500;
@@ -20,18 +20,18 @@
 	readonly resolve: () => void;
 };
 
-/** Called for each entry with what it came to. */
+/** Called for each applied entry with its result. */
 export type ResultListener = (entry: LogEntry, result: ControlCommandResults[ControlCommandKind] | undefined) => void;
 
-/** Applies entries and captures, and tells who waits for them. */
+/** Applies entries and snapshots, and notifies those that wait for them. */
 export class AppliedLog {
-	readonly state = new ControlState({retentionMs: keepMs, maxRecords});
+	readonly state = new ControlState({retentionMs, maxRecords});
 	readonly #listeners = new Set<AppliedListener>();
 	#entries: LogEntry[] = [];
 	#waiters: Waiter[] = [];
 	#isOpen = false;
 
-	/** Lets listeners know of changes from now on, and of what is there. */
+	/** Starts to notify listeners of changes, and notifies them of the present state. */
 	open(): void {
 		if (!this.#isOpen) {
 			this.#isOpen = true;
@@ -47,7 +47,7 @@
 		};
 	}
 
-	/** Applies entries that follow what is held; others are passed over. */
+	/** Applies the entries that follow the last applied one; ignores others. */
 	apply(entries: readonly LogEntry[], onResult?: ResultListener): void {
 		for (const entry of entries) {
 			if (entry.index === this.state.index + 1) {
@@ -58,7 +58,7 @@
 		this.#wake();
 	}
 
-	/** Replaces the state by a newer one. */
+	/** Replaces the state with a newer one. */
 	restore(capture: ControlStateSnapshot): void {
 		if (capture.index <= this.state.index) {
 			return;
@@ -70,7 +70,7 @@
 		this.#wake();
 	}
 
-	/** What someone who holds everything up to `after` lacks. */
+	/** Returns what a follower that has everything up to `after` lacks. */
 	updateAfter(after: LogIndex): ControlUpdate {
 		const first = this.#entries[0]?.index ?? this.state.index + 1;
 		if (after < this.state.index && (after === 0 || after + 1 < first)) {
--- a/packages/daemon/src/control/control-log-parts.ts
+++ b/packages/daemon/src/control/control-log-parts.ts
@@ -1,9 +1,9 @@
-/** What the control log of an instance is made with. */
+/** Dependencies of the control log of an instance. */
 import type {Clock, InstanceId, RandomSource} from '@baobabpier/core';
 import type {Peers} from '../rpc/peers.js';
 import type {InstanceEntry} from '../settings/parse-settings.js';
 
-/** What the control log of an instance works with. */
+/** Dependencies of the control log of an instance. */
 export type ControlLogParts = {
 	readonly self: InstanceEntry;
 	readonly instances: readonly InstanceEntry[];
@@ -12,12 +12,12 @@
 	readonly peers: Peers;
 	readonly clock: Clock;
 	readonly random: RandomSource;
-	/** The instances that begin the log together; the listed replicas when undefined, none where it surely exists. */
+	/** The instances that create the log together; the listed replicas when undefined, none where the log is certain to exist. */
 	readonly founders?: readonly InstanceId[];
-	/** Further instances that may hold replicas, found at run time. */
+	/** Further instances that may hold replicas, discovered at run time. */
 	readonly discovered?: () => readonly InstanceId[];
-	/** Voters wanted; unbounded when undefined. */
+	/** Target number of voters; unbounded when undefined. */
 	readonly voters?: number;
-	/** Opens a failed storage again this often, in milliseconds; never when undefined. */
+	/** Interval at which a failed storage is reopened, in milliseconds; never when undefined. */
 	readonly reopenMs?: number;
 };
--- a/packages/daemon/src/control/control-timings.ts
+++ b/packages/daemon/src/control/control-timings.ts
@@ -1,13 +1,13 @@
-/** Times and bounds of the control log. */
+/** Timings and bounds of the control log. */
 import type {ConsensusTimings} from '@baobabpier/core';
 
-/** How often a replica's timer steps it. */
-export const tickMs = 100;
+/** Interval of a replica's timer, in milliseconds. */
+export const tickIntervalMs = 100;
 
 /** Log bytes after which a replica takes a snapshot. */
 export const snapshotBytes = 16 * 1024 * 1024;
 
-/** A leader is missed after 700 to 1100 ms, so that another leads within two seconds. */
+/** Replicas detect the loss of a leader after 700 to 1100 ms, so that another one leads within two seconds. */
 export const consensusTimings: ConsensusTimings = {
 	heartbeatIntervalMs: 300,
 	minElectionTimeoutMs: 700,
@@ -18,20 +18,20 @@
 	maxEntriesPerMessage: 256,
 };
 
-/** How long a command or a barrier is tried in all. */
-export const submitMs = 4000;
+/** Total timeout of a command or a barrier, in milliseconds. */
+export const submitTimeoutMs = 4000;
 
-/** How long one try may take at the leader. */
-export const attemptMs = 1500;
+/** Timeout of one attempt at the leader, in milliseconds. */
+export const attemptTimeoutMs = 1500;
 
-/** Pause before a command is tried again. */
-export const retryMs = 50;
+/** Delay before a command is retried, in milliseconds. */
+export const retryDelayMs = 50;
 
-/** How long a follower's fetch waits at its source for news. */
-export const fetchWaitMs = 1500;
+/** Long-poll timeout of a follower's fetch at its source, in milliseconds. */
+export const fetchTimeoutMs = 1500;
 
-/** How long an instance tries to learn from a majority before it goes by what those that answer hold. */
-export const catchUpMs = 4000;
+/** How long an instance tries to reach a majority before it accepts the newest state of the instances that respond, in milliseconds. */
+export const catchUpTimeoutMs = 4000;
 
-/** How often a replica without a place in the log asks for one. */
-export const joinMs = 300;
+/** Interval at which a replica that is no member of the log requests to join, in milliseconds. */
+export const joinIntervalMs = 300;
--- a/packages/daemon/src/control/learner-task.ts
+++ b/packages/daemon/src/control/learner-task.ts
@@ -5,12 +5,12 @@
 import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
 import type {AppliedLog} from './applied-log.js';
-import {fetchWaitMs, retryMs} from './control-timings.js';
+import {fetchTimeoutMs, retryDelayMs} from './control-timings.js';
 
 const log = createLog('learner');
 const fetchGraceMs = 500;
 
-/** Fetches from one source at a time; a source that is silent or cut off is left for the next. */
+/** Fetches from one source at a time; moves to the next one when a source doesn't respond or has no contact with a majority. */
 export class LearnerTask {
 	#position: ControlPosition | undefined;
 	#source = 0;
@@ -19,7 +19,7 @@
 	/** `sources` are tried in this order. */
 	constructor(private readonly sources: readonly InstanceId[], private readonly peers: Peers, private readonly applied: AppliedLog) {}
 
-	/** What the source last said of itself; undefined while none answers. */
+	/** The position that the source last reported; undefined while no source responds. */
 	get position(): ControlPosition | undefined {
 		return this.#position;
 	}
@@ -33,7 +33,7 @@
 			if (!isGood) {
 				this.#source += 1;
 				// eslint-disable-next-line no-await-in-loop
-				await sleep(retryMs);
+				await sleep(retryDelayMs);
 			}
 		}
 	}
@@ -42,7 +42,7 @@
 		this.#isStopped = true;
 	}
 
-	/** Fetches once from an instance; throws `RpcCallError`. */
+	/** Fetches once from an instance. Throws `RpcCallError`. */
 	async fetch(source: InstanceId, waitMs: number): Promise<ControlPosition> {
 		const {update, position} = await this.peers.get(source).call(CONTROL_FETCH, {after: this.applied.state.index, waitMs}, waitMs + fetchGraceMs);
 		if (update.kind === 'capture') {
@@ -56,7 +56,7 @@
 
 	async #follow(source: InstanceId): Promise<boolean> {
 		try {
-			this.#position = await this.fetch(source, fetchWaitMs);
+			this.#position = await this.fetch(source, fetchTimeoutMs);
 			return this.#position.hearsQuorum;
 		} catch (error) {
 			if (this.#position !== undefined) {
--- a/packages/daemon/src/control/replica-joiner.ts
+++ b/packages/daemon/src/control/replica-joiner.ts
@@ -1,4 +1,4 @@
-/** Brings this instance's replica into the log: the very first members begin it, later ones ask to join. */
+/** Makes this instance's replica a member of the log: the first members create it, later ones request to join. */
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
@@ -7,16 +7,16 @@
 import type {ControlPosition, InstanceId, ReplicaId} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
-import {joinMs} from './control-timings.js';
+import {joinIntervalMs} from './control-timings.js';
 import type {ReplicaTask} from './replica-task.js';
 
 const log = createLog('replica');
-const askMs = 1000;
+const requestTimeoutMs = 1000;
 
-/** What a joiner works with. */
+/** Dependencies of a joiner. */
 export type JoinerParts = {
 	readonly self: InstanceId;
-	/** The instances that begin the log; none where it surely exists. */
+	/** The instances that create the log; none where it is certain to exist. */
 	readonly founders: readonly InstanceId[];
 	/** The instances known to hold replicas. */
 	readonly replicas: () => readonly InstanceId[];
@@ -25,14 +25,14 @@
 	readonly task: ReplicaTask;
 };
 
-/** Asks the others until the replica votes. */
+/** Requests to join until the replica is a voter. */
 export class ReplicaJoiner {
 	#isStopped = false;
 	#warned = false;
 
 	constructor(private readonly parts: JoinerParts) {}
 
-	/** Runs until stopped: a replica may lose its place later, when its disk was replaced by an older copy. */
+	/** Runs until stopped: a replica may lose its membership later, when its disk is replaced by an older copy. */
 	async run(): Promise<void> {
 		await this.#sendBeginning();
 		while (!this.#isStopped) {
@@ -42,7 +42,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await sleep(joinMs);
+			await sleep(joinIntervalMs);
 		}
 	}
 
@@ -55,7 +55,7 @@
 		const isBegun = [...positions.values()].some(({index, replica, isFresh}) => index > 0 || (replica !== undefined && !isFresh));
 		if (isBegun || !this.parts.task.isFresh || !this.parts.founders.includes(this.parts.self)) {
 			this.#warnIfLost(positions);
-			await this.#callAll(this.parts.replicas(), async id => this.parts.peers.get(id).call(CONTROL_JOIN, {replica: this.parts.task.id}, askMs));
+			await this.#callAll(this.parts.replicas(), async id => this.parts.peers.get(id).call(CONTROL_JOIN, {replica: this.parts.task.id}, requestTimeoutMs));
 			return;
 		}
 
@@ -66,7 +66,7 @@
 		}
 	}
 
-	/** All replicas are empty and all answer: only then does a log begin. */
+	/** Whether all replicas respond and are empty; a log is created only then. */
 	async #begin(voters: readonly ReplicaId[]): Promise<void> {
 		const snapshot = {...emptySnapshot, membership: {voters, learners: []}};
 		if (await this.parts.task.begin(snapshot, randomUUID())) {
@@ -78,7 +78,7 @@
 		const {beginning} = this.parts.task;
 		if (beginning !== undefined) {
 			const voters = beginning.snapshot.membership.voters.filter(id => id !== this.parts.task.id).map(id => instanceOf(id));
-			await this.#callAll(voters, async id => this.parts.peers.get(id).call(CONTROL_BEGIN, beginning, askMs));
+			await this.#callAll(voters, async id => this.parts.peers.get(id).call(CONTROL_BEGIN, beginning, requestTimeoutMs));
 		}
 	}
 
@@ -94,7 +94,7 @@
 	async #askAll(): Promise<ReadonlyMap<InstanceId, ControlPosition>> {
 		const positions = new Map<InstanceId, ControlPosition>();
 		await this.#callAll(this.parts.instances(), async id => {
-			positions.set(id, await this.parts.peers.get(id).call(CONTROL_POSITION, {}, askMs));
+			positions.set(id, await this.parts.peers.get(id).call(CONTROL_POSITION, {}, requestTimeoutMs));
 		});
 		return positions;
 	}
--- a/packages/daemon/src/control/replica-task.ts
+++ b/packages/daemon/src/control/replica-task.ts
@@ -1,4 +1,4 @@
-/** Runs this instance's replica: its timer, its storage, its messages, and the commands that wait for it. */
+/** Runs this instance's replica: its timer, storage and messages, and the commands that wait for it. */
 import {
 	ConsensusReplica, toId, toReplicaId,
 } from '@baobabpier/core';
@@ -26,16 +26,16 @@
 import type {Peers} from '../rpc/peers.js';
 import type {ReplicaStorage} from '../storage/replica-storage.js';
 import type {AppliedLog} from './applied-log.js';
-import {consensusTimings, snapshotBytes, tickMs} from './control-timings.js';
-import {ReplicaMail} from './replica-mail.js';
+import {consensusTimings, snapshotBytes, tickIntervalMs} from './control-timings.js';
+import {ReplicaMessageQueue} from './replica-message-queue.js';
 
 const log = createLog('replica');
 const maxWaiting = 4096;
 
-/** What came of a proposed command. */
+/** Outcome of a proposed command. */
 export type ProposalOutcome =
 	| {readonly kind: 'applied'; readonly result: ControlCommandResults[ControlCommandKind]}
-	/** The command surely is not in the log. */
+	/** The command is certain not to be in the log. */
 	| {readonly kind: 'notSubmitted'}
 	| {readonly kind: 'unknown'};
 
@@ -44,7 +44,7 @@
 	term: Term | undefined;
 };
 
-/** What a replica's task works with. */
+/** Dependencies of a replica task. */
 export type ReplicaParts = {
 	readonly self: InstanceId;
 	readonly storage: ReplicaStorage;
@@ -52,16 +52,16 @@
 	readonly applied: AppliedLog;
 	readonly clock: Clock;
 	readonly random: RandomSource;
-	/** Voters wanted; unbounded when undefined. */
+	/** Target number of voters; unbounded when undefined. */
 	readonly voters?: number | undefined;
-	/** Called when the storage failed and the replica stopped for good. */
+	/** Called when the storage failed and the replica stopped permanently. */
 	readonly onFailure: (error: Error) => void;
 };
 
-/** Steps the replica and carries out its effects, in order. */
+/** Steps the replica and performs its effects, in order. */
 export class ReplicaTask {
 	readonly id: ReplicaId;
-	readonly #mail: ReplicaMail;
+	readonly #messageQueue: ReplicaMessageQueue;
 	readonly #waiting = new Map<number, Waiting>();
 	readonly #byIndex = new Map<LogIndex, number>();
 	readonly #reads = new Map<number, (index: LogIndex | undefined) => void>();
@@ -76,18 +76,18 @@
 
 	constructor(private readonly parts: ReplicaParts) {
 		this.id = toReplicaId(parts.self, parts.storage.storageId);
-		this.#mail = new ReplicaMail(this.id, parts.peers, mail => {
-			this.#receive(mail);
+		this.#messageQueue = new ReplicaMessageQueue(this.id, parts.peers, batch => {
+			this.#receive(batch);
 		});
 		this.#replica = this.#createReplica();
 	}
 
-	/** Applies what the disk holds and begins to take part. */
+	/** Applies the recovered log and starts to participate. */
 	start(): void {
 		this.#perform(this.#replica.start());
 		this.#timer = setInterval(() => {
 			this.step({kind: 'tick'});
-		}, tickMs);
+		}, tickIntervalMs);
 	}
 
 	/** The replica's state. */
@@ -95,7 +95,7 @@
 		return this.#replica.status(this.parts.clock.now());
 	}
 
-	/** Whether this replica never took part in a log. */
+	/** Whether this replica has never been part of a log. */
 	get isFresh(): boolean {
 		return this.parts.storage.isFresh && this.view.lastIndex === 0 && !this.#isPersisting;
 	}
@@ -106,7 +106,7 @@
 		return snapshot.index === 0 && hard.cluster !== '' && snapshot.membership.voters.length > 0 ? {cluster: hard.cluster, snapshot} : undefined;
 	}
 
-	/** Begins a log with its first members; only a fresh replica does. */
+	/** Creates a log with its first members; only for a replica that has never been part of one. */
 	async begin(snapshot: Snapshot, cluster: string): Promise<boolean> {
 		if (!this.isFresh || !snapshot.membership.voters.includes(this.id)) {
 			return false;
@@ -127,12 +127,12 @@
 		return true;
 	}
 
-	/** Takes messages of a peer; returns the answers that come soon. */
+	/** Handles messages of a peer; returns the replies that are ready in time. */
 	async exchange(mail: ConsensusMessageBatch): Promise<{messages: ConsensusMessageBatch['messages']}> {
-		return this.#isStopped ? {messages: []} : this.#mail.exchange(mail);
+		return this.#isStopped ? {messages: []} : this.#messageQueue.exchange(mail);
 	}
 
-	/** Proposes a command, together with others of the same turn. */
+	/** Proposes a command, batched with others of the same event loop turn. */
 	async propose(command: ControlCommand, waitMs: number): Promise<ProposalOutcome> {
 		if (this.#isStopped || this.#waiting.size >= maxWaiting) {
 			return {kind: 'notSubmitted'};
@@ -162,7 +162,7 @@
 		});
 	}
 
-	/** The index that a read now must see; undefined when this replica does not lead. */
+	/** Returns the index that a read must observe now; undefined when this replica does not lead. */
 	async readIndex(waitMs: number): Promise<LogIndex | undefined> {
 		const id = this.#nextId++;
 		return new Promise(resolve => {
@@ -177,14 +177,14 @@
 		});
 	}
 
-	/** Takes an event, unless the replica has stopped. */
+	/** Handles an event, unless the replica has stopped. */
 	step(event: ConsensusEvent): void {
 		if (!this.#isStopped) {
 			this.#perform(this.#replica.step(event, this.parts.clock.now()));
 		}
 	}
 
-	/** Stops taking part. */
+	/** Stops participating. */
 	async stop(): Promise<void> {
 		this.#isStopped = true;
 		clearInterval(this.#timer);
@@ -225,7 +225,7 @@
 	#performOne(effect: ConsensusEffect): void {
 		switch (effect.kind) {
 			case 'send': {
-				this.#mail.send(effect.to, effect.cluster, effect.message);
+				this.#messageQueue.send(effect.to, effect.cluster, effect.message);
 				break;
 			}
 
@@ -286,7 +286,7 @@
 		}
 
 		this.#byIndex.delete(entry.index);
-		// Another term's entry in its place means that the command was dropped
+		// An entry of another term at its index means that the command was dropped
 		const isMine = this.#waiting.get(id)?.term === entry.term;
 		this.#settle(id, isMine ? {kind: 'applied', result: result!} : {kind: 'notSubmitted'});
 	}
@@ -308,7 +308,7 @@
 		}
 	}
 
-	/** Makes everything asked for so far durable with one sync, again and again while there is more. */
+	/** Makes all pending writes durable with one sync, repeatedly while there are more. */
 	async #persistAll(): Promise<void> {
 		this.#isPersisting = true;
 		while (this.#persists.length > 0 && !this.#isStopped) {
--- a/packages/daemon/src/control/replicated-control-log.ts
+++ b/packages/daemon/src/control/replicated-control-log.ts
@@ -1,4 +1,4 @@
-/** The control log of one instance: a replica of its own or a source to follow, and the way to the leader. */
+/** The control log of one instance: its own replica or a source that it follows, and access to the leader. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	CONTROL_BARRIER,
@@ -35,7 +35,7 @@
 import {AppliedLog} from './applied-log.js';
 import type {ControlLogParts} from './control-log-parts.js';
 import {
-	attemptMs, catchUpMs, retryMs, submitMs,
+	attemptTimeoutMs, catchUpTimeoutMs, retryDelayMs, submitTimeoutMs,
 } from './control-timings.js';
 import {LearnerTask} from './learner-task.js';
 import {ReplicaJoiner} from './replica-joiner.js';
@@ -43,10 +43,10 @@
 
 const log = createLog('control');
 const callGraceMs = 200;
-const handOverMs = 300;
+const transferTimeoutMs = 300;
 
 /**
- * Submits through the leader, wherever it is. Commands may be sent again: the second gets the first's result.
+ * Submits commands through the leader. Commands may be resent: a repeated one gets the result of the first.
  *
  * @example
  * const control = new ReplicatedControlLog(parts);
@@ -71,7 +71,7 @@
 		this.#learner = new LearnerTask(sources.filter(id => this.#listed.includes(id)), peers, this.#applied);
 	}
 
-	/** The instances that hold replicas, as far as is known. */
+	/** The instances that are known to hold replicas. */
 	get replicas(): readonly InstanceId[] {
 		const {voters = [], learners = []} = this.#task?.view.membership ?? {};
 		return [...new Set([...this.#listed, ...[...voters, ...learners].map(id => instanceOf(id)), ...this.parts.discovered?.() ?? []])];
@@ -81,7 +81,7 @@
 		return this.#applied.state;
 	}
 
-	/** What this instance holds of the log. */
+	/** Position of this instance in the log. */
 	get position(): ControlPosition {
 		const {id, leader, hearsQuorum} = this.#task?.view ?? {};
 		return {
@@ -93,7 +93,7 @@
 		};
 	}
 
-	/** The log as the instance's status shows it. */
+	/** The log's status for the status report. */
 	get status(): ControlStatus {
 		const view = this.#task?.view;
 		const {voters = [], learners = []} = view?.membership ?? {};
@@ -109,7 +109,7 @@
 		};
 	}
 
-	/** Starts the replica or the following; resolves once the state is as new as can be learned. */
+	/** Starts the replica or the learner; resolves once the state is as new as the reachable instances allow. */
 	async start(server: RpcServer): Promise<void> {
 		this.#registerMethods(server);
 		if (this.parts.self.replica) {
@@ -124,14 +124,14 @@
 		this.#applied.open();
 	}
 
-	/** Hands over the lead and stops. */
+	/** Transfers leadership and stops. */
 	async stop(): Promise<void> {
 		this.#learner.stop();
 		clearTimeout(this.#reopening);
 		this.#joiner?.stop();
 		if (this.#task?.view.role === 'leader') {
 			this.#task.step({kind: 'transfer'});
-			await sleep(handOverMs);
+			await sleep(transferTimeoutMs);
 		}
 
 		await this.#task?.stop();
@@ -143,7 +143,7 @@
 
 	async submit<Kind extends ControlCommandKind>(command: CommandOf<Kind>): Promise<ControlCommandResults[Kind]> {
 		let isSubmitted = false;
-		const result = await this.#tryLeaders(submitMs, async leader => {
+		const result = await this.#tryLeaders(submitTimeoutMs, async leader => {
 			const answer = await this.#submitAt(leader, command);
 			isSubmitted ||= answer.kind === 'unknown';
 			return answer.kind === 'applied' ? {result: answer.result as ControlCommandResults[Kind]} : undefined;
@@ -158,9 +158,9 @@
 	}
 
 	async barrier(): Promise<void> {
-		const deadline = AbortSignal.timeout(submitMs);
+		const deadline = AbortSignal.timeout(submitTimeoutMs);
 		try {
-			const {index, leader} = await this.#readIndex(submitMs);
+			const {index, leader} = await this.#readIndex(submitTimeoutMs);
 			await this.#reach(index, leader, deadline);
 		} catch {
 			throw new ControlUnavailableError('no leader confirmed the read in time', false);
@@ -194,7 +194,7 @@
 		void this.#joiner.run();
 	}
 
-	/** The instance goes on without its replica, and follows another. */
+	/** Continues without the replica, as a learner of another instance. */
 	#onFailure(error: Error): void {
 		log('This instance goes on without its replica.', {error: error.message});
 		this.#failure = error.message;
@@ -227,7 +227,7 @@
 		server.registerMethod(CONTROL_POSITION, () => this.position);
 		server.registerMethod(CONTROL_CONSENSUS, async mail => await this.#task?.exchange(mail) ?? {messages: []});
 		server.registerMethod(CONTROL_BEGIN, async ({snapshot, cluster}) => ({accepted: await this.#task?.begin(snapshot, cluster) ?? false}));
-		server.registerMethod(CONTROL_BARRIER, async () => ({index: await this.#task?.readIndex(attemptMs), leader: this.position.leader}));
+		server.registerMethod(CONTROL_BARRIER, async () => ({index: await this.#task?.readIndex(attemptTimeoutMs), leader: this.position.leader}));
 		server.registerMethod(CONTROL_JOIN, ({replica}) => {
 			this.#task?.step({kind: 'seen', replica});
 			return {};
@@ -238,18 +238,18 @@
 		try {
 			await this.#applied.waitFor(after + 1, AbortSignal.any([signal, AbortSignal.timeout(waitMs)]));
 		} catch {
-			// No news in time
+			// No change within the long poll
 		}
 
 		return {update: this.#applied.updateAfter(after), position: this.position};
 	}
 
 	async #submitHere(command: ControlCommand): Promise<SubmitResponse> {
-		const outcome = await this.#task?.propose(command, attemptMs) ?? {kind: 'notSubmitted'};
+		const outcome = await this.#task?.propose(command, attemptTimeoutMs) ?? {kind: 'notSubmitted'};
 		return outcome.kind === 'notSubmitted' ? {kind: 'notSubmitted', leader: this.position.leader} : outcome;
 	}
 
-	/** Calls a leader; gives up as soon as this instance's replica hears of another one. */
+	/** Calls a leader; aborts as soon as this instance's replica learns of another one. */
 	async #callLeader<Params, Result>(leader: InstanceId, command: RpcMethod<Params, Result>, params: Params): Promise<Result> {
 		const abort = new AbortController();
 		const before = this.position.leader;
@@ -258,9 +258,9 @@
 			if (now !== undefined && now !== before) {
 				abort.abort();
 			}
-		}, retryMs);
+		}, retryDelayMs);
 		try {
-			return await this.parts.peers.get(leader).call(command, params, attemptMs + callGraceMs, abort.signal);
+			return await this.parts.peers.get(leader).call(command, params, attemptTimeoutMs + callGraceMs, abort.signal);
 		} finally {
 			clearInterval(timer);
 		}
@@ -290,7 +290,7 @@
 
 	async #readIndexAt(leader: InstanceId): Promise<{readonly index: LogIndex | undefined}> {
 		if (leader === this.parts.self.id) {
-			return {index: await this.#task?.readIndex(attemptMs)};
+			return {index: await this.#task?.readIndex(attemptTimeoutMs)};
 		}
 
 		const answer = await this.#callLeader(leader, CONTROL_BARRIER, {});
@@ -298,7 +298,7 @@
 		return answer;
 	}
 
-	/** Tries the likely leader first, then each replica in turn, until one gives a value or the time is over. */
+	/** Tries the likely leader first, then each replica in turn, until one returns a value or the timeout passes. */
 	async #tryLeaders<T>(ms: number, attempt: (leader: InstanceId) => Promise<T | undefined>, onError?: (error: RpcCallError) => void): Promise<T | undefined> {
 		const deadline = performance.now() + ms;
 		for (let turn = 0; performance.now() < deadline; turn++) {
@@ -323,7 +323,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await sleep(retryMs);
+			await sleep(retryDelayMs);
 		}
 
 		return undefined;
@@ -331,16 +331,16 @@
 
 	#likelyLeader(turn: number): InstanceId | undefined {
 		const isGuess = turn % 2 === 1;
-		// A replica hears of a new leader from the leader itself, sooner than from those that it asked before
+		// A replica learns of a new leader from the leader itself, earlier than from the instances that it asked
 		const known = this.#task?.view.leader === undefined ? this.#leaderHint ?? this.position.leader : this.position.leader;
 		return !isGuess && known !== undefined ? known : this.replicas[Math.floor(turn / 2) % this.replicas.length];
 	}
 
-	/** Learns what a majority holds, or else the newest of what those that answer hold. */
+	/** Catches up with a majority, or else with the newest state of the instances that respond. */
 	async #catchUp(): Promise<void> {
-		const deadline = AbortSignal.timeout(catchUpMs + submitMs);
+		const deadline = AbortSignal.timeout(catchUpTimeoutMs + submitTimeoutMs);
 		try {
-			const {index, leader} = await this.#readIndex(catchUpMs);
+			const {index, leader} = await this.#readIndex(catchUpTimeoutMs);
 			await this.#reach(index, leader, deadline);
 		} catch {
 			await this.#catchUpWithoutQuorum();
@@ -350,7 +350,7 @@
 	async #catchUpWithoutQuorum(): Promise<void> {
 		const {self, instances, peers} = this.parts;
 		const others = instances.filter(({id}) => id !== self.id);
-		const answers = await Promise.allSettled(others.map(async ({id}) => ({id, position: await peers.get(id).call(CONTROL_POSITION, {}, attemptMs)})));
+		const answers = await Promise.allSettled(others.map(async ({id}) => ({id, position: await peers.get(id).call(CONTROL_POSITION, {}, attemptTimeoutMs)})));
 		const newest = answers.filter(answer => answer.status === 'fulfilled').map(({value}) => value).toSorted((a, b) => b.position.index - a.position.index);
 		log('No quorum is heard; the newest state that answers is taken.', {answered: newest.length, newest: newest[0]?.position.index ?? 0, own: this.state.index});
 		for (const {id, position} of newest) {
@@ -360,15 +360,15 @@
 
 			try {
 				// eslint-disable-next-line no-await-in-loop
-				await this.#fetchTo(id, position.index, AbortSignal.timeout(attemptMs));
+				await this.#fetchTo(id, position.index, AbortSignal.timeout(attemptTimeoutMs));
 				return;
 			} catch {
-				// The next newest is tried
+				// The instance with the next newest state is tried
 			}
 		}
 	}
 
-	/** A replica hears of it by itself; the others fetch. */
+	/** Waits until the entry is applied: a replica receives it by itself, a learner fetches it. */
 	async #reach(index: LogIndex, leader: InstanceId, signal: AbortSignal): Promise<void> {
 		if (this.#task === undefined && this.state.index < index) {
 			await this.#fetchTo(leader, index, signal);
