--- a/packages/core/src/__tests__/unit/hold-table.test.ts
+++ b/packages/core/src/__tests__/unit/hold-table.test.ts
@@ -78,6 +78,11 @@
 			steps: [{grant: placement('r1', 'd1')}, {grant: placement('r2', 'd1')}, {report: 'd1', piecesByRequest: {r1: 9, r2: 3}}],
 			pieces: {d1: 12},
 		},
+		{
+			name: 'a placement granted again on another engine does not hide what the report of its first engine tells',
+			steps: [{grant: placement('r1', 'd1')}, {grant: placement('r1', 'd2')}, {release: placement('r1', 'd2')}, {report: 'd1', piecesByRequest: {}, otherPieces: 3}],
+			pieces: {d1: 7, d2: 0},
+		},
 		{
 			name: 'streams that hold less than their grants count with their grants',
 			steps: [{grant: placement('r1', 'd1')}, {report: 'd1', piecesByRequest: {r1: 2}}],
--- a/packages/core/src/placement/hold-table.ts
+++ b/packages/core/src/placement/hold-table.ts
@@ -270,12 +270,18 @@
 	 * Memory in use that neither the grants nor the unknown holds count. Grants that the report does not list yet may be
 	 * part of the memory in use, and holds of placements released since are part of it.
 	 */
-	#excessPiecesOf(record: EngineRecord, {pieces, freePieces, held}: EngineReport): number {
+	#excessPiecesOf(record: EngineRecord, {engine, pieces, freePieces, held}: EngineReport): number {
 		const listed = new Map(held.map(hold => [hold.requestId, hold.pieces]));
 		let outgrownPieces = 0;
 		let unlistedPieces = 0;
 		for (const key of record.grantKeys) {
-			const grant = this.#grants.get(key)!;
+			const grant = this.#grants.get(key);
+			if (grant?.decode.id !== engine) {
+				// The placement was granted again on another engine while it was being reclaimed here
+				record.grantKeys.delete(key);
+				continue;
+			}
+
 			const heldPieces = listed.get(grant.requestId);
 			outgrownPieces += heldPieces === undefined ? 0 : heldPieces - grant.pieces;
 			unlistedPieces += heldPieces === undefined ? grant.pieces : 0;
