Give the engine's excess memory a module of its own, and the load replays one fixture

excess-memory.ts computes what the hold table's reconciliation computed in place; learned-engines and worst-load share forecast-pool.ts. No behaviour changes; the request histories pass.

--- a/packages/core/src/__tests__/unit/learned-engines.test.ts
+++ b/packages/core/src/__tests__/unit/learned-engines.test.ts
@@ -1,12 +1,14 @@
 import {describe, expect, test} from 'vitest';
 import {
-	createSeededRandom, EnginePool, ForecastPolicy, OutputLengthModel, DecodeStallModel, PrefillSpeedModel, toHold, toId,
+	at, createEntry, createPool, createRequest, pieceTokens,
+} from './forecast-pool.js';
+import {
+	createSeededRandom, OutputLengthModel, DecodeStallModel, PrefillSpeedModel, toHold, toId,
 } from '@baobabpier/core';
 import type {
-	AttemptNumber, DataCentreId, EngineEntry, EngineId, Instant, InstanceId, PlacementRequest, RequestId, ServiceName,
+	AttemptNumber, EngineId, RequestId, EnginePool,
 } from '@baobabpier/core';
 
-const at = (ms: number): Instant => ms as Instant;
 const engineId = toId<EngineId>('d1');
 
 describe('read speed', () => {
@@ -105,24 +107,6 @@
 	});
 });
 
-const pieceTokens = 16;
-
-const createEntry = (id: string, role: EngineEntry['role']): EngineEntry => ({
-	id: toId<EngineId>(id), address: id, dataCentre: toId<DataCentreId>('a'), role, pieces: 6000, fencesOrders: true,
-});
-
-const createRequest = (id: string, change: Partial<PlacementRequest> = {}): PlacementRequest => ({
-	...toHold(toId<RequestId>(id), toId<AttemptNumber>(1)), service: toId<ServiceName>('lm'), class: 'patient', holder: toId<InstanceId>('i1'), promptTokens: 5000, maxTokens: 6500, pieces: 400, prefix: '', deadline: at(60_000), steadyGapMs: 300, excluded: [], ...change,
-});
-
-const createPool = (engines: readonly EngineEntry[], learnsSizes = true): EnginePool => {
-	const pool = new EnginePool(toId<InstanceId>('i1'), new ForecastPolicy({betweenOutputsMs: 150}, {
-		links: 'ample', prefill: {tokensPerMs: 50, latencyMs: 10}, direct: {tokensPerMs: 25, latencyMs: 10}, memory: learnsSizes ? {pieceTokens, expectedOutputFraction: 0.3} : undefined,
-	}), {queue: 500}, {leaseMs: 1e9, orphanTimeoutMs: 1e9});
-	pool.step({kind: 'engines', engines, leaving: new Set()}, at(0));
-	return pool;
-};
-
 /** Replays streams of varying length at full memory; returns the fraction of samples in which a decode engine's memory was exceeded. */
 const countOverruns = (learnsSizes: boolean): number => {
 	const random = createSeededRandom(7);
--- a/packages/core/src/__tests__/unit/worst-load.test.ts
+++ b/packages/core/src/__tests__/unit/worst-load.test.ts
@@ -1,30 +1,9 @@
 import {describe, expect, test} from 'vitest';
 import {
-	EnginePool, EngineStarts, ForecastPolicy, RejectionBackoff, toHold, toId,
-} from '@baobabpier/core';
-import type {
-	AttemptNumber, DataCentreId, EngineEntry, EngineId, EngineIncarnation, Instant, InstanceId, PlacementRequest, RequestId, ServiceName,
-} from '@baobabpier/core';
-
-const at = (ms: number): Instant => ms as Instant;
-const pieceTokens = 16;
-const enginePieces = 6000;
-
-const createEntry = (id: string, role: EngineEntry['role']): EngineEntry => ({
-	id: toId<EngineId>(id), address: id, dataCentre: toId<DataCentreId>('a'), role, pieces: enginePieces, fencesOrders: true,
-});
-
-const createRequest = (id: string, change: Partial<PlacementRequest> = {}): PlacementRequest => ({
-	...toHold(toId<RequestId>(id), toId<AttemptNumber>(1)), service: toId<ServiceName>('lm'), class: 'patient', holder: toId<InstanceId>('i1'), promptTokens: 5000, maxTokens: 6500, pieces: 400, prefix: '', deadline: at(60_000), steadyGapMs: 300, excluded: [], ...change,
-});
-
-const createPool = (engines: readonly EngineEntry[]): EnginePool => {
-	const pool = new EnginePool(toId<InstanceId>('i1'), new ForecastPolicy({betweenOutputsMs: 150}, {
-		links: 'ample', prefill: {tokensPerMs: 50, latencyMs: 10}, direct: {tokensPerMs: 25, latencyMs: 10}, memory: {pieceTokens, expectedOutputFraction: 0.3},
-	}), {queue: 500}, {leaseMs: 1e9, orphanTimeoutMs: 1e9});
-	pool.step({kind: 'engines', engines, leaving: new Set()}, at(0));
-	return pool;
-};
+	at, createEntry, createPool, createRequest, enginePieces,
+} from './forecast-pool.js';
+import {EngineStarts, RejectionBackoff, toId} from '@baobabpier/core';
+import type {EngineId, EngineIncarnation} from '@baobabpier/core';
 
 describe('a decode engine whose memory is used by streams that the owner does not know', () => {
 	/** Requests arrive every 30 ms for 900 ms; each one that is granted is rejected by the engine right after its prompt was read. */
--- a/packages/core/src/placement/hold-table.ts
+++ b/packages/core/src/placement/hold-table.ts
@@ -6,6 +6,7 @@
 } from '../ids.js';
 import {addMs} from '../time.js';
 import type {Instant} from '../time.js';
+import {excessPiecesOf} from './excess-memory.js';
 import {RejectionBackoff} from './rejection-backoff.js';
 import type {EngineAddress} from './types.js';
 
@@ -217,7 +218,7 @@
 		}
 
 		record.unknownHolds = unknownHolds;
-		record.excessPieces = this.#excessPiecesOf(record, report);
+		record.excessPieces = excessPiecesOf(report, this.#grantsOn(report.engine, record));
 	}
 
 	/** Records that an engine accepted the stream of a placement. */
@@ -266,29 +267,19 @@
 		};
 	}
 
-	/**
-	 * Memory in use that neither the grants nor the unknown holds count. Grants that the report does not list yet may be
-	 * part of the memory in use, and holds of placements released since are part of it.
-	 */
-	#excessPiecesOf(record: EngineRecord, {engine, pieces, freePieces, held}: EngineReport): number {
-		const listed = new Map(held.map(hold => [hold.requestId, hold.pieces]));
-		let outgrownPieces = 0;
-		let unlistedPieces = 0;
-		for (const key of record.grantKeys) {
+	/** Returns the grants on an engine, and forgets those that were granted again on another engine while being reclaimed. */
+	#grantsOn(engine: EngineId, {grantKeys}: EngineRecord): readonly Grant[] {
+		const grants: Grant[] = [];
+		for (const key of grantKeys) {
 			const grant = this.#grants.get(key);
-			if (grant?.decode.id !== engine) {
-				// The placement was granted again on another engine while it was being reclaimed here
-				record.grantKeys.delete(key);
-				continue;
+			if (grant?.decode.id === engine) {
+				grants.push(grant);
+			} else {
+				grantKeys.delete(key);
 			}
-
-			const heldPieces = listed.get(grant.requestId);
-			outgrownPieces += heldPieces === undefined ? 0 : heldPieces - grant.pieces;
-			unlistedPieces += heldPieces === undefined ? grant.pieces : 0;
 		}
 
-		const listedPieces = held.reduce((sum, hold) => sum + hold.pieces, 0);
-		return Math.max(0, outgrownPieces) + Math.max(0, pieces - freePieces - listedPieces - unlistedPieces);
+		return grants;
 	}
 
 	/** Whether a reported hold belongs to a current or recently released placement; a delayed report still shows placements released since. */
