--- a/packages/core/src/__tests__/unit/worst-load.test.ts
+++ b/packages/core/src/__tests__/unit/worst-load.test.ts
@@ -112,4 +112,11 @@
 		const trusted = starts.map(([start, reportedAt]) => tracker.isTrusted(engine, start, at(reportedAt)));
 		expect(trusted.at(-1)).toBe(isTrusted);
 	});
+
+	test('an engine that left the list begins anew', () => {
+		const tracker = new EngineStarts();
+		tracker.isTrusted(engine, 1, at(0));
+		tracker.retain(new Set());
+		expect(tracker.isTrusted(engine, 2, at(500))).toBe(true);
+	});
 });
--- a/packages/core/src/placement/rejection-backoff.ts
+++ b/packages/core/src/placement/rejection-backoff.ts
@@ -29,6 +29,7 @@
 export class RejectionBackoff {
 	readonly #rejections = new Map<EngineId, Rejections>();
 
+	/** Closes an engine that rejected a stream. */
 	recordRejection(engine: EngineId, now: Instant): void {
 		const previous = this.#rejections.get(engine);
 		if (previous !== undefined && !previous.isProbing && now < previous.closedUntil) {
@@ -62,6 +63,7 @@
 		this.#rejections.delete(engine);
 	}
 
+	/** Whether an engine gets no new streams now. */
 	isClosed(engine: EngineId, now: Instant): boolean {
 		return now < (this.#rejections.get(engine)?.closedUntil ?? now);
 	}
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -3,7 +3,7 @@
 	countPieces, createSeededRandom, ForecastPolicy, hashText, toId,
 } from '@baobabpier/core';
 import type {
-	DataCentreId, FencingToken, Instant, InstanceId, ListedServer, RoutingDocument, RoutingTable, RoutingReplaceResult, ShareMap,
+	DataCentreId, EngineId, FencingToken, Instant, InstanceId, ListedServer, RoutingDocument, RoutingTable, RoutingReplaceResult, ShareMap,
 } from '@baobabpier/core';
 import {ReplicatedControlLog} from '../control/replicated-control-log.js';
 import {GatewayMetrics, serveMetrics} from '../gateway/gateway-metrics.js';
@@ -149,12 +149,13 @@
 	});
 	const shares = new LeaderShares(first.id, control);
 	const transport = new ServerTransport(() => serverConnections);
+	const reports = new EngineReports({clock, transport, dialect: dialect.orders});
 	const pools = new PoolHost({
 		self: first.id,
 		clock,
 		shares,
 		createPolicy: (targets, service) => new ForecastPolicy(targets, {...forecastOptions(first.estimates), learned: control.state.learnedEstimates(service)}),
-		engines: new EngineReports({clock, transport, dialect: dialect.orders}),
+		engines: reports,
 		mayGrant: () => shares.isSettled(clock.now()) || control.status.role !== 'leader',
 		onPlaced(service, promptTokens) {
 			roles.recordGrant(service, promptTokens);
@@ -164,6 +165,7 @@
 	const list = new ServerListPoller({
 		address: first.list, dialect: dialect.list, transport, clock, intervalMs: listIntervalMs, shouldPoll: () => true, onList(read) {
 			servers = read;
+			reports.retain(new Set(read.map(({id}) => toId<EngineId>(id))));
 			watchServer.setList(read);
 			applyPools();
 		},
--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -1,7 +1,7 @@
 /** Fetches the reports of engines for the pools that this instance owns. */
 import {countPieces, EngineStarts, toId} from '@baobabpier/core';
 import type {
-	BackendId, Clock, EngineEntry, EngineReport, EngineIncarnation,
+	BackendId, Clock, EngineEntry, EngineId, EngineReport, EngineIncarnation,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../gateway/server-transport.js';
@@ -70,6 +70,11 @@
 		};
 	}
 
+	/** Forgets the engines that are no longer listed. */
+	retain(engines: ReadonlySet<EngineId>): void {
+		this.#starts.retain(engines);
+	}
+
 	/** Does nothing: the connections of a lost holder are closed, and engines end the requests on them. */
 	async cancel(): Promise<void> {
 		// Nothing to send
