--- a/packages/daemon/src/control/replica-task.ts
+++ b/packages/daemon/src/control/replica-task.ts
@@ -128,8 +128,8 @@
 	}
 
 	/** Handles messages of a peer; returns the replies that are ready in time. */
-	async exchange(mail: ConsensusMessageBatch): Promise<{messages: ConsensusMessageBatch['messages']}> {
-		return this.#isStopped ? {messages: []} : this.#messageQueue.exchange(mail);
+	async exchange(batch: ConsensusMessageBatch): Promise<{messages: ConsensusMessageBatch['messages']}> {
+		return this.#isStopped ? {messages: []} : this.#messageQueue.exchange(batch);
 	}
 
 	/** Proposes a command, batched with others of the same event loop turn. */
--- a/packages/daemon/src/control/replicated-control-log.ts
+++ b/packages/daemon/src/control/replicated-control-log.ts
@@ -225,7 +225,7 @@
 		server.registerMethod(CONTROL_SUBMIT, async ({command}) => this.#submitHere(command));
 		server.registerMethod(CONTROL_FETCH, async ({after, waitMs}, context) => this.#answerFetch(after, waitMs, context));
 		server.registerMethod(CONTROL_POSITION, () => this.position);
-		server.registerMethod(CONTROL_CONSENSUS, async mail => await this.#task?.exchange(mail) ?? {messages: []});
+		server.registerMethod(CONTROL_CONSENSUS, async batch => await this.#task?.exchange(batch) ?? {messages: []});
 		server.registerMethod(CONTROL_BEGIN, async ({snapshot, cluster}) => ({accepted: await this.#task?.begin(snapshot, cluster) ?? false}));
 		server.registerMethod(CONTROL_BARRIER, async () => ({index: await this.#task?.readIndex(attemptTimeoutMs), leader: this.position.leader}));
 		server.registerMethod(CONTROL_JOIN, ({replica}) => {
