Let a request over its instance's quota wait for an early grant before it is refused

Callers saw 429 limitReached for two of four streams at an instance, while the limit's allocator had five of ten unused.

Cause: the allocator splits what nobody requested evenly. An instance that was busy with four streams requests 5 (demand with headroom) for some rounds after they ended; of the data centre's 10, the other instance's quota is then floor((10 - 5) / 2) = 2, and its third request was refused before its early quota request was answered.

Change: a refused request for a quota of requests in progress waits for one early quota request, which all refused requests share (250 ms at most, one in 100 ms), and is decided once more. Rates are refused at once, as before.

--- a/packages/core/src/limits/leased-limiter.ts
+++ b/packages/core/src/limits/leased-limiter.ts
@@ -25,13 +25,12 @@
 	constructor(private readonly terms: QuotaHolderOptions, private readonly random: RandomSource) {}
 
 	admit(service: ServiceName, limits: ServiceLimits, tokens: number, now: Instant): AdmissionDecision {
-		const result = this.#quotas(service).admit(tokens, now);
-		if (typeof result === 'function') {
-			return {kind: 'admitted', release: result};
-		}
+		return this.#decide(this.#quotas(service).admit(tokens, now));
+	}
 
-		const waitMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, result.waitMs));
-		return {kind: 'refused', limit: result.limit, retryAfterMs: Math.ceil(waitMs * (1 + this.random.next()))};
+	/** Decides again on a refused request, after a new grant. */
+	readmit(service: ServiceName, tokens: number, now: Instant): AdmissionDecision {
+		return this.#decide(this.#quotas(service).readmit(tokens, now));
 	}
 
 	/** Creates the quota requests for the allocator of a service's limits in a scope. */
@@ -46,6 +45,15 @@
 		}
 	}
 
+	#decide(result: ReturnType<ServiceQuotas['admit']>): AdmissionDecision {
+		if (typeof result === 'function') {
+			return {kind: 'admitted', release: result};
+		}
+
+		const waitMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, result.waitMs));
+		return {kind: 'refused', limit: result.limit, retryAfterMs: Math.ceil(waitMs * (1 + this.random.next()))};
+	}
+
 	#quotas(service: ServiceName): ServiceQuotas {
 		const quotas = this.#services.get(service) ?? new ServiceQuotas(service, this.terms);
 		this.#services.set(service, quotas);
--- a/packages/core/src/limits/limiter.ts
+++ b/packages/core/src/limits/limiter.ts
@@ -11,5 +11,5 @@
 
 /** Admits requests under a service's limits. */
 export type Limiter = {
-	admit(service: ServiceName, limits: ServiceLimits, tokens: number, now: Instant): AdmissionDecision;
+	admit(service: ServiceName, limits: ServiceLimits, tokens: number, now: Instant): AdmissionDecision | Promise<AdmissionDecision>;
 };
--- a/packages/core/src/limits/service-quotas.ts
+++ b/packages/core/src/limits/service-quotas.ts
@@ -46,6 +46,11 @@
 	admit(tokens: number, now: Instant): (() => void) | QuotaRefusal {
 		this.#demands.requestsPerSecond.add(1);
 		this.#demands.tokensPerSecond.add(tokens);
+		return this.readmit(tokens, now);
+	}
+
+	/** Admits a request whose demand is already counted: it was rejected before a new grant arrived. */
+	readmit(tokens: number, now: Instant): (() => void) | QuotaRefusal {
 		const requestRate = this.#quota('requestsPerSecond', now);
 		if (requestRate === 0 || this.#requestBucket.refill(requestRate, now) < 1) {
 			return {limit: 'requestsPerSecond', waitMs: this.#requestBucket.waitMs(1, requestRate)};
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -175,7 +175,7 @@
 		log('A catalogue came into force.', {revision: snapshot.revision});
 		host.applyCatalogue(snapshot);
 		shares.round();
-		limits.requestQuotas();
+		void limits.requestQuotas();
 	});
 
 	const peerPort = await openPort(rpc.app, settings.listen.peers);
--- a/packages/daemon/src/entry/model-handler.ts
+++ b/packages/daemon/src/entry/model-handler.ts
@@ -86,7 +86,7 @@
 		}
 
 		const {body, service, promptTokens} = parsed.val;
-		const verdict = this.parts.limiter.admit(service.name, service.limits, promptTokens + body.maxTokens, this.parts.clock.now());
+		const verdict = await this.parts.limiter.admit(service.name, service.limits, promptTokens + body.maxTokens, this.parts.clock.now());
 		if (verdict.kind === 'refused') {
 			this.#refuse(exchange, routerError('limitReached', verdict.limit, verdict.retryAfterMs));
 			return;
--- a/packages/daemon/src/entry/plain-handler.ts
+++ b/packages/daemon/src/entry/plain-handler.ts
@@ -80,7 +80,7 @@
 		}
 
 		const {service} = target.val;
-		const verdict = this.parts.limiter.admit(service.name, service.limits, 0, this.parts.clock.now());
+		const verdict = await this.parts.limiter.admit(service.name, service.limits, 0, this.parts.clock.now());
 		if (verdict.kind === 'refused') {
 			this.#refuse(req, res, requestId, routerError('limitReached', verdict.limit, verdict.retryAfterMs));
 			return;
--- a/packages/daemon/src/limits/limit-task.ts
+++ b/packages/daemon/src/limits/limit-task.ts
@@ -1,4 +1,5 @@
 /** Leases quotas from the owners of limits, and allocates the quotas of the limits that this instance owns. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	deploymentScope, LeasedLimiter, LIMIT_PARTS, QuotaAllocators,
 } from '@baobabpier/core';
@@ -26,6 +27,8 @@
 const requestIntervalMs = 1000;
 const earlyRequestIntervalMs = 100;
 const callTimeoutMs = 500;
+/** Maximum wait of a request over its quota of requests in progress for a new grant, in milliseconds. */
+const grantWaitMs = 250;
 const initializationTimeoutMs = 6000;
 /** Two request rounds, after which a new owner has received a request from every holder, plus one second to accumulate burst capacity. */
 const burstAccumulationMs = 3000;
@@ -56,6 +59,7 @@
 	#requestedAt = Number.NEGATIVE_INFINITY;
 	#fullyLeasedAt: number | undefined;
 	#reducedAt: number | undefined;
+	#earlyRequest: Promise<void> | undefined;
 
 	constructor(private readonly parts: LimitTaskParts) {
 		const {self, instances} = parts;
@@ -76,7 +80,7 @@
 	start(server: RpcServer): void {
 		server.registerMethod(LIMIT_PARTS, ({scope, asks: requests}) => ({grants: this.#allocate(scope, requests)}));
 		this.#timer = setInterval(() => {
-			this.requestQuotas();
+			void this.requestQuotas();
 		}, requestIntervalMs);
 	}
 
@@ -84,18 +88,27 @@
 		clearInterval(this.#timer);
 	}
 
-	/** Admits or refuses a request; a refusal triggers an early quota request. */
-	admit(service: ServiceName, limits: ServiceLimits, tokens: number, now: Instant): AdmissionDecision {
+	/**
+	 * Admits or refuses a request; a refusal triggers an early quota request. A request over the quota of requests in progress
+	 * waits for the grant, since the rest of the limit may be unused and assigned to an instance that was busy a moment ago.
+	 */
+	async admit(service: ServiceName, limits: ServiceLimits, tokens: number, now: Instant): Promise<AdmissionDecision> {
 		const decision = this.#limiter.admit(service, limits, tokens, now);
-		if (decision.kind === 'refused' && now - this.#requestedAt >= earlyRequestIntervalMs) {
-			this.requestQuotas();
+		if (decision.kind === 'admitted') {
+			return decision;
 		}
 
+		if (decision.limit === 'inFlight') {
+			await Promise.race([this.#requestEarly(), sleep(grantWaitMs, undefined, {ref: false})]);
+			return this.#limiter.readmit(service, tokens, this.parts.clock.now());
+		}
+
+		void this.#requestEarly();
 		return decision;
 	}
 
-	/** Requests quotas from the owners of all limits. */
-	requestQuotas(): void {
+	/** Requests quotas from the owners of all limits; resolves once each has responded or timed out. */
+	async requestQuotas(): Promise<void> {
 		const snapshot = this.parts.catalogue.current();
 		if (snapshot.services.size === 0) {
 			return;
@@ -103,10 +116,27 @@
 
 		this.#requestedAt = this.parts.clock.now();
 		this.#firstRequestedAt ??= this.#requestedAt;
-		for (const scope of [this.parts.self.dataCentre, deploymentScope]) {
-			for (const [owner, services] of this.#groupByOwner(scope, snapshot)) {
-				void this.#requestFromOwner(scope, owner, services);
+		await Promise.all([this.parts.self.dataCentre, deploymentScope].flatMap(scope =>
+			[...this.#groupByOwner(scope, snapshot)].map(async ([owner, services]) => this.#requestFromOwner(scope, owner, services))));
+	}
+
+	/** Requests quotas before the next round; refused requests share one early request. */
+	async #requestEarly(): Promise<void> {
+		this.#earlyRequest ??= this.#requestAfterInterval();
+		await this.#earlyRequest;
+	}
+
+	async #requestAfterInterval(): Promise<void> {
+		try {
+			const waitMs = this.#requestedAt + earlyRequestIntervalMs - this.parts.clock.now();
+			if (waitMs > 0) {
+				// Rounded up, as demand is measured over whole intervals
+				await sleep(Math.ceil(waitMs) + 1);
 			}
+
+			await this.requestQuotas();
+		} finally {
+			this.#earlyRequest = undefined;
 		}
 	}
 
