--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -54,6 +54,7 @@
 	RequestId,
 	Revision,
 	RoutingVersion,
+	SegmentId,
 	ServiceName,
 } from './ids.js';
 export {invariant, InvariantError} from './invariant.js';
--- a/packages/daemon/src/__tests__/unit/caller-listener.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-listener.test.ts
@@ -55,7 +55,7 @@
 		random: createSeededRandom(1),
 		dialect: {
 			parseMetadata: headers => ok({
-				requestId: toId<RequestId>(String(headers['x-id'])), callerTimeoutMs: undefined, promptTokens: 0, maxTokens: 0, lastEventId: undefined,
+				requestId: toId<RequestId>(String(headers['x-id'])), callerTimeoutMs: undefined, promptTokens: 0, maxTokens: 0, lastEventId: undefined, sharedSegments: [],
 			}),
 			errorHeaders: (_id, retryAfterMs): Record<string, string> => retryAfterMs === undefined ? {} : {'retry-after': String(retryAfterMs / 1000)},
 		},
--- a/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
+++ b/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
@@ -109,7 +109,7 @@
 	});
 	const now = monotonicClock.now();
 	const call = {
-		method: 'POST', target: '/', rawHeaders: [], body: new Uint8Array(0), route: resumableRoute, arrivedAt: now, deadlineAt: (now + 20_000) as typeof now, lastEventId: undefined,
+		method: 'POST', target: '/', rawHeaders: [], body: new Uint8Array(0), route: resumableRoute, arrivedAt: now, deadlineAt: (now + 20_000) as typeof now, lastEventId: undefined, sharedSegments: [],
 	} as unknown as Call;
 	const scope = new CallScope(monotonicClock, call.deadlineAt);
 	const progress = {
--- a/packages/daemon/src/gateway/stream-runner.ts
+++ b/packages/daemon/src/gateway/stream-runner.ts
@@ -24,6 +24,9 @@
 /** Maximum number of logged bytes of an engine's reason for a rejection. */
 const maxReasonBytes = 160;
 
+/** Maximum number of logged segments of a prompt. */
+const maxLoggedSegments = 8;
+
 /** Dependencies of a stream runner. */
 export type StreamRunnerParts = {
 	readonly fleet: FleetView;
@@ -67,7 +70,7 @@
 		}
 
 		log('A stream got an outcome at an engine.', {
-			requestId: call.requestId, engine: server.id, purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: response.kind === 'head' ? response.status : undefined,
+			requestId: call.requestId, engine: server.id, segments: call.sharedSegments.slice(0, maxLoggedSegments).join(' '), purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: response.kind === 'head' ? response.status : undefined,
 			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, firstEventMs: pace.firstAt === undefined ? undefined : Math.round(pace.firstAt - startedAt), longestPauseMs: pace.sample === undefined ? undefined : Math.round(pace.sample.longestMs ?? 0), ms: Math.round(clock.now() - startedAt), ended: scope.reason,
 		});
 		return outcome;
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -1,6 +1,6 @@
 /** Types of the gateway: a caller's call, the responses to it, and the translations that a platform adapter provides. */
 import type {
-	Instant, ListedServer, RequestId, Route, RouterError, RoutingFault, RoutingTable, Result,
+	Instant, ListedServer, RequestId, Route, RouterError, RoutingFault, RoutingTable, Result, SegmentId,
 } from '@baobabpier/core';
 
 /** Metadata that a caller sends with a call, besides method, path and body. */
@@ -14,6 +14,8 @@
 	readonly maxTokens: number;
 	/** Id of the last stream event that the caller received; undefined when the stream starts from the beginning. */
 	readonly lastEventId: string | undefined;
+	/** Segments of the prompt that other requests may have too, without repetitions; empty for a plain call. */
+	readonly sharedSegments: readonly SegmentId[];
 };
 
 /** A caller's call with its complete body. */
