Quarantine prompt segments that crash engines

Callers saw streams break off again and again, and refusals for want of engines: requests of one kind ended one engine after the other.

Cause: a request whose prompt has a certain segment ends the engine that begins to write on it. The router carried it on: a stream that broke with its engine was sent to the next one at once, nothing that one instance saw reached the others, and every further request with the segment was placed like any other. The class: a request that ends its server ("query of death"), repeated by the layer that masks failures.

Entry instances report runs that broke off to the leader, which checks whether the engine ended (refused connection, another engine at the address, a later start). CrashEvidence in the core suspects the unproven segments that occur together in the runs that had just begun at each confirmed crash; a complete run proves its segments. Suspected requests ask the leader and run one at a time, on the engine with the most free memory. A score of three crashes, with two requests at least, convicts. The verdict goes into the control log, reaches entry instances by their watch before the first routing configuration, ends running and waiting calls, and refuses further ones at once: 422 `quarantined`, run no, without a time to come back. Proof by a complete run narrows or lifts it; it ends after an hour, or by `baobabpier quarantine lift`. `explain` leads from a request to segments, crashes and decider.

Why it works: a crash needs a run of the segment, such runs are admitted one after another from the first confirmed crash on, and each of them adds evidence that all instances share. Crashes of other causes have no run of the same unproven segment that had just begun.

--- a/packages/cli/src/__tests__/unit/explain-request.test.ts
+++ b/packages/cli/src/__tests__/unit/explain-request.test.ts
@@ -28,6 +28,14 @@
 			log: logOf(rejected, {event: 'A call is refused.', part: 'callers', kind: 'overloaded'}),
 			verdict: 'Refused after every engine that it was sent to rejected it: i-1 notRun (status 503, 9 requests there). It has not run.',
 		},
+		{
+			name: 'a prompt with quarantined segments',
+			log: [
+				'{"time":"2026-01-30T23:14:02.000Z","instance":"control-1","part":"quarantine","event":"A segment set is quarantined: engines crashed as they began to write on it.","segments":"a1 d4","decidedBy":"10.0.0.4:7380","crashes":"i-1 2026-01-30T23:14:01.000Z r1+r2, i-2 2026-01-30T23:14:01.500Z r3"}',
+				logOf({event: 'A prompt is quarantined.', part: 'guard', quarantined: 'a1 d4'}, {event: 'A call is refused.', part: 'callers', kind: 'quarantined'}),
+			].join('\n'),
+			verdict: 'Refused since its prompt has the quarantined segments a1 d4. Decided by 10.0.0.4:7380 at 2026-01-30T23:14:02.000Z, after these crashes: i-1 2026-01-30T23:14:01.000Z r1+r2, i-2 2026-01-30T23:14:01.500Z r3. It has not run.',
+		},
 		{
 			name: 'a call whose outcome is unknown',
 			log: logOf(
--- a/packages/cli/src/explain/explain-request.ts
+++ b/packages/cli/src/explain/explain-request.ts
@@ -14,6 +14,8 @@
 
 /** How long before a request's first line changes of belief are shown, in milliseconds: suspicions last some seconds. */
 const beliefsBeforeMs = 5000;
+const quarantined = 'A prompt is quarantined.';
+const convicted = 'A segment set is quarantined: engines crashed as they began to write on it.';
 const ended = 'A call ended.';
 const refused = 'A call is refused.';
 const engineOutcome = 'A stream got an outcome at an engine.';
@@ -51,7 +53,16 @@
 	unknownService: lines => `Refused since no route matched: ${field(find(lines, refused), 'detail')}.`,
 };
 
-const verdictOf = (lines: readonly LogLine[]): string => {
+/** Why a request with quarantined segments was refused: the segments, their crashes and who decided. */
+const quarantineVerdict = (lines: readonly LogLine[], attempts: readonly LogLine[], all: readonly LogLine[]): string => {
+	const segments = field(find(lines, quarantined), 'quarantined');
+	const verdict = all.findLast(({event, fields}) => event === convicted && fields.segments === segments);
+	const cause = verdict === undefined ? 'The verdict is in none of these logs; `quarantine list` shows it.' : `Decided by ${field(verdict, 'decidedBy')} at ${verdict.time}, after these crashes: ${field(verdict, 'crashes')}.`;
+	const execution = attempts.length === 0 ? 'It has not run.' : `It may have run before: ${attemptsOf(attempts)}.`;
+	return `Refused since its prompt has the quarantined segments ${segments}. ${cause} ${execution}`;
+};
+
+const verdictOf = (lines: readonly LogLine[], all: readonly LogLine[]): string => {
 	const attempts = lines.filter(({event}) => event === engineOutcome || event === serverOutcome);
 	const end = find(lines, ended);
 	const refusal = find(lines, refused);
@@ -59,6 +70,10 @@
 		return 'No line names this request: it reached no instance whose log is here, or its lines were left out (look for "Log lines were left out.").';
 	}
 
+	if (find(lines, quarantined) !== undefined) {
+		return quarantineVerdict(lines, attempts, all);
+	}
+
 	const kind = refusal === undefined ? undefined : field(refusal, 'kind');
 	if (kind !== undefined) {
 		return refusalVerdicts[kind]?.(lines, attempts) ?? `Refused: ${kind}, ${field(refusal, 'detail')}.`;
@@ -108,6 +123,6 @@
 	const from = new Date(Date.parse(lines[0]?.time ?? '') - beliefsBeforeMs);
 	const isNear = ({time}: LogLine): boolean => lines.length > 0 && Date.parse(time) >= from.getTime() && time <= lines.at(-1)!.time;
 	return {
-		requestId, verdict: verdictOf(lines), lines, beliefs: all.filter(line => isBelief(line, servers) && isNear(line)).toSorted(byTime),
+		requestId, verdict: verdictOf(lines, all), lines, beliefs: all.filter(line => isBelief(line, servers) && isNear(line)).toSorted(byTime),
 	};
 };
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -10,6 +10,7 @@
 import type {ExitCode} from './exit-codes.js';
 import {explain, explainStreams} from './explain-command.js';
 import {createOutput} from './output.js';
+import {liftQuarantine, listQuarantine, setQuarantine} from './quarantine-commands.js';
 import {showStatus} from './status-command.js';
 import {
 	cancelStop, planStop, showStops, stopKinds,
@@ -30,6 +31,7 @@
 } as const;
 
 const defaultWaitMs = 30_000;
+const segmentsArgument = {type: 'string', array: true, demandOption: true} as const;
 const fileArgument = {type: 'string', demandOption: true} as const;
 
 await yargs(hideBin(process.argv))
@@ -71,6 +73,17 @@
 			.options(targetOptions)
 			.positional('order-id', fileArgument), async args => run(async () => cancelStop(args, args.orderId, createOutput(args.json))))
 		.demandCommand(1))
+	.command('quarantine', 'Shows and changes the prompt segments whose requests are refused.', quarantine => quarantine
+		.command('list', 'Prints the quarantined and, at the leader, the suspected segments.', command => command.options(targetOptions), async args => run(async () => listQuarantine(args, createOutput(args.json))))
+		.command('set <segments..>', 'Quarantines prompts that have all of these segments.', command => command
+			.options(targetOptions)
+			.positional('segments', segmentsArgument)
+			.option('author', {type: 'string', default: process.env.USER ?? 'operator'}), async args => run(async () => setQuarantine(args, args, createOutput(args.json))))
+		.command('lift <segments..>', 'Lifts a quarantine.', command => command
+			.options(targetOptions)
+			.positional('segments', segmentsArgument)
+			.option('author', {type: 'string', default: process.env.USER ?? 'operator'}), async args => run(async () => liftQuarantine(args, args, createOutput(args.json))))
+		.demandCommand(1))
 	.command('status', 'Prints an instance\'s status.', command => command.options(targetOptions), async args => run(async () => showStatus(args, createOutput(args.json))))
 	.command('explain <request-id> <files..>', 'Explains a request from collected log files.', command => command
 		.positional('request-id', fileArgument)
--- a/packages/core/src/control/control-command.ts
+++ b/packages/core/src/control/control-command.ts
@@ -11,6 +11,8 @@
 } from '../ids.js';
 import type {ClaimOutcome, ClaimRequest, ClaimResult} from '../ledger/claim-ledger.js';
 import type {LearnedEstimates} from '../placement/learned-estimates.js';
+import type {QuarantineEntry} from '../quarantine/quarantine-table.js';
+import type {SegmentSet} from '../quarantine/types.js';
 import type {ShareRenewal, ShareTakeRequest} from '../shares/share-table.js';
 import type {PlannedStop, StopPlan, StopPlanResult} from '../stops/stop-types.js';
 import type {RoutingDocument, RoutingReplaceResult} from './routing-state.js';
@@ -36,6 +38,8 @@
 	| {readonly kind: 'stop.cancel'; readonly orderId: OrderId}
 	/** Stores the estimates that the owner of a service's engines learned, for the next owner. */
 	| {readonly kind: 'engines.learned'; readonly service: ServiceName; readonly figures: LearnedEstimates}
+	| {readonly kind: 'quarantine.add'; readonly entry: QuarantineEntry}
+	| {readonly kind: 'quarantine.lift'; readonly segments: SegmentSet}
 	| {readonly kind: 'share.take'; readonly take: ShareTakeRequest}
 	| {readonly kind: 'share.renew'; readonly holder: InstanceId; readonly renewals: readonly ShareRenewal[]}
 	| {readonly kind: 'share.release'; readonly holder: InstanceId};
@@ -54,6 +58,8 @@
 	'stop.complete': {readonly found: boolean};
 	'stop.cancel': {readonly found: boolean; readonly stop: PlannedStop | undefined};
 	'engines.learned': {readonly noted: true};
+	'quarantine.add': {readonly added: boolean};
+	'quarantine.lift': {readonly lifted: boolean};
 	'share.take': {readonly taken: boolean};
 	'share.renew': {readonly renewed: readonly ShareRenewal[]};
 	'share.release': {readonly released: number};
--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -5,6 +5,8 @@
 import {toId} from '../ids.js';
 import type {ServiceName} from '../ids.js';
 import type {LearnedEstimates} from '../placement/learned-estimates.js';
+import {QuarantineTable} from '../quarantine/quarantine-table.js';
+import type {QuarantineSnapshot} from '../quarantine/quarantine-table.js';
 import {ShareTable} from '../shares/share-table.js';
 import type {ShareRecord} from '../shares/share-table.js';
 import {StopTable} from '../stops/stop-table.js';
@@ -31,6 +33,8 @@
 	readonly shares: readonly ShareRecord[];
 	/** Absent in snapshots from before learned estimates were stored. */
 	readonly learned?: ReadonlyArray<readonly [ServiceName, LearnedEstimates]>;
+	/** Absent in snapshots from before quarantines were stored. */
+	readonly quarantine?: QuarantineSnapshot;
 };
 
 /**
@@ -47,6 +51,7 @@
 	readonly claims: ClaimTable;
 	readonly stops = new StopTable();
 	readonly shares = new ShareTable();
+	readonly quarantine = new QuarantineTable();
 	readonly #learnedEstimates = new Map<ServiceName, LearnedEstimates>();
 	#index = toId<LogIndex>(0);
 
@@ -107,6 +112,14 @@
 				return {noted: true};
 			}
 
+			case 'quarantine.add': {
+				return this.quarantine.add(command.entry, at);
+			}
+
+			case 'quarantine.lift': {
+				return this.quarantine.lift(command.segments);
+			}
+
 			case 'share.take': {
 				return {taken: this.shares.take(command.take)};
 			}
@@ -141,6 +154,7 @@
 			stops: this.stops.takeSnapshot(),
 			shares: this.shares.takeSnapshot(),
 			learned: [...this.#learnedEstimates],
+			quarantine: this.quarantine.takeSnapshot(),
 		};
 	}
 
@@ -152,6 +166,7 @@
 		this.claims.restore(snapshot.claims);
 		this.stops.restore(snapshot.stops);
 		this.shares.restore(snapshot.shares);
+		this.quarantine.restore(snapshot.quarantine);
 		this.#learnedEstimates.clear();
 		for (const [service, estimates] of snapshot.learned ?? []) {
 			this.#learnedEstimates.set(service, estimates);
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -41,6 +41,9 @@
 	promptTooLong: {
 		status: 413, run: 'no', retryAfterMs: undefined, message: 'The prompt does not fit any engine\'s memory.',
 	},
+	quarantined: {
+		status: 422, run: 'no', retryAfterMs: undefined, message: 'The prompt has segments that crashed engines; they are quarantined.',
+	},
 	limitReached: {
 		status: 429, run: 'no', retryAfterMs: 1000, message: 'A limit of the service is reached.',
 	},
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,6 +57,23 @@
 	SegmentId,
 	ServiceName,
 } from './ids.js';
+export {CrashEvidence} from './quarantine/crash-evidence.js';
+export type {CrashVerdicts, ReportedCrash} from './quarantine/crash-evidence.js';
+export {QuarantineTable, quarantineTtlMs} from './quarantine/quarantine-table.js';
+export type {
+	ActiveQuarantine, QuarantineEntry, QuarantineSnapshot, RecordedCrash,
+} from './quarantine/quarantine-table.js';
+export {TrialSlots} from './quarantine/trial-slots.js';
+export {includesSegments, segmentSetKey, toSegmentSet} from './quarantine/types.js';
+export type {
+	BrokenRun, CrashCase, CrashSummary, RunPhase, SegmentSet,
+} from './quarantine/types.js';
+export {
+	CRASH_REPORT, QUARANTINE_LIFT, QUARANTINE_LIST, QUARANTINE_SET, TRIAL_BEGIN, TRIAL_END,
+} from './rpc/quarantine-methods.js';
+export type {
+	CrashReport, CrashReportParams, QuarantineStatus, SuspectsSnapshot, TrialParams, TrialResponse,
+} from './rpc/quarantine-methods.js';
 export {invariant, InvariantError} from './invariant.js';
 export type {
 	ClaimLedger, ClaimOutcome, ClaimRecord, ClaimRequest, ClaimResult, StoredResponse,
--- a/packages/core/src/rpc/watch-method.ts
+++ b/packages/core/src/rpc/watch-method.ts
@@ -2,6 +2,8 @@
 import type {RoutingDocument} from '../control/routing-state.js';
 import type {ListedServer} from '../server-list.js';
 import type {DataCentreId, InstanceId, RoutingVersion} from '../ids.js';
+import type {SegmentSet} from '../quarantine/types.js';
+import type {SuspectsSnapshot} from './quarantine-methods.js';
 import {defineRpcMethod} from './rpc-methods.js';
 
 /** Versions that the watcher already has; the call returns as soon as one changes, or after `waitMs`. */
@@ -12,6 +14,10 @@
 	/** Leader of the control log as last seen by the watcher. */
 	readonly leader: InstanceId | undefined;
 	readonly waitMs: number;
+	/** Revision of the quarantine that the watcher applies; absent before the first. */
+	readonly quarantineRevision?: number | undefined;
+	/** Version of the suspects that the watcher has. */
+	readonly suspectsVersion?: string | undefined;
 	/** Whether changes include their content; otherwise only versions are returned. */
 	readonly withContent: boolean;
 	/** Whether the routing version must be confirmed by a majority. */
@@ -34,6 +40,10 @@
 	/** Age of the list, in milliseconds; undefined before the first read. */
 	readonly listAgeMs: number | undefined;
 	readonly leader: InstanceId | undefined;
+	/** Present when it is newer than the watcher's. */
+	readonly quarantine?: {readonly revision: number; readonly sets: readonly SegmentSet[]} | undefined;
+	/** Present at the leader when it is not the watcher's. */
+	readonly suspects?: SuspectsSnapshot | undefined;
 	/** All known control instances. */
 	readonly controls: readonly InstanceId[];
 	/** Number of entry instances that watch. */
--- a/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
+++ b/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
@@ -16,6 +16,7 @@
 import type {StreamProgress} from '../../gateway/stream-progress.js';
 import type {Call, ServerDialect} from '../../gateway/types.js';
 import {monotonicClock} from '../../monotonic-clock.js';
+import {createIdleGuard} from './idle-guard.js';
 
 const transport = new ServerTransport(() => 2);
 const servers: Server[] = [];
@@ -105,7 +106,7 @@
 ])('a stream of $name is cut off', async ({part, pauseMs, detail, withinMs}) => {
 	const server = await startUnboundedServer(streamHead, part, pauseMs);
 	const runs = new StreamRunner({
-		fleet: new FleetView(monotonicClock), transport, dialect, clock: monotonicClock,
+		fleet: new FleetView(monotonicClock), transport, dialect, guard: createIdleGuard(), clock: monotonicClock,
 	});
 	const now = monotonicClock.now();
 	const call = {
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -22,7 +22,9 @@
 import {RpcServer} from '../rpc/rpc-server.js';
 import type {EngineEstimates} from '../settings/engine-estimates.js';
 import {EngineReports} from './engine-reports.js';
+import {EngineLiveness} from './engine-liveness.js';
 import {LearnedEstimatesRecorder} from './learned-estimates-recorder.js';
+import {QuarantineTask} from './quarantine-task.js';
 import {RoleTask} from './role-task.js';
 import type {OrderDialect} from './role-task.js';
 import {WatchServer} from './watch-server.js';
@@ -114,6 +116,18 @@
 	}
 }
 
+/** Figures of the quarantine that are exposed as metrics, since the start of the instance. */
+const quarantineCounters = [
+	['crashes', 'Confirmed engine crashes'], ['trials', 'Requests that tried suspected segments'], ['convictions', 'Segment sets quarantined for crashes'], ['lifted', 'Quarantines lifted'],
+] as const;
+
+/** The decode engines that hold more than the one with the most free memory. */
+const busyEngines = (pools: ReturnType<PoolHost['status']>): readonly EngineId[] => pools.flatMap(({engines}) => {
+	const usable = engines.filter(({role, leaving}) => role === 'decode' && !leaving);
+	const mostFree = Math.max(...usable.map(({freePieces}) => freePieces));
+	return usable.filter(({freePieces}) => freePieces < mostFree).map(({id}) => id);
+});
+
 /**
  * Starts a control instance.
  *
@@ -166,6 +180,7 @@
 		address: first.list, dialect: dialect.list, transport, clock, intervalMs: listIntervalMs, shouldPoll: () => true, onList(read) {
 			servers = read;
 			reports.retain(new Set(read.map(({id}) => toId<EngineId>(id))));
+			liveness.retain(new Set(read.map(({id}) => toId<EngineId>(id))));
 			watchServer.setList(read);
 			applyPools();
 		},
@@ -191,8 +206,21 @@
 			applyPools();
 		},
 	});
+	const liveness = new EngineLiveness({transport, dialect: dialect.orders});
+	const isCertainToLead = (): boolean => shares.isSettled(clock.now()) && control.status.hearsQuorum;
+	const quarantine: QuarantineTask = new QuarantineTask({
+		self: first.id,
+		control,
+		clock,
+		isLeading: isCertainToLead,
+		checkEngine: async (engine, address, since) => liveness.check(engine, address, since),
+		busyEngines: () => busyEngines(pools.status()),
+		onSuspects() {
+			watchServer.wake();
+		},
+	});
 	const watchServer: WatchServer = new WatchServer({
-		dataCentre: first.dataCentre, control, clock, listAgeMs: () => list.ageMs,
+		dataCentre: first.dataCentre, control, clock, listAgeMs: () => list.ageMs, suspects: () => quarantine.suspects,
 	});
 	const tableInForce = (): RoutingTable | undefined => {
 		const {current} = control.state.routing;
@@ -218,7 +246,15 @@
 	metrics.registerGauge('control_term', 'Term of the control log', () => control.status.term ?? 0);
 	metrics.registerGauge('control_leads', 'Whether this instance leads the control log', () => control.status.role === 'leader' ? 1 : 0);
 	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => watchServer.entries);
+	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => control.state.quarantine.entries.length);
+	metrics.registerGauge('suspected_sets', 'Prompt segment sets under suspicion at the leader', () => quarantine.suspects?.sets.length ?? 0);
+	metrics.registerGauge('trials_waiting', 'Requests that wait for a trial of suspected segments', () => quarantine.waiting);
+	for (const [name, help] of quarantineCounters) {
+		metrics.registerGauge(`quarantine_${name}`, help, () => quarantine.counts[name]);
+	}
+
 	watchServer.start(rpc);
+	quarantine.start(rpc);
 	pools.start(rpc);
 	list.start();
 	roles.start();
@@ -229,7 +265,7 @@
 			applyPools();
 		}
 	}, leadCheckIntervalMs);
-	const recorder = new LearnedEstimatesRecorder({control, pools, isLeading: () => shares.isSettled(clock.now()) && control.status.hearsQuorum});
+	const recorder = new LearnedEstimatesRecorder({control, pools, isLeading: isCertainToLead});
 	recorder.start();
 	void control.start(rpc);
 	log('The control instance is up.', {
@@ -244,6 +280,7 @@
 		pools.stop();
 		roles.stop();
 		recorder.stop();
+		quarantine.stop();
 		list.stop();
 		watchServer.stop();
 		peerPort.closeAllConnections();
--- a/packages/daemon/src/control-node/watch-server.ts
+++ b/packages/daemon/src/control-node/watch-server.ts
@@ -1,7 +1,7 @@
 /** Serves the long polls of the entry instances that watch this control instance. */
 import {CONTROL_WATCH, digestServerList} from '@baobabpier/core';
 import type {
-	Clock, DataCentreId, InstanceId, ListedServer, RoutingVersion, WatchResponse, WatchParams,
+	Clock, DataCentreId, InstanceId, ListedServer, RoutingVersion, SuspectsSnapshot, WatchResponse, WatchParams,
 } from '@baobabpier/core';
 import type {ReplicatedControlLog} from '../control/replicated-control-log.js';
 import {createLog} from '../log.js';
@@ -21,6 +21,8 @@
 	readonly control: ReplicatedControlLog;
 	readonly clock: Clock;
 	readonly listAgeMs: () => number | undefined;
+	/** The suspected segment sets; undefined unless this instance leads. */
+	readonly suspects: () => SuspectsSnapshot | undefined;
 };
 
 type Waiting = {
@@ -76,6 +78,11 @@
 		return this.#entries.size;
 	}
 
+	/** Responds to the entry instances that do not know a change yet. */
+	wake(): void {
+		this.#wake();
+	}
+
 	#forgetSilent(): void {
 		const now = this.parts.clock.now();
 		for (const [id, at] of this.#entries) {
@@ -100,8 +107,12 @@
 		return this.#compose(params, confirmed);
 	}
 
-	#compose({routingVersion, listDigest, withContent}: WatchParams, confirmed: boolean): WatchResponse {
+	#compose({
+		routingVersion, listDigest, withContent, quarantineRevision, suspectsVersion,
+	}: WatchParams, confirmed: boolean): WatchResponse {
 		const {control, dataCentre} = this.parts;
+		const {revision, entries} = control.state.quarantine;
+		const suspects = this.parts.suspects();
 		const {current} = control.state.routing;
 		const {leader, hearsQuorum} = control.position;
 		const isNewer = current !== undefined && (routingVersion === undefined || current.version > routingVersion);
@@ -115,18 +126,25 @@
 			list: withContent && listDigest !== this.#listDigest ? this.#list : undefined,
 			listAgeMs: this.parts.listAgeMs(),
 			leader,
+			quarantine: quarantineRevision === undefined || revision > quarantineRevision ? {revision, sets: entries.map(({segments}) => segments)} : undefined,
+			suspects: suspects?.version === suspectsVersion ? undefined : suspects,
 			controls: control.replicas,
 			entries: this.entries,
 		};
 	}
 
-	#hasNews({routingVersion, listDigest, leader, withContent}: WatchParams): boolean {
+	#hasNews({
+		routingVersion, listDigest, leader, withContent, quarantineRevision, suspectsVersion,
+	}: WatchParams): boolean {
 		const {control} = this.parts;
+		const suspects = this.parts.suspects();
 		const version = control.state.routing.current?.version;
 		const known: RoutingVersion | undefined = routingVersion;
 		const now = control.position;
 		return (version !== undefined && (known === undefined || version > known))
 			|| (withContent && this.#listDigest !== undefined && listDigest !== this.#listDigest)
+			|| (quarantineRevision !== undefined && control.state.quarantine.revision > quarantineRevision)
+			|| (suspects !== undefined && suspects.version !== suspectsVersion)
 			|| (now.hearsQuorum && now.leader !== undefined && now.leader !== leader);
 	}
 
--- a/packages/daemon/src/gateway/call-scope.ts
+++ b/packages/daemon/src/gateway/call-scope.ts
@@ -2,7 +2,7 @@
 import type {Clock, Instant} from '@baobabpier/core';
 
 /** Why a call ended early. */
-export type EndReason = 'callerGone' | 'deadline' | 'stopping';
+export type EndReason = 'callerGone' | 'deadline' | 'stopping' | 'quarantined';
 
 /**
  * Carries the signal that aborts all work done for a call.
--- a/packages/daemon/src/gateway/control-watch.ts
+++ b/packages/daemon/src/gateway/control-watch.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {CONTROL_WATCH} from '@baobabpier/core';
 import type {
-	Clock, DataCentreId, InstanceId, ListedServer, RoutingDocument, RoutingVersion, WatchResponse,
+	Clock, DataCentreId, InstanceId, ListedServer, RoutingDocument, RoutingVersion, WatchParams, WatchResponse,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
@@ -35,6 +35,9 @@
 	readonly clock: Clock;
 	readonly onRouting: (document: RoutingDocument) => boolean;
 	readonly onList: (servers: readonly ListedServer[]) => void;
+	/** Versions of the quarantine and of the suspects that are applied. */
+	readonly quarantine: () => Pick<WatchParams, 'quarantineRevision' | 'suspectsVersion'>;
+	readonly onQuarantine: (response: Pick<WatchResponse, 'quarantine' | 'suspects'>) => void;
 	/** Called after the leader of the control log changed. */
 	readonly onLeader: () => void;
 };
@@ -174,7 +177,7 @@
 		const {self, peers, clock} = this.parts;
 		try {
 			const response = await peers.get(source.id).call(CONTROL_WATCH, {
-				instance: self, routingVersion: this.#version, listDigest: this.#listDigest, leader: this.#leader, waitMs: pollTimeoutMs, withContent, confirmed: this.#version === undefined,
+				instance: self, routingVersion: this.#version, listDigest: this.#listDigest, leader: this.#leader, waitMs: pollTimeoutMs, withContent, confirmed: this.#version === undefined, ...this.parts.quarantine(),
 			}, pollTimeoutMs + responseGraceMs + (this.#version === undefined ? watchTimeoutMs : 0));
 			if (!this.#isHealthy(source)) {
 				log('A control instance answers.', {
@@ -207,6 +210,8 @@
 			}
 		}
 
+		// Before the first routing configuration, so that no call is served without the quarantine
+		this.parts.onQuarantine({quarantine: response.quarantine, suspects: source.id === this.#leader ? response.suspects : undefined});
 		this.#applyRouting(source, response, withContent);
 		this.#applyList(response);
 	}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import {Peers} from '../rpc/peers.js';
 import {CallerListener} from './caller-listener.js';
 import {ControlWatch, isListStale} from './control-watch.js';
+import {CrashGuard} from './crash-guard.js';
 import {FleetView} from './fleet-view.js';
 import {GatewayMetrics, serveMetrics} from './gateway-metrics.js';
 import {ServerListPoller} from './server-list-poller.js';
@@ -166,6 +167,16 @@
 		self: initialSettings.id, dataCentre: initialSettings.dataCentre, seeds: () => settings.seeds, peers, clock, onRouting: applyRouting, onList: applyServerList, onLeader() {
 			places.handleOwnerChange();
 		},
+		quarantine: () => ({quarantineRevision: guard.quarantineRevision, suspectsVersion: guard.suspectsVersion}),
+		onQuarantine({quarantine, suspects}) {
+			if (quarantine !== undefined) {
+				guard.applyQuarantine(quarantine);
+			}
+
+			if (suspects !== undefined) {
+				guard.applySuspects(suspects);
+			}
+		},
 	});
 	const listPoller = new ServerListPoller({
 		address: initialSettings.list, dialect: dialect.list, transport, clock, intervalMs: directListIntervalMs, shouldPoll: () => isListStale(controlWatch.listAgeMs), onList(servers) {
@@ -196,6 +207,9 @@
 		tokensPerEvent: name => table?.services.get(name)?.engines?.tokensPerEvent,
 		usableEngines: service => new Set(fleet.usable(service).filter(({id}) => !fleet.isUnreachable(id)).map(({id}) => toId<EngineId>(id))),
 	});
+	const guard: CrashGuard = new CrashGuard({
+		self: initialSettings.id, clock, peers, leader: () => controlWatch.leader,
+	});
 	const retryBudgets = new RetryBudgets(initialSettings.secondTries, clock, initialSettings.isFirstStart, () => controlWatch.entryInstanceCount);
 	const callerListener: CallerListener = new CallerListener({
 		clock,
@@ -205,7 +219,7 @@
 			dataCentre: initialSettings.dataCentre, fleet, transport, dialect: dialect.server, retryBudgets, clock, random,
 		}),
 		streams: new StreamRoute({
-			fleet, transport, dialect: dialect.server, retryBudgets, places, clock, random,
+			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, clock, random,
 		}),
 		metrics,
 		gate,
@@ -215,11 +229,16 @@
 	metrics.registerGauge('calls_in_progress', 'Calls in progress', () => callerListener.inProgress);
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => table?.version ?? 0);
 	metrics.registerGauge('list_age_seconds', 'Age of the list of servers', () => controlWatch.listAgeMs / 1000);
+	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => guard.quarantined);
+	metrics.registerGauge('quarantine_refusals', 'Calls refused for quarantined segments', () => guard.counts.refused);
+	metrics.registerGauge('quarantine_trials', 'Calls that tried suspected segments', () => guard.counts.trials);
+	metrics.registerGauge('quarantine_reports', 'Crash reports that a leader acknowledged', () => guard.counts.reports);
 	const readinessServer = await startReadinessServer(initialSettings.listen.readiness, isReady);
 	await callerListener.listen(initialSettings.listen.callers);
 	const metricsServer = await serveMetrics(metrics.registry, initialSettings.listen.metrics);
 	localPool.start();
 	client.start();
+	guard.start();
 	controlWatch.start();
 	listPoller.start();
 	log('The entry instance is up.', {
@@ -230,6 +249,7 @@
 		callerListener.destroy();
 		places.stop();
 		client.stop();
+		guard.stop();
 		localPool.stop();
 		controlWatch.stop();
 		listPoller.stop();
--- a/packages/daemon/src/gateway/server-transport.ts
+++ b/packages/daemon/src/gateway/server-transport.ts
@@ -30,7 +30,7 @@
 /** Why a request got no response. */
 export type TransportFailure =
 	/** No connection was established: nothing was sent. */
-	| {readonly kind: 'unsent'; readonly detail: string}
+	| {readonly kind: 'unsent'; readonly detail: string; /** Whether the address refused the connection: no process listens there. */ readonly isRefused?: boolean}
 	/** The connection failed, or the request was aborted, after part of it may have been sent. */
 	| {readonly kind: 'broken'; readonly detail: string};
 
@@ -85,7 +85,7 @@
 			};
 		} catch (error) {
 			const detail = (error as Error).message;
-			return isConnectFailure(error) ? {kind: 'unsent', detail} : {kind: 'broken', detail};
+			return isConnectFailure(error) ? {kind: 'unsent', detail, isRefused: (error as NodeJS.ErrnoException).code === 'ECONNREFUSED'} : {kind: 'broken', detail};
 		}
 	}
 
@@ -131,8 +131,14 @@
 			return existing;
 		}
 
+		const entry = this.#createPool(address, this.maxConnectionsTo(address));
+		this.#pools.set(address, entry);
+		return entry;
+	}
+
+	#createPool(address: string, connections: number): PoolEntry {
 		const pool = new Pool(`http://${address}`, {
-			connections: this.maxConnectionsTo(address),
+			connections,
 			pipelining: 1,
 			connect: createTimedConnect(connectTimeoutMs, () => {
 				entry.resetCount += 1;
@@ -143,8 +149,7 @@
 			keepAliveMaxTimeout: 2 * keepAliveTimeoutMs,
 			keepAliveTimeoutThreshold: keepAliveMarginMs,
 		});
-		const entry: PoolEntry = {pool, lastUsedAt: now, resetCount: 0};
-		this.#pools.set(address, entry);
+		const entry: PoolEntry = {pool, lastUsedAt: performance.now(), resetCount: 0};
 		return entry;
 	}
 
--- a/packages/daemon/src/gateway/stream-placements.ts
+++ b/packages/daemon/src/gateway/stream-placements.ts
@@ -80,6 +80,8 @@
 	/** Number of this placement request within the call. */
 	readonly round: number;
 	readonly excluded: ReadonlySet<EngineId>;
+	/** Further engines to avoid. */
+	readonly avoided: readonly EngineId[];
 	readonly scope: CallScope;
 };
 
@@ -105,6 +107,11 @@
 		void this.parts.client.renew();
 	}
 
+	/** Time for which a call that has had no event may wait for a placement, in milliseconds. */
+	maxWaitMs(call: Call, scope: CallScope): number {
+		return Math.max(0, Math.min(scope.remainingMs(), (call.route.targetLatencyMs * callerTimeoutTargets * waitFraction) - (this.parts.clock.now() - call.arrivedAt)));
+	}
+
 	/** Requests a placement and waits until it is granted or refused. */
 	async place(request: StreamPlacementRequest): Promise<PlacementOutcome> {
 		return this.#place(request, this.#paramsOf(request));
@@ -160,7 +167,21 @@
 		return outcome ?? this.#placeLocally(service, params, scope);
 	}
 
-	#paramsOf({call, round, excluded, scope}: StreamPlacementRequest): PlacementRequestParams {
+	/** The engines to avoid; none where no other decode engine would be left. */
+	#avoidable({service, excluded, avoided}: StreamPlacementRequest): readonly EngineId[] {
+		if (avoided.length === 0) {
+			return avoided;
+		}
+
+		const usable = this.parts.usableEngines(service);
+		const others = (this.parts.modelService(service)?.engines ?? []).filter(({id, role}) => role === 'decode' && usable.has(id) && !excluded.has(id) && !avoided.includes(id));
+		return others.length > 0 ? avoided : [];
+	}
+
+	#paramsOf(request: StreamPlacementRequest): PlacementRequestParams {
+		const {
+			call, round, excluded, scope,
+		} = request;
 		const {clock} = this.parts;
 		const dueMs = call.arrivedAt + call.route.targetLatencyMs - clock.now();
 		return {
@@ -171,10 +192,10 @@
 			maxTokens: call.maxTokens,
 			pieces: this.#piecesOf(call.promptTokens, call.maxTokens),
 			prefix: '',
-			waitMs: Math.max(0, Math.min(scope.remainingMs(), (call.route.targetLatencyMs * callerTimeoutTargets * waitFraction) - (clock.now() - call.arrivedAt))),
+			waitMs: this.maxWaitMs(call, scope),
 			firstOutputMs: Math.max(0, dueMs),
 			steadyGapMs: call.route.targetGapMs,
-			excluded: [...excluded],
+			excluded: [...new Set([...excluded, ...this.#avoidable(request)])],
 		};
 	}
 
--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -54,6 +54,8 @@
 	readonly scope: CallScope;
 	readonly out: StreamOutput;
 	readonly excluded: Set<EngineId>;
+	/** Engines that the next placement avoids if others have room. */
+	avoided: readonly EngineId[];
 	/** Number of sends that may have been executed. */
 	sent: number;
 	/** Number of prefills that were sent. */
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -5,6 +5,7 @@
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {CallScope} from './call-scope.js';
+import type {CrashGuard} from './crash-guard.js';
 import {EngineLeases} from './engine-leases.js';
 import {StreamRunner} from './stream-runner.js';
 import type {FleetView} from './fleet-view.js';
@@ -37,6 +38,7 @@
 	readonly dialect: ServerDialect;
 	readonly retryBudgets: RetryBudgets;
 	readonly places: StreamPlacements;
+	readonly guard: CrashGuard;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
@@ -63,8 +65,18 @@
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
 		this.parts.retryBudgets.recordCall(service);
 		const progress: StreamProgress = {
-			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined,
+			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined, avoided: [],
 		};
+		const unregister = this.parts.guard.register(call, scope);
+		try {
+			return await this.#runRounds(progress);
+		} finally {
+			unregister();
+		}
+	}
+
+	async #runRounds(progress: StreamProgress): Promise<Reply> {
+		const {scope} = progress;
 		let reply: Reply = errorReply(routerError('noBackend', undefined, rejectedRetryAfterMs));
 		for (let round = 1, sentRounds = 0; sentRounds < maxSentRounds && scope.reason === undefined; round++) {
 			const sends = progress.sent + progress.prefills;
@@ -91,11 +103,21 @@
 			return errorReply(sent > 0 ? routerError('timeout') : routerError('queueTimeout'));
 		}
 
+		if (scope.reason === 'quarantined') {
+			return errorReply(quarantineError(sent));
+		}
+
 		return reply;
 	}
 
 	async #runRound(progress: StreamProgress, round: number): Promise<RoundResult> {
 		const {call, scope, out} = progress;
+		const decision = await this.parts.guard.admit(call, scope, this.parts.places.maxWaitMs(call, scope));
+		if (decision.kind === 'quarantined' || decision.kind === 'busy') {
+			return {isFinal: true, reply: this.#fail(progress, errorReply(decision.kind === 'busy' ? routerError('overloaded', 'requests with a suspected prompt run one at a time', this.#retryAfterMs(call, routerError('overloaded'))) : quarantineError(progress.sent)))};
+		}
+
+		progress.avoided = decision.kind === 'trial' ? decision.avoid : [];
 		if (out.isStarted) {
 			return this.#resume(progress, round);
 		}
@@ -296,7 +318,9 @@
 
 	/** Decides from the outcome at one engine whether the call is retried. */
 	#handleOutcome(progress: StreamProgress, engine: EngineId, outcome: DecodeOutcome): RoundResult {
-		const {call, service, scope} = progress;
+		const {
+			call, service, scope,
+		} = progress;
 		if (outcome.kind !== 'notRun' || outcome.isMisdirected) {
 			progress.excluded.add(engine);
 		}
@@ -321,6 +345,9 @@
 	}
 }
 
+/** The error of a quarantined prompt: not run, or of unknown outcome where an engine may have begun with it. */
+const quarantineError = (sent: number): RouterError => sent > 0 ? routerError('answerLost', 'the prompt has quarantined segments') : routerError('quarantined');
+
 /** Purpose of a send whose engine does the prefill itself; a started stream resumes after the last event that the caller received. */
 const directPurpose = ({out, call, lastEventId = call.lastEventId}: StreamProgress, lease: string | undefined): SendPurpose =>
 	!out.isStarted || lastEventId === undefined ? {kind: 'run', lease} : {kind: 'resume', lastEventId, lease};
--- a/packages/daemon/src/gateway/stream-runner.ts
+++ b/packages/daemon/src/gateway/stream-runner.ts
@@ -1,15 +1,18 @@
 /** Runs streams at engines: sends the call, relays the events to the caller and classifies the outcome for the engine's health. */
 import {Buffer} from 'node:buffer';
 import {toId} from '@baobabpier/core';
-import type {Clock, EngineId, ListedServer} from '@baobabpier/core';
+import type {
+	Clock, EngineId, ListedServer, RunPhase,
+} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import {OutputPace} from '../requests/output-pace.js';
 import type {CallScope} from './call-scope.js';
+import type {CrashGuard} from './crash-guard.js';
 import {EventSplitter} from './event-splitter.js';
 import type {StreamEvent} from './event-splitter.js';
 import type {CallResult, FleetView} from './fleet-view.js';
 import {findResponseFault} from './plain-route.js';
-import type {OpenResponse, ServerTransport} from './server-transport.js';
+import type {OpenResponse, ServerTransport, TransportFailure} from './server-transport.js';
 import {recordResult} from './stream-progress.js';
 import type {DecodeOutcome, StreamProgress} from './stream-progress.js';
 import type {ResponseHead, SendPurpose, ServerDialect} from './types.js';
@@ -27,11 +30,15 @@
 /** Maximum number of logged segments of a prompt. */
 const maxLoggedSegments = 8;
 
+/** Time for which a run has written outputs when it no longer counts as a trial of its prompt, in milliseconds. */
+const trialSettleMs = 500;
+
 /** Dependencies of a stream runner. */
 export type StreamRunnerParts = {
 	readonly fleet: FleetView;
 	readonly transport: ServerTransport;
 	readonly dialect: ServerDialect;
+	readonly guard: CrashGuard;
 	readonly clock: Clock;
 };
 
@@ -42,7 +49,8 @@
 	/** Sends the call to an engine and relays its events to the caller; calls `onFirstEvent` at the first event. */
 	async run(progress: StreamProgress, server: ListedServer, purpose: SendPurpose, onFirstEvent: () => void): Promise<DecodeOutcome> {
 		const {call, scope} = progress;
-		const {transport, dialect, fleet, clock} = this.parts;
+		const {transport, dialect, fleet, guard, clock} = this.parts;
+		let settled: NodeJS.Timeout | undefined;
 		const limit = scope.createTimeout(call.route.resumable ? Math.min(firstEventTimeoutMs, scope.remainingMs()) : scope.remainingMs());
 		const endCall = fleet.begin(server.id);
 		const startedAt = clock.now();
@@ -52,15 +60,26 @@
 		progress.sent += response.kind === 'unsent' ? 0 : 1;
 		const pace = new OutputPace(startedAt);
 		const outcome = response.kind === 'head'
-			? await this.#relay(progress, response, limit, () => {
+			? await this.#relay(progress, server, response, limit, () => {
 				if (pace.firstAt === undefined) {
 					onFirstEvent();
+					settled = setTimeout(() => {
+						guard.endTrial(call);
+					}, trialSettleMs);
 				}
 
 				pace.add(1, clock.now());
 			})
 			: response;
+		clearTimeout(settled);
 		progress.pace = pace.sample;
+		if (outcome.kind === 'complete') {
+			guard.recordComplete(call);
+		} else if (outcome.kind === 'broken' && scope.reason === undefined && !limit.hasExpired()) {
+			guard.recordBroken(call, {id: toId<EngineId>(server.id), address: server.address}, phaseOf(response, pace.firstAt !== undefined));
+		}
+
+		guard.endTrial(call);
 		limit.release();
 		const result = callResultOf(outcome, scope);
 		endCall(result);
@@ -76,7 +95,7 @@
 		return outcome;
 	}
 
-	async #relay(progress: StreamProgress, response: OpenResponse, limit: ReturnType<CallScope['createTimeout']>, onEvent: () => void): Promise<DecodeOutcome> {
+	async #relay(progress: StreamProgress, server: ListedServer, response: OpenResponse, limit: ReturnType<CallScope['createTimeout']>, onEvent: () => void): Promise<DecodeOutcome> {
 		const {call, out} = progress;
 		const head = this.parts.dialect.readHead(response.status, response.rawHeaders);
 		const fault = findResponseFault(call, head);
@@ -153,6 +172,15 @@
 	out.write(event.bytes);
 };
 
+/** Returns how far a run had got that broke off. */
+const phaseOf = (response: OpenResponse | TransportFailure, hasOutput: boolean): RunPhase => {
+	if (response.kind !== 'head' || response.status !== 200) {
+		return 'sent';
+	}
+
+	return hasOutput ? 'writing' : 'begun';
+};
+
 /** Returns the call result that a run's outcome means for its engine. */
 const callResultOf = (outcome: DecodeOutcome, scope: CallScope): CallResult => {
 	switch (outcome.kind) {
