Relay no error response into a stream that has begun

Callers of a stream that broke off and went on elsewhere found the next engine's error in it: the outcome of a resumed run with another status than 200 was relayed as the final response, and writeHead on a response whose head was out threw, so that the stream was cut without the attempt that its route still allowed.

Cause: the outcome `relay` was final without asking whether the stream had begun. Now it counts as a broken run there: the stream is resumed at the next engine if its route allows it, and else looks broken off. The listener drops a response to a begun stream besides.

--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -256,6 +256,12 @@
 			return;
 		}
 
+		if (res.headersSent) {
+			log('A response to a stream that has begun is dropped.', {requestId: call.requestId, status: reply.head.status});
+			res.destroy();
+			return;
+		}
+
 		const {head, body} = reply;
 		const headers = forwardableHeaders(head.rawHeaders, new Set(['content-length']));
 		const isBodiless = call.method === 'HEAD' || head.status === 204 || head.status === 304;
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -319,7 +319,7 @@
 	/** Decides from the outcome at one engine whether the call is retried. */
 	#handleOutcome(progress: StreamProgress, engine: EngineId, outcome: DecodeOutcome): RoundResult {
 		const {
-			call, service, scope,
+			call, service, scope, out,
 		} = progress;
 		if (outcome.kind !== 'notRun' || outcome.isMisdirected) {
 			progress.excluded.add(engine);
@@ -330,7 +330,7 @@
 			return {isFinal: true, reply: {kind: 'streamed'}};
 		}
 
-		if (outcome.kind === 'relay') {
+		if (outcome.kind === 'relay' && !out.isStarted) {
 			return {isFinal: true, reply: outcome};
 		}
 
@@ -338,9 +338,11 @@
 			return {isFinal: false, reply: errorReply(routerError('noBackend', outcome.detail, rejectedRetryAfterMs))};
 		}
 
-		const mayHaveRun = outcome.kind === 'broken';
+		// A stream that has begun can take no other response than the rest of its events
+		const mayHaveRun = outcome.kind !== 'notRun';
+		const detail = outcome.kind === 'relay' ? `an engine answered a resumed stream with status ${outcome.head.status}` : outcome.detail;
 		const mayRetry = scope.reason === undefined && progress.sent < call.route.maxAttempts && (!mayHaveRun || call.route.resumable) && this.parts.retryBudgets.tryAcquire(service);
-		const reply = errorReply(mayHaveRun ? routerError(scope.reason === 'deadline' ? 'timeout' : 'answerLost', outcome.detail) : routerError('overloaded', 'the engine had no free capacity', rejectedRetryAfterMs));
+		const reply = errorReply(mayHaveRun ? routerError(scope.reason === 'deadline' ? 'timeout' : 'answerLost', detail) : routerError('overloaded', 'the engine had no free capacity', rejectedRetryAfterMs));
 		return mayRetry ? {isFinal: false, reply} : {isFinal: true, reply: this.#fail(progress, reply)};
 	}
 }
