Send a request again to the same engine on a connection of its own

An engine that refuses a stream is asked again later, as it may have room then. A faulty engine that writes its first refusal once more on the kept connection made the router take it for the answer to the second send, since both have the request's id: the stream was sent a third time while the engine ran the second, or its caller was told that it had not run.

Cause: a response is bound to its request by the id alone. Now a repeated send of a request to an address, for any purpose, gets a new connection, on which no late copy can arrive. A response of another request on a stream's connection now discards the pool, as it did for plain calls, since the connection may still carry the right one.

The test failed before for the two cases in which the copy arrives after the second send: the engine ran the request twice.

--- a/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
+++ b/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
@@ -175,6 +175,15 @@
 	};
 };
 
+test.each(oldRefusals)('a refusal repeated on a kept connection $name is not taken for the answer to the same stream sent again', async ({isSentAtOnce, delayMs}) => {
+	const engine = await startEngine('e1', repeatRefusal(isSentAtOnce, delayMs, stream));
+	const listener = await startGateway([engine]);
+	const text = await exchange(listener, '/once/1');
+	expect(runs).toEqual(['r1']);
+	expect(text.slice(text.indexOf('\r\n\r\n') + 4)).toBe(`${chunked(event(1))}${chunked(event(2))}0\r\n\r\n`);
+	expect(text.startsWith('HTTP/1.1 200 ')).toBe(true);
+});
+
 test.each(['/unsafe/1', '/once/1'].flatMap(path => oldRefusals.map(item => ({path, ...item}))))('a refusal of another request repeated on a kept connection $name is no answer: $path', async ({path, isSentAtOnce, delayMs}) => {
 	const engine = await startEngine('e1', repeatRefusal(isSentAtOnce, delayMs, path === '/unsafe/1' ? answer : stream));
 	const listener = await startGateway([engine]);
--- a/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
+++ b/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
@@ -114,7 +114,7 @@
 	} as unknown as Call;
 	const scope = new CallScope(monotonicClock, call.deadlineAt);
 	const progress = {
-		call, scope, sent: 0, events: 0, failed: [], served: [], lastEventId: undefined, out: {
+		call, scope, sentTo: new Set(), sent: 0, events: 0, failed: [], served: [], lastEventId: undefined, out: {
 			isStarted: false, start: () => undefined, write: () => undefined, end: () => undefined, abort: () => undefined,
 		},
 	} as unknown as StreamProgress;
--- a/packages/daemon/src/gateway/prefill-client.ts
+++ b/packages/daemon/src/gateway/prefill-client.ts
@@ -50,8 +50,9 @@
 		const endCall = fleet.begin(server.id);
 		const startedAt = this.parts.clock.now();
 		const response = await transport.sendRequest({
-			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'prefill'}, scope.remainingMs()), body: call.body, signal: limit.signal,
+			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'prefill'}, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
 		});
+		progress.sentTo.add(server.address);
 		progress.prefills += response.kind === 'unsent' ? 0 : 1;
 		const body = response.kind === 'head' ? await transport.readBody(response) : response;
 		limit.release();
--- a/packages/daemon/src/gateway/server-transport.ts
+++ b/packages/daemon/src/gateway/server-transport.ts
@@ -25,6 +25,8 @@
 	readonly headers: string[];
 	readonly body: Uint8Array | undefined;
 	readonly signal: AbortSignal;
+	/** Whether the same request was sent to this address before: it gets a connection of its own, on which no late copy of the first response can arrive. */
+	readonly isRepeat?: boolean;
 };
 
 /** Why a request got no response. */
@@ -70,12 +72,19 @@
 	}
 
 	/** Sends a request; resolves with the response head, or with the failure. */
-	async sendRequest({address, method, target, headers, body, signal}: OutgoingRequest): Promise<OpenResponse | TransportFailure> {
+	async sendRequest({
+		address, method, target, headers, body, signal, isRepeat = false,
+	}: OutgoingRequest): Promise<OpenResponse | TransportFailure> {
 		try {
-			const entry = this.#getOrCreatePool(address);
+			const entry = isRepeat ? this.#createPool(address, 1) : this.#getOrCreatePool(address);
 			const response = await entry.pool.request({
 				method, path: target, headers, body: body === undefined || body.length === 0 ? null : body, signal,
 			});
+			if (isRepeat) {
+				// Completes when the response has been read
+				void entry.pool.close();
+			}
+
 			// Whoever sent the request reads or destroys the body and so detects that it is truncated
 			response.body.on('error', () => undefined);
 			const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -56,6 +56,8 @@
 	readonly excluded: Set<EngineId>;
 	/** Engines that the next placement avoids if others have room. */
 	avoided: readonly EngineId[];
+	/** Addresses to which the call was sent, for any purpose. */
+	readonly sentTo: Set<string>;
 	/** Number of sends that may have been executed. */
 	sent: number;
 	/** Number of prefills that were sent. */
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -65,7 +65,7 @@
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
 		this.parts.retryBudgets.recordCall(service);
 		const progress: StreamProgress = {
-			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined, avoided: [],
+			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined, avoided: [], sentTo: new Set(),
 		};
 		const unregister = this.parts.guard.register(call, scope);
 		try {
--- a/packages/daemon/src/gateway/stream-runner.ts
+++ b/packages/daemon/src/gateway/stream-runner.ts
@@ -55,8 +55,9 @@
 		const endCall = fleet.begin(server.id);
 		const startedAt = clock.now();
 		const response = await transport.sendRequest({
-			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal,
+			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
 		});
+		progress.sentTo.add(server.address);
 		progress.sent += response.kind === 'unsent' ? 0 : 1;
 		const pace = new OutputPace(startedAt);
 		const outcome = response.kind === 'head'
@@ -101,6 +102,8 @@
 		const fault = findResponseFault(call, head);
 		if (fault !== undefined) {
 			response.body.destroy();
+			// The connection may still carry the response to this call
+			this.parts.transport.discardPool(server.address);
 			return {kind: 'broken', detail: fault};
 		}
 
