Narrow a suspected set by the segments that are proven, instead of dropping it

With the leader killed, an entry instance that had seen the crash itself sent three more such requests: as soon as a sound request with the same first segment completed, the instance took the whole set for cleared. Only the proven segment leaves the set now; the rest stays suspected. The memory of proven segments is one class for leader and entry instances, and costs no copy of its keys.

--- a/packages/cli/src/quarantine-commands.ts
+++ b/packages/cli/src/quarantine-commands.ts
@@ -47,5 +47,5 @@
 	const set = toSet(segments);
 	const result = await callInstance(target, QUARANTINE_LIFT, {segments: set, author});
 	output.print(result, [result.lifted ? `Lifted: ${segmentSetKey(set)}.` : `Not quarantined: ${segmentSetKey(set)}.`]);
-	return result.lifted ? exitCodes.done : exitCodes.refused;
+	return result.lifted ? exitCodes.done : exitCodes.failed;
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -59,6 +59,7 @@
 } from './ids.js';
 export {CrashEvidence} from './quarantine/crash-evidence.js';
 export type {CrashVerdicts, ReportedCrash} from './quarantine/crash-evidence.js';
+export {ProvenSegments} from './quarantine/proven-segments.js';
 export {QuarantineTable, quarantineTtlMs} from './quarantine/quarantine-table.js';
 export type {
 	ActiveQuarantine, QuarantineEntry, QuarantineSnapshot, RecordedCrash,
--- a/packages/core/src/quarantine/crash-evidence.ts
+++ b/packages/core/src/quarantine/crash-evidence.ts
@@ -2,6 +2,7 @@
 import type {EngineId, RequestId, SegmentId} from '../ids.js';
 import {addMs} from '../time.js';
 import type {Instant} from '../time.js';
+import {ProvenSegments} from './proven-segments.js';
 import {includesSegments, segmentSetKey, toSegmentSet} from './types.js';
 import type {
 	BrokenRun, CrashCase, SegmentSet,
@@ -24,13 +25,10 @@
 const evidenceTtlMs = 600_000;
 /** Time after the last crash for which a set stays suspected, in milliseconds. */
 const suspicionTtlMs = 60_000;
-/** Age up to which a complete run counts as proof, in milliseconds. */
-const proofTtlMs = 600_000;
-/** Limits of the memory: crashes, runs of one crash, segments of one run, and proven segments. */
+/** Limits of the memory: crashes, runs of one crash, and segments of one run. */
 const maxCrashes = 64;
 const maxRuns = 256;
 const maxRunSegments = 32;
-const maxProven = 8192;
 
 /** What is known of one crash. */
 type CrashRecord = {
@@ -75,7 +73,7 @@
  */
 export class CrashEvidence {
 	#crashes: CrashRecord[] = [];
-	readonly #proven = new Map<SegmentId, Instant>();
+	readonly #proven = new ProvenSegments();
 
 	/** Adds a report; returns false when its crash is confirmed already. */
 	record({engine, at, runs}: ReportedCrash, now: Instant): boolean {
@@ -113,20 +111,12 @@
 
 	/** Records that an engine completed a run with these segments. */
 	prove(segments: readonly SegmentId[], now: Instant): void {
-		for (const segment of segments) {
-			this.#proven.delete(segment);
-			this.#proven.set(segment, now);
-		}
-
-		for (const segment of [...this.#proven.keys()].slice(0, Math.max(0, this.#proven.size - maxProven))) {
-			this.#proven.delete(segment);
-		}
+		this.#proven.add(segments, now);
 	}
 
 	/** Whether an engine completed a run with this segment lately. */
 	isProven(segment: SegmentId, now: Instant): boolean {
-		const at = this.#proven.get(segment);
-		return at !== undefined && now < addMs(at, proofTtlMs);
+		return this.#proven.has(segment, now);
 	}
 
 	/** Forgets the runs with these segments, after an operator lifted their quarantine. */
--- a/packages/daemon/src/control-node/quarantine-task.ts
+++ b/packages/daemon/src/control-node/quarantine-task.ts
@@ -75,6 +75,8 @@
 	#isWaitScheduled = false;
 	#wasLeading = false;
 	#epoch = '';
+	/** Shared by all watchers until it changes. */
+	#lastSnapshot: SuspectsSnapshot | undefined;
 	#termBeganAt = 0 as Instant;
 	#timers: NodeJS.Timeout[] = [];
 
@@ -175,7 +177,8 @@
 
 	#snapshot(): SuspectsSnapshot {
 		this.#beginTerm();
-		return {epoch: this.#epoch, version: `${this.#epoch}/${this.#revision}`, sets: this.#suspects.map(({segments}) => segments)};
+		this.#lastSnapshot ??= {epoch: this.#epoch, version: `${this.#epoch}/${this.#revision}`, sets: this.#suspects.map(({segments}) => segments)};
+		return this.#lastSnapshot;
 	}
 
 	/** Starts without evidence after another instance led: the entry instances report to each new leader again. */
@@ -184,6 +187,7 @@
 			this.#wasLeading = true;
 			this.#epoch = `${this.parts.self}/${randomUUID()}`;
 			this.#termBeganAt = this.parts.clock.now();
+			this.#lastSnapshot = undefined;
 			this.#evidence = new CrashEvidence();
 			this.#slots = new TrialSlots();
 			this.#unchecked = [];
@@ -245,6 +249,7 @@
 		this.#suspects = suspects;
 		if (isChanged) {
 			this.#revision += 1;
+			this.#lastSnapshot = undefined;
 			log('The suspected segment sets changed.', {sets: suspects.map(({segments, score}) => `${segmentSetKey(segments)} (${score})`).join(', ')});
 			this.parts.onSuspects();
 		}
--- a/packages/daemon/src/gateway/crash-guard.ts
+++ b/packages/daemon/src/gateway/crash-guard.ts
@@ -1,7 +1,7 @@
 /** Keeps prompts that crash engines away from them: reports crashes to the leader, refuses quarantined prompts, and lets suspected ones run one at a time. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	addMs, CRASH_REPORT, includesSegments, segmentSetKey, toSegmentSet, TRIAL_BEGIN, TRIAL_END, TrialSlots,
+	addMs, CRASH_REPORT, includesSegments, ProvenSegments, segmentSetKey, toSegmentSet, TRIAL_BEGIN, TRIAL_END, TrialSlots,
 } from '@baobabpier/core';
 import type {
 	BrokenRun, Clock, EngineAddress, EngineId, InstanceId, Instant, RequestId, RunPhase, SegmentId, SegmentSet, SuspectsSnapshot,
@@ -27,8 +27,6 @@
 const formerSuspectsMs = 2000;
 /** Time for which an instance suspects the segments of its own runs that broke off as they began, in milliseconds. */
 const ownSuspicionMs = 10_000;
-/** Maximum number of segments of complete runs that are remembered. */
-const maxProven = 8192;
 /** Response time allowed for a trial beyond its wait, in milliseconds. */
 const trialGraceMs = 500;
 /** Interval at which a trial is requested again while no leader responds, in milliseconds. */
@@ -85,7 +83,7 @@
 	#revision: number | undefined;
 	#suspects: SuspectsSnapshot | undefined;
 	#formerSuspects: {readonly sets: readonly SegmentSet[]; readonly until: Instant} | undefined;
-	readonly #proven = new Map<SegmentId, Instant>();
+	readonly #proven = new ProvenSegments();
 	readonly #open = new Set<OpenCall>();
 	readonly #trials = new Set<RequestId>();
 	readonly #localSlots = new TrialSlots();
@@ -225,16 +223,7 @@
 
 	/** Records that an engine completed a run: its segments are sound. */
 	recordComplete({sharedSegments}: Call): void {
-		const now = this.parts.clock.now();
-		for (const segment of sharedSegments) {
-			this.#proven.delete(segment);
-			this.#proven.set(segment, now);
-		}
-
-		for (const segment of [...this.#proven.keys()].slice(0, Math.max(0, this.#proven.size - maxProven))) {
-			this.#proven.delete(segment);
-		}
-
+		this.#proven.add(sharedSegments, this.parts.clock.now());
 		this.#reportProven([...this.#suspects?.sets ?? [], ...this.#quarantined].filter(set => set.some(segment => sharedSegments.includes(segment))));
 	}
 
@@ -268,17 +257,17 @@
 	}
 
 	#isProven(segment: SegmentId): boolean {
-		return this.#proven.has(segment);
+		return this.#proven.has(segment, this.parts.clock.now());
 	}
 
 	#findQuarantined({sharedSegments}: Call): SegmentSet | undefined {
 		return this.#quarantined.find(set => includesSegments(sharedSegments, set));
 	}
 
-	/** The suspected sets of a call; a set with a segment that is proven sound here is about to be cleared. */
+	/** The suspected sets of a call, without the segments that are proven sound here: the leader has yet to hear of them. */
 	#suspectedSets({sharedSegments}: Call): readonly SegmentSet[] {
 		const former = this.#formerSuspects !== undefined && this.parts.clock.now() < this.#formerSuspects.until ? this.#formerSuspects.sets : [];
-		return [...this.#suspects?.sets ?? [], ...former, ...this.#ownSets].filter(set => includesSegments(sharedSegments, set) && !set.some(segment => this.#isProven(segment)));
+		return [...this.#suspects?.sets ?? [], ...former, ...this.#ownSets].map(set => set.filter(segment => !this.#isProven(segment))).filter(set => includesSegments(sharedSegments, set));
 	}
 
 	/** Sets of this instance's runs that broke off lately as they began: the leader may be lost before it tells of them. */
