Log the quarantined segments of calls that a new quarantine ends

`explain` named the segments and crashes only of calls that were refused on arrival; those that waited or ran when the verdict came were ended without the line that it reads, and were missing from the metric. A call that has ended no longer takes a trial slot of its instance.

--- a/packages/daemon/src/gateway/crash-guard.ts
+++ b/packages/daemon/src/gateway/crash-guard.ts
@@ -68,6 +68,7 @@
 };
 
 const clear: GuardDecision = {kind: 'clear'};
+const busy: GuardDecision = {kind: 'busy'};
 
 /**
  * The entry instance's side of the quarantine.
@@ -127,7 +128,9 @@
 		this.#revision = revision;
 		this.#quarantined = sets;
 		for (const {call, scope} of this.#open) {
-			if (this.#findQuarantined(call) !== undefined) {
+			const quarantined = this.#findQuarantined(call);
+			if (quarantined !== undefined) {
+				this.#refuse(call, quarantined);
 				scope.end('quarantined');
 			}
 		}
@@ -320,7 +323,7 @@
 			await sleep(Math.min(leftMs, trialRetryMs));
 		}
 
-		const decision = this.#decideAlone(call);
+		const decision = scope.reason === undefined ? this.#decideAlone(call) : busy;
 		log('A trial could not be requested from the leader.', {
 			requestId, leader: this.parts.leader(), detail: failure, decision: decision.kind,
 		});
@@ -331,7 +334,7 @@
 	#decideAlone(call: Call): GuardDecision {
 		const sets = this.#suspectedSets(call);
 		const failures = this.#reports.filter(({runs}) => runs.some(({segments, phase}) => phase === 'begun' && sets.some(set => includesSegments(segments, set)))).length;
-		return failures < maxFailuresAlone && this.#localSlots.acquire(call.requestId, sets, this.parts.clock.now()) ? {kind: 'trial', avoid: []} : {kind: 'busy'};
+		return failures < maxFailuresAlone && this.#localSlots.acquire(call.requestId, sets, this.parts.clock.now()) ? {kind: 'trial', avoid: []} : busy;
 	}
 
 	async #resend(): Promise<void> {
