--- a/packages/daemon/src/__tests__/unit/server-transport.test.ts
+++ b/packages/daemon/src/__tests__/unit/server-transport.test.ts
@@ -30,7 +30,7 @@
 
 const fetchBody = async (address: string): Promise<string> => {
 	const response = await transport.sendRequest({
-		address, method: 'GET', target: '/', headers: [], body: undefined, signal: AbortSignal.timeout(2000),
+		kind: 'run', address, method: 'GET', target: '/', headers: [], body: undefined, signal: AbortSignal.timeout(2000),
 	});
 	if (response.kind !== 'head') {
 		return response.kind;
--- a/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
+++ b/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
@@ -77,7 +77,7 @@
 	const server = await startUnboundedServer(head, part);
 	const before = process.memoryUsage.rss();
 	const response = await transport.sendRequest({
-		address: server.address, method: 'GET', target: '/', headers: [], body: undefined, signal: AbortSignal.timeout(5000),
+		kind: 'run', address: server.address, method: 'GET', target: '/', headers: [], body: undefined, signal: AbortSignal.timeout(5000),
 	});
 	const outcome = response.kind === 'head' ? await transport.readBody(response) : response;
 	expect('kind' in outcome && outcome.kind).toBe('broken');
--- a/packages/daemon/src/control-node/engine-liveness.ts
+++ b/packages/daemon/src/control-node/engine-liveness.ts
@@ -44,7 +44,9 @@
 	/** Checks whether an engine ended at or after `since`, in milliseconds since the epoch. */
 	async check(engine: EngineId, address: string, since: number): Promise<EngineState> {
 		const {transport, dialect} = this.parts;
-		const response = await transport.sendRequest({address, ...dialect.statusCall(toId<BackendId>(engine)), signal: AbortSignal.timeout(checkTimeoutMs)});
+		const response = await transport.sendRequest({
+			kind: 'liveness', address, ...dialect.statusCall(toId<BackendId>(engine)), signal: AbortSignal.timeout(checkTimeoutMs),
+		});
 		if (response.kind !== 'head') {
 			return response.kind === 'unsent' && response.isRefused === true ? 'ended' : 'unknown';
 		}
--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -31,7 +31,9 @@
 	/** Fetches the report of the streams that run on an engine and of its memory in use. */
 	async fetchReport(engine: EngineEntry): Promise<EngineReport | 'unreachable' | undefined> {
 		const {transport, dialect} = this.parts;
-		const answer = await transport.sendRequest({address: engine.address, ...dialect.statusCall(toId<BackendId>(engine.id)), signal: AbortSignal.timeout(reportTimeoutMs)});
+		const answer = await transport.sendRequest({
+			kind: 'report', address: engine.address, ...dialect.statusCall(toId<BackendId>(engine.id)), signal: AbortSignal.timeout(reportTimeoutMs),
+		});
 		const body = answer.kind === 'head' ? await transport.readBody(answer) : answer;
 		if (answer.kind !== 'head' || 'kind' in body) {
 			transport.discardPool(engine.address);
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -185,7 +185,7 @@
 			return;
 		}
 
-		const answer = await this.#call(server, this.parts.dialect.orderCall(server.id, role, this.parts.self, fencing, report.sequence));
+		const answer = await this.#call(server, 'order', this.parts.dialect.orderCall(server.id, role, this.parts.self, fencing, report.sequence));
 		const isAccepted = answer !== undefined && answer.status >= 200 && answer.status < 300;
 		log('An order was given.', {
 			engine, role, fencing, sequence: report.sequence, status: answer?.status, isAccepted,
@@ -198,12 +198,14 @@
 	}
 
 	async #report(server: ListedServer): Promise<EngineStatus | undefined> {
-		const answer = await this.#call(server, this.parts.dialect.statusCall(server.id));
+		const answer = await this.#call(server, 'report', this.parts.dialect.statusCall(server.id));
 		return answer?.status === 200 ? this.parts.dialect.readStatus(answer.body) : undefined;
 	}
 
-	async #call(server: ListedServer, call: EngineCall): Promise<{readonly status: number; readonly body: Uint8Array} | undefined> {
-		const answer = await this.parts.transport.sendRequest({address: server.address, ...call, signal: AbortSignal.timeout(callTimeoutMs)});
+	async #call(server: ListedServer, kind: 'order' | 'report', call: EngineCall): Promise<{readonly status: number; readonly body: Uint8Array} | undefined> {
+		const answer = await this.parts.transport.sendRequest({
+			kind, address: server.address, ...call, signal: AbortSignal.timeout(callTimeoutMs),
+		});
 		const body = answer.kind === 'head' ? await this.parts.transport.readBody(answer) : answer;
 		if (answer.kind !== 'head' || 'kind' in body) {
 			log('An engine did not answer.', {engine: server.id, detail: 'detail' in body ? body.detail : undefined});
--- a/packages/daemon/src/gateway/engine-leases.ts
+++ b/packages/daemon/src/gateway/engine-leases.ts
@@ -71,7 +71,9 @@
 		const {transport, dialect, fleet} = this.parts;
 		const limit = scope.createTimeout(Math.min(leaseTimeoutMs, scope.remainingMs()));
 		const endCall = fleet.begin(server.id);
-		const response = await transport.sendRequest({address: server.address, ...dialect.leaseCall(this.parts.expectedTokens(service, call), leaseDurationMs), signal: limit.signal});
+		const response = await transport.sendRequest({
+			kind: 'lease', address: server.address, ...dialect.leaseCall(this.parts.expectedTokens(service, call), leaseDurationMs), signal: limit.signal,
+		});
 		const body = response.kind === 'head' ? await transport.readBody(response) : response;
 		limit.release();
 		const lease = response.kind === 'head' && Buffer.isBuffer(body) ? dialect.readLease(response.status, body) : undefined;
@@ -99,7 +101,7 @@
 
 		const {transport, dialect} = this.parts;
 		const response = await transport.sendRequest({
-			address: server.address, method: 'DELETE', target: dialect.dropLeasePath(lease), headers: [], body: undefined, signal: AbortSignal.timeout(dropTimeoutMs),
+			kind: 'release', address: server.address, method: 'DELETE', target: dialect.dropLeasePath(lease), headers: [], body: undefined, signal: AbortSignal.timeout(dropTimeoutMs),
 		});
 		if (response.kind === 'head') {
 			response.body.resume();
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -25,6 +25,10 @@
 		name: 'baobabpier_refusals_total', help: 'Calls answered with an error of the closed table', labelNames: ['error'], registers: [this.registry],
 	});
 
+	readonly #foreignResponses = new Counter({
+		name: 'baobabpier_foreign_responses_total', help: 'Responses of servers that belong to no request or to another one, by kind of call', labelNames: ['kind'], registers: [this.registry],
+	});
+
 	/** Records a completed call. */
 	observeCall(kind: string, outcome: string, ms: number): void {
 		this.#calls.inc({kind, outcome});
@@ -35,6 +39,10 @@
 		this.#refusals.inc({error});
 	}
 
+	countForeignResponse(kind: string): void {
+		this.#foreignResponses.inc({kind});
+	}
+
 	/** Registers a gauge whose value is read on each scrape. */
 	registerGauge(name: string, help: string, read: () => number): void {
 		this.registry.registerMetric(new Gauge({
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -117,7 +117,11 @@
 		return service === undefined ? unlistedConnections : Math.max(minConnections, Math.floor((service.maxConnections * connectionShare) / controlWatch.entryInstanceCount));
 	};
 
-	const transport = new ServerTransport(connectionLimit);
+	const transport = new ServerTransport(connectionLimit, {
+		readRequestId: headers => dialect.server.readRequestId(headers), onForeignResponse(kind) {
+			metrics.countForeignResponse(kind);
+		},
+	});
 	const localPool = new PoolHost({
 		self: initialSettings.id,
 		clock,
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -106,7 +106,7 @@
 		const timeout = scope.createTimeout(Math.min(timeoutMs, scope.remainingMs()));
 		const endCall = fleet.begin(server.id);
 		const response = await transport.sendRequest({
-			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'run'}, scope.remainingMs()), body: call.body, signal: timeout.signal,
+			kind: 'run', address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'run'}, scope.remainingMs()), body: call.body, signal: timeout.signal,
 		});
 		if (response.kind !== 'head') {
 			timeout.release();
--- a/packages/daemon/src/gateway/prefill-client.ts
+++ b/packages/daemon/src/gateway/prefill-client.ts
@@ -50,7 +50,7 @@
 		const endCall = fleet.begin(server.id);
 		const startedAt = this.parts.clock.now();
 		const response = await transport.sendRequest({
-			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'prefill'}, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
+			kind: 'prefill', address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'prefill'}, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
 		});
 		progress.sentTo.add(server.address);
 		progress.prefills += response.kind === 'unsent' ? 0 : 1;
@@ -73,7 +73,7 @@
 	async free({address, handle}: KvSource): Promise<void> {
 		const {transport, dialect} = this.parts;
 		const response = await transport.sendRequest({
-			address, method: 'DELETE', target: dialect.freePath(handle), headers: [], body: undefined, signal: AbortSignal.timeout(freeTimeoutMs),
+			kind: 'free', address, method: 'DELETE', target: dialect.freePath(handle), headers: [], body: undefined, signal: AbortSignal.timeout(freeTimeoutMs),
 		});
 		if (response.kind === 'head') {
 			response.body.resume();
--- a/packages/daemon/src/gateway/server-list-poller.ts
+++ b/packages/daemon/src/gateway/server-list-poller.ts
@@ -104,7 +104,7 @@
 	async #readPage(pageToken: string | undefined) {
 		const {address, dialect, transport} = this.options;
 		const response = await transport.sendRequest({
-			address, method: 'GET', target: dialect.pagePath(pageToken), headers: [], body: undefined, signal: AbortSignal.timeout(pageTimeoutMs),
+			kind: 'list', address, method: 'GET', target: dialect.pagePath(pageToken), headers: [], body: undefined, signal: AbortSignal.timeout(pageTimeoutMs),
 		});
 		if (response.kind !== 'head') {
 			return response.detail;
--- a/packages/daemon/src/gateway/server-transport.ts
+++ b/packages/daemon/src/gateway/server-transport.ts
@@ -3,9 +3,11 @@
 import type {Readable} from 'node:stream';
 import {Pool} from 'undici';
 import {isConnectFailure} from '../connect-failure.js';
+import {createLog} from '../log.js';
 import {createTimedConnect} from '../timed-connect.js';
 import {enforceHeadSizeLimit} from './head-size-limit.js';
 
+const log = createLog('transport');
 /** Connect timeout, in milliseconds: a machine without power never responds, others respond within a few milliseconds. */
 const connectTimeoutMs = 250;
 /** Idle timeout of a connection, in milliseconds; servers close theirs after some seconds. */
@@ -17,8 +19,20 @@
 /** Idle timeout of a server's pool, in milliseconds. */
 const poolIdleTimeoutMs = 60_000;
 
+/** What a request is for, as metrics and logs name it. */
+export type CallKind = 'run' | 'prefill' | 'lease' | 'release' | 'free' | 'order' | 'report' | 'liveness' | 'list';
+
+/** Observes the ids that servers return with their responses. */
+export type ResponseObserver = {
+	/** Returns the request's id that headers name; undefined when they name none. */
+	readRequestId(rawHeaders: readonly string[]): string | undefined;
+	/** Called for each response that names another request than the one it answers. */
+	onForeignResponse(kind: CallKind): void;
+};
+
 /** A request to a server. */
 export type OutgoingRequest = {
+	readonly kind: CallKind;
 	readonly address: string;
 	readonly method: string;
 	readonly target: string;
@@ -64,7 +78,7 @@
 	readonly #removeHeadSizeLimit = enforceHeadSizeLimit();
 
 	/** `maxConnectionsTo` returns the maximum number of connections to an address. */
-	constructor(private readonly maxConnectionsTo: (address: string) => number) {
+	constructor(private readonly maxConnectionsTo: (address: string) => number, private readonly observer?: ResponseObserver) {
 		this.#idleSweepTimer = setInterval(() => {
 			this.#closeIdlePools();
 		}, poolIdleTimeoutMs / 2);
@@ -73,7 +87,7 @@
 
 	/** Sends a request; resolves with the response head, or with the failure. */
 	async sendRequest({
-		address, method, target, headers, body, signal, isRepeat = false,
+		kind, address, method, target, headers, body, signal, isRepeat = false,
 	}: OutgoingRequest): Promise<OpenResponse | TransportFailure> {
 		try {
 			const entry = isRepeat ? this.#createPool(address, 1) : this.#getOrCreatePool(address);
@@ -88,6 +102,7 @@
 			// Whoever sent the request reads or destroys the body and so detects that it is truncated
 			response.body.on('error', () => undefined);
 			const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
+			this.#observeResponse(kind, address, headers, flattenHeaders(response.headers));
 			const resetCountBefore = entry.resetCount;
 			return {
 				kind: 'head', status: response.statusCode, rawHeaders: flattenHeaders(response.headers), body: response.body, mayBeTruncated: () => !isFramed && entry.resetCount > resetCountBefore,
@@ -132,6 +147,17 @@
 		await Promise.all([...this.#pools.values()].map(async ({pool}) => pool.destroy()));
 	}
 
+	#observeResponse(kind: CallKind, address: string, requestHeaders: readonly string[], responseHeaders: readonly string[]): void {
+		const requestId = this.observer?.readRequestId(requestHeaders);
+		const responseId = this.observer?.readRequestId(responseHeaders);
+		if (responseId !== undefined && responseId !== requestId) {
+			log('A response belongs to another request.', {
+				kind, address, requestId, responseId,
+			});
+			this.observer?.onForeignResponse(kind);
+		}
+	}
+
 	#getOrCreatePool(address: string): PoolEntry {
 		const now = performance.now();
 		const existing = this.#pools.get(address);
--- a/packages/daemon/src/gateway/stream-runner.ts
+++ b/packages/daemon/src/gateway/stream-runner.ts
@@ -55,7 +55,7 @@
 		const endCall = fleet.begin(server.id);
 		const startedAt = clock.now();
 		const response = await transport.sendRequest({
-			address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
+			kind: 'run', address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
 		});
 		progress.sentTo.add(server.address);
 		progress.sent += response.kind === 'unsent' ? 0 : 1;
