--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -305,3 +305,7 @@
 } from './placement/role-planner.js';
 export {PipelinedQueueModel} from './placement/pipelined-queue-model.js';
 export {planMembershipChange} from './consensus/replica-membership.js';
+export {ConnectionPlan} from './transport/connection-plan.js';
+export type {ConnectionId, PlannedRequest, PlanStep} from './transport/connection-plan.js';
+export {judgeResponse} from './transport/response-binding.js';
+export type {ResponseBinding, ResponseVerdict} from './transport/response-binding.js';
--- /dev/null
+++ b/packages/core/src/transport/connection-plan.ts
@@ -0,0 +1,274 @@
+/** Decides on which connection to one address each request is sent, and which connections may be kept. */
+import type {Branded} from '../ids.js';
+import {toId} from '../ids.js';
+import {invariant} from '../invariant.js';
+import {judgeResponse} from './response-binding.js';
+import type {ResponseBinding, ResponseVerdict} from './response-binding.js';
+
+/** A connection, numbered within its plan. */
+export type ConnectionId = Branded<number, 'ConnectionId'>;
+
+/** What the plan needs to know of a request. */
+export type PlannedRequest = {
+	readonly binding: ResponseBinding;
+	/** Whether the same request was sent to the address before; it gets a connection of its own. */
+	readonly isRepeat?: boolean;
+};
+
+/** What the owner of the sockets is to do next, in order. */
+export type PlanStep<Request extends PlannedRequest> =
+	| {readonly kind: 'open'; readonly connection: ConnectionId}
+	| {readonly kind: 'send'; readonly connection: ConnectionId; readonly request: Request}
+	/** Nothing of the connection is used any more. */
+	| {readonly kind: 'close'; readonly connection: ConnectionId}
+	/** No connection could be opened for the request, of which nothing was written. */
+	| {readonly kind: 'fail'; readonly request: Request};
+
+type Connection<Request> = {
+	readonly id: ConnectionId;
+	/** Calls that share the connection; undefined for a connection of one request. */
+	readonly lane: string | undefined;
+	phase: 'opening' | 'idle' | 'inUse' | 'outOfStep';
+	/** The request for which it is opened. */
+	opener: Request | undefined;
+	request: Request | undefined;
+	isFirst: boolean;
+	mustClose: boolean;
+};
+
+/** Lane of the requests whose responses name them. */
+const identifiedLane = 'identified';
+
+const laneOf = ({binding, isRepeat}: PlannedRequest): string | undefined => {
+	if (isRepeat === true || binding.kind === 'ownConnection') {
+		return undefined;
+	}
+
+	return binding.kind === 'interchangeable' ? `interchangeable/${binding.lane}` : identifiedLane;
+};
+
+/**
+ * Plans the connections to one address. Requests of a lane are sent in order of arrival, each on a connection that carries no
+ * other; a connection on which a response of another request arrived carries nothing any more.
+ *
+ * @example
+ * const plan = new ConnectionPlan(() => 2);
+ * plan.add(request); // [{kind: 'open', connection: 1}]
+ * plan.handleOpened(connection); // [{kind: 'send', connection: 1, request}]
+ */
+export class ConnectionPlan<Request extends PlannedRequest> {
+	readonly #connections = new Map<ConnectionId, Connection<Request>>();
+	readonly #waiting: Request[] = [];
+	#nextId = 1;
+
+	/** `maxConnections` returns the maximum number of kept connections of a lane; it may change. */
+	constructor(private readonly maxConnections: () => number) {}
+
+	/** Whether there is no connection and no waiting request. */
+	get isEmpty(): boolean {
+		return this.#connections.size === 0 && this.#waiting.length === 0;
+	}
+
+	/** Whether a connection carries nothing and may be used. */
+	isIdle(id: ConnectionId): boolean {
+		return this.#connections.get(id)?.phase === 'idle';
+	}
+
+	/** Adds a request. */
+	add(request: Request): ReadonlyArray<PlanStep<Request>> {
+		const lane = laneOf(request);
+		if (lane === undefined) {
+			return [...this.#makeRoom(), this.#open(undefined, request)];
+		}
+
+		this.#waiting.push(request);
+		return this.#pump(lane);
+	}
+
+	/** Withdraws a request; returns undefined when it has been sent already. */
+	cancel(request: Request): ReadonlyArray<PlanStep<Request>> | undefined {
+		const index = this.#waiting.indexOf(request);
+		if (index !== -1) {
+			this.#waiting.splice(index, 1);
+			return [];
+		}
+
+		const connection = [...this.#connections.values()].find(({phase, lane, opener}) => phase === 'opening' && lane === undefined && opener === request);
+		return connection === undefined ? undefined : [this.#close(connection)];
+	}
+
+	/** Records that a connection was established. */
+	handleOpened(id: ConnectionId): ReadonlyArray<PlanStep<Request>> {
+		const connection = this.#get(id);
+		const {lane, opener} = connection;
+		connection.phase = 'idle';
+		connection.opener = undefined;
+		if (lane === undefined) {
+			return [this.#send(connection, opener!)];
+		}
+
+		return this.#pump(lane);
+	}
+
+	/** Judges the head of a response on a connection; one of another request puts the connection out of step. */
+	judge(id: ConnectionId, responseId: string | undefined): ResponseVerdict {
+		const connection = this.#get(id);
+		invariant(connection.phase === 'inUse' && connection.request !== undefined, 'RESPONSE_UNASKED', 'a response is judged on a connection without a request');
+		const verdict = judgeResponse(connection.request.binding, connection.isFirst, responseId);
+		if (verdict.kind === 'foreign') {
+			connection.phase = 'outOfStep';
+		} else {
+			connection.mustClose ||= verdict.isLast;
+		}
+
+		connection.isFirst = false;
+		return verdict;
+	}
+
+	/** Records that the response on a connection is complete, and nothing followed it. */
+	handleEnd(id: ConnectionId): ReadonlyArray<PlanStep<Request>> {
+		const connection = this.#get(id);
+		const {lane, mustClose, phase} = connection;
+		connection.request = undefined;
+		if (lane === undefined || mustClose || phase !== 'inUse' || this.#count(lane) > this.maxConnections()) {
+			return [this.#close(connection), ...this.#pump(lane)];
+		}
+
+		connection.phase = 'idle';
+		return this.#pump(lane);
+	}
+
+	/** Records that a request was not written after all, and that its connection is as it was before. */
+	handleHeldBack(id: ConnectionId): ReadonlyArray<PlanStep<Request>> {
+		const connection = this.#get(id);
+		connection.request = undefined;
+		if (connection.lane === undefined) {
+			return [this.#close(connection)];
+		}
+
+		connection.phase = 'idle';
+		return this.#pump(connection.lane);
+	}
+
+	/** Records that a connection was closed before its request was written; on a kept connection the request is sent on another one. */
+	handleUnwritten(id: ConnectionId): ReadonlyArray<PlanStep<Request>> {
+		const connection = this.#get(id);
+		const {request, isFirst, lane} = connection;
+		const steps: Array<PlanStep<Request>> = [this.#close(connection)];
+		if (request !== undefined && isFirst) {
+			steps.push({kind: 'fail', request});
+		} else if (request !== undefined) {
+			this.#waiting.unshift(request);
+		}
+
+		return [...steps, ...this.#pump(lane)];
+	}
+
+	/** Records that bytes arrived on a connection on which no response is due. */
+	handleUnexpectedBytes(id: ConnectionId): ReadonlyArray<PlanStep<Request>> {
+		const connection = this.#get(id);
+		connection.phase = 'outOfStep';
+		return [this.#close(connection), ...this.#pump(connection.lane)];
+	}
+
+	/** Records that a connection is gone, or could not be opened: the request for which it was opened fails if it still waits. */
+	handleClosed(id: ConnectionId): ReadonlyArray<PlanStep<Request>> {
+		const connection = this.#connections.get(id);
+		if (connection === undefined) {
+			return [];
+		}
+
+		this.#connections.delete(id);
+		const {lane, opener, phase} = connection;
+		const steps: Array<PlanStep<Request>> = [];
+		if (phase === 'opening' && opener !== undefined) {
+			const index = this.#waiting.indexOf(opener);
+			if (index !== -1) {
+				this.#waiting.splice(index, 1);
+			}
+
+			if (index !== -1 || lane === undefined) {
+				steps.push({kind: 'fail', request: opener});
+			}
+		}
+
+		return [...steps, ...this.#pump(lane)];
+	}
+
+	/** Discards the kept connections: idle ones at once, the others when their response is complete. */
+	discard(): ReadonlyArray<PlanStep<Request>> {
+		const steps: Array<PlanStep<Request>> = [];
+		for (const connection of this.#connections.values()) {
+			if (connection.phase === 'idle') {
+				steps.push(this.#close(connection));
+			} else if (connection.phase === 'inUse') {
+				connection.mustClose = true;
+			}
+		}
+
+		return steps;
+	}
+
+	#get(id: ConnectionId): Connection<Request> {
+		const connection = this.#connections.get(id);
+		invariant(connection !== undefined, 'CONNECTION_UNKNOWN', `connection ${id} is closed`);
+		return connection;
+	}
+
+	/** Sends what waits in a lane, and opens connections for the rest within the maximum. */
+	#pump(lane: string | undefined): Array<PlanStep<Request>> {
+		const steps: Array<PlanStep<Request>> = [];
+		if (lane === undefined || this.#waiting.length === 0) {
+			return steps;
+		}
+
+		const ofLane = [...this.#connections.values()].filter(connection => connection.lane === lane);
+		const waiting = this.#waiting.filter(request => laneOf(request) === lane);
+		for (const connection of ofLane.filter(({phase}) => phase === 'idle').slice(0, waiting.length)) {
+			const request = waiting.shift()!;
+			this.#waiting.splice(this.#waiting.indexOf(request), 1);
+			steps.push(this.#send(connection, request));
+		}
+
+		const opening = ofLane.filter(({phase}) => phase === 'opening');
+		const openers = new Set(opening.map(({opener}) => opener));
+		const unserved = waiting.filter(request => !openers.has(request));
+		const missing = waiting.length - opening.length;
+		if (missing <= 0) {
+			return steps;
+		}
+
+		const free = Math.max(1, this.maxConnections()) - ofLane.length;
+		return [...steps, ...unserved.slice(0, Math.max(0, Math.min(missing, free))).map(request => this.#open(lane, request))];
+	}
+
+	#open(lane: string | undefined, opener: Request): PlanStep<Request> {
+		const id = toId<ConnectionId>(this.#nextId++);
+		this.#connections.set(id, {
+			id, lane, phase: 'opening', opener, request: undefined, isFirst: true, mustClose: false,
+		});
+		return {kind: 'open', connection: id};
+	}
+
+	#send(connection: Connection<Request>, request: Request): PlanStep<Request> {
+		invariant(connection.phase === 'idle', 'CONNECTION_BUSY', 'a request is sent on a connection that is in use or out of step');
+		connection.phase = 'inUse';
+		connection.request = request;
+		return {kind: 'send', connection: connection.id, request};
+	}
+
+	#close(connection: Connection<Request>): PlanStep<Request> {
+		this.#connections.delete(connection.id);
+		return {kind: 'close', connection: connection.id};
+	}
+
+	/** Closes an idle connection where a further one would exceed the maximum. */
+	#makeRoom(): Array<PlanStep<Request>> {
+		const idle = [...this.#connections.values()].find(({phase}) => phase === 'idle');
+		return idle === undefined || this.#connections.size < this.maxConnections() ? [] : [this.#close(idle)];
+	}
+
+	#count(lane: string): number {
+		return [...this.#connections.values()].filter(connection => connection.lane === lane).length;
+	}
+}
--- a/packages/daemon/src/__tests__/unit/caller-listener.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-listener.test.ts
@@ -30,7 +30,7 @@
 	},
 };
 const head: ResponseHead = {
-	status: 200, rawHeaders: ['x-server', 's1'], requestId: 'r', isAuthentic: true, isNotExecuted: false, isMisdirected: false, isEncoded: false, load: undefined,
+	status: 200, rawHeaders: ['x-server', 's1'], isAuthentic: true, isNotExecuted: false, isMisdirected: false, isEncoded: false, load: undefined,
 };
 
 let listener: CallerListener;
--- a/packages/daemon/src/__tests__/unit/engine-leases.test.ts
+++ b/packages/daemon/src/__tests__/unit/engine-leases.test.ts
@@ -13,7 +13,8 @@
 import {EngineLeases} from '../../gateway/engine-leases.js';
 import type {EngineLeasesParts} from '../../gateway/engine-leases.js';
 import {FleetView} from '../../gateway/fleet-view.js';
-import {ServerTransport} from '../../gateway/server-transport.js';
+import {headerValue} from '../../gateway/raw-headers.js';
+import {ServerTransport} from '../../transport/server-transport.js';
 import type {StreamProgress} from '../../gateway/stream-progress.js';
 
 const service = toId<ServiceName>('lm');
@@ -41,7 +42,7 @@
 		res.writeHead(answer.status).end(answer.body);
 	}).listen(0, '127.0.0.1');
 	await once(engine, 'listening');
-	transport = new ServerTransport(() => 4);
+	transport = new ServerTransport({maxConnectionsTo: () => 4, readResponseId: headers => headerValue(headers, 'x-id')});
 });
 
 afterEach(async () => {
--- a/packages/daemon/src/__tests__/unit/engine-liveness.test.ts
+++ b/packages/daemon/src/__tests__/unit/engine-liveness.test.ts
@@ -8,9 +8,10 @@
 import type {EngineId} from '@baobabpier/core';
 import {EngineLiveness} from '../../control-node/engine-liveness.js';
 import type {OrderDialect} from '../../control-node/role-task.js';
-import {ServerTransport} from '../../gateway/server-transport.js';
+import {headerValue} from '../../gateway/raw-headers.js';
+import {ServerTransport} from '../../transport/server-transport.js';
 
-const transport = new ServerTransport(() => 1);
+const transport = new ServerTransport({maxConnectionsTo: () => 1, readResponseId: headers => headerValue(headers, 'x-id')});
 const servers: Server[] = [];
 const dialect = {
 	statusCall: () => ({
--- a/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
+++ b/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
@@ -18,7 +18,7 @@
 import {PlainRoute} from '../../gateway/plain-route.js';
 import {headerValue} from '../../gateway/raw-headers.js';
 import {RetryBudgets} from '../../gateway/retry-budgets.js';
-import {ServerTransport} from '../../gateway/server-transport.js';
+import {ServerTransport} from '../../transport/server-transport.js';
 import {StartupGate} from '../../gateway/startup-gate.js';
 import type {StreamPlacement, StreamPlacements} from '../../gateway/stream-placements.js';
 import {StreamRoute} from '../../gateway/stream-route.js';
@@ -40,8 +40,9 @@
 
 const dialect = {
 	sendHeaders: (call: Call) => ['x-id', call.requestId],
+	readResponseId: (rawHeaders: readonly string[]) => headerValue(rawHeaders, 'x-id'),
 	readHead: (status: number, rawHeaders: readonly string[]) => ({
-		status, rawHeaders, requestId: headerValue(rawHeaders, 'x-id'), isAuthentic: headerValue(rawHeaders, 'x-stamp') !== undefined, isMisdirected: false, isNotExecuted: headerValue(rawHeaders, 'x-not-run') !== undefined, isEncoded: false, load: undefined,
+		status, rawHeaders, isAuthentic: headerValue(rawHeaders, 'x-stamp') !== undefined, isMisdirected: false, isNotExecuted: headerValue(rawHeaders, 'x-not-run') !== undefined, isEncoded: false, load: undefined,
 	}),
 } as unknown as ServerDialect;
 
@@ -49,7 +50,7 @@
 type Respond = (socket: Socket, id: string, requestsBefore: number) => void;
 
 const closers: Array<() => void> = [];
-const transport = new ServerTransport(() => 1);
+const transport = new ServerTransport({maxConnectionsTo: () => 1, readResponseId: headers => headerValue(headers, 'x-id')});
 /** Requests that engines executed, by id. */
 let runs: string[] = [];
 
--- a/packages/daemon/src/__tests__/unit/server-transport.test.ts
+++ b/packages/daemon/src/__tests__/unit/server-transport.test.ts
@@ -2,9 +2,10 @@
 import {createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
 import {afterAll, expect, test} from 'vitest';
-import {ServerTransport} from '../../gateway/server-transport.js';
+import {headerValue} from '../../gateway/raw-headers.js';
+import {ServerTransport} from '../../transport/server-transport.js';
 
-const transport = new ServerTransport(() => 2);
+const transport = new ServerTransport({maxConnectionsTo: () => 2, readResponseId: headers => headerValue(headers, 'x-id')});
 const servers: Server[] = [];
 
 /** Starts a server that responds to each connection's first data with `respond`; returns its address. */
@@ -30,7 +31,7 @@
 
 const fetchBody = async (address: string): Promise<string> => {
 	const response = await transport.sendRequest({
-		kind: 'run', address, method: 'GET', target: '/', headers: [], body: undefined, signal: AbortSignal.timeout(2000),
+		kind: 'run', binding: {kind: 'echoed', requestId: 'r1'}, address, method: 'GET', target: '/', headers: [], body: undefined, signal: AbortSignal.timeout(2000),
 	});
 	if (response.kind !== 'head') {
 		return response.kind;
@@ -63,7 +64,7 @@
 
 test.each(cases)('reads $name as $expected', async ({head, end, expected}) => {
 	const address = await listen(socket => {
-		socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${head.includes('chunked') ? '4\r\npart\r\n' : 'part'}`, () => {
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: r1\r\n${head}\r\n\r\n${head.includes('chunked') ? '4\r\npart\r\n' : 'part'}`, () => {
 			if (end === 'resetAtOnce') {
 				socket.resetAndDestroy();
 				return;
--- a/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
+++ b/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
@@ -12,13 +12,14 @@
 import {CallScope} from '../../gateway/call-scope.js';
 import {StreamRunner} from '../../gateway/stream-runner.js';
 import {FleetView} from '../../gateway/fleet-view.js';
-import {ServerTransport} from '../../gateway/server-transport.js';
+import {headerValue} from '../../gateway/raw-headers.js';
+import {ServerTransport} from '../../transport/server-transport.js';
 import type {StreamProgress} from '../../gateway/stream-progress.js';
 import type {Call, ServerDialect} from '../../gateway/types.js';
 import {monotonicClock} from '../../monotonic-clock.js';
 import {createIdleGuard} from './idle-guard.js';
 
-const transport = new ServerTransport(() => 2);
+const transport = new ServerTransport({maxConnectionsTo: () => 2, readResponseId: headers => headerValue(headers, 'x-id')});
 const servers: Server[] = [];
 const mebibyte = 1024 * 1024;
 const block = Buffer.alloc(64 * 1024, 'x');
@@ -77,7 +78,7 @@
 	const server = await startUnboundedServer(head, part);
 	const before = process.memoryUsage.rss();
 	const response = await transport.sendRequest({
-		kind: 'run', address: server.address, method: 'GET', target: '/', headers: [], body: undefined, signal: AbortSignal.timeout(5000),
+		kind: 'run', binding: {kind: 'ownConnection'}, address: server.address, method: 'GET', target: '/', headers: [], body: undefined, signal: AbortSignal.timeout(5000),
 	});
 	const outcome = response.kind === 'head' ? await transport.readBody(response) : response;
 	expect('kind' in outcome && outcome.kind).toBe('broken');
@@ -89,12 +90,12 @@
 const dialect = {
 	sendHeaders: () => [],
 	readHead: (status: number, rawHeaders: readonly string[]) => ({
-		status, rawHeaders, requestId: undefined, isAuthentic: true, isMisdirected: false, isNotExecuted: false, isEncoded: false, load: undefined,
+		status, rawHeaders, isAuthentic: true, isMisdirected: false, isNotExecuted: false, isEncoded: false, load: undefined,
 	}),
 } as unknown as ServerDialect;
 
 const resumableRoute = {resumable: true} as unknown as Route;
-const streamHead = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+const streamHead = 'HTTP/1.1 200 OK\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n';
 
 test.each([
 	{
@@ -110,7 +111,7 @@
 	});
 	const now = monotonicClock.now();
 	const call = {
-		method: 'POST', target: '/', rawHeaders: [], body: new Uint8Array(0), route: resumableRoute, arrivedAt: now, deadlineAt: (now + 20_000) as typeof now, lastEventId: undefined, sharedSegments: [],
+		requestId: 'r1', method: 'POST', target: '/', rawHeaders: [], body: new Uint8Array(0), route: resumableRoute, arrivedAt: now, deadlineAt: (now + 20_000) as typeof now, lastEventId: undefined, sharedSegments: [],
 	} as unknown as Call;
 	const scope = new CallScope(monotonicClock, call.deadlineAt);
 	const progress = {
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -12,7 +12,7 @@
 import {
 	createModelServices, createPoolCatalogue, leavingEngines, piecesOfEngine, pieceTokens,
 } from '../gateway/model-services.js';
-import {ServerTransport} from '../gateway/server-transport.js';
+import {ServerTransport} from '../transport/server-transport.js';
 import type {ListDialect, RoutingCodec} from '../gateway/types.js';
 import {openPort} from '../listen.js';
 import {createLog} from '../log.js';
@@ -162,7 +162,12 @@
 		reopenMs: reopenDelayMs,
 	});
 	const shares = new LeaderShares(first.id, control);
-	const transport = new ServerTransport(() => serverConnections);
+	const transport = new ServerTransport({
+		// Engines and the platform's list return no id with these calls
+		maxConnectionsTo: () => serverConnections, readResponseId: () => undefined, onForeignResponse(kind, moment) {
+			metrics.countForeignResponse(kind, moment);
+		},
+	});
 	const reports = new EngineReports({clock, transport, dialect: dialect.orders});
 	const pools = new PoolHost({
 		self: first.id,
--- a/packages/daemon/src/control-node/engine-liveness.ts
+++ b/packages/daemon/src/control-node/engine-liveness.ts
@@ -1,7 +1,7 @@
 /** Checks whether an engine has ended since a point in time. */
 import {toId} from '@baobabpier/core';
 import type {BackendId, EngineId} from '@baobabpier/core';
-import type {ServerTransport} from '../gateway/server-transport.js';
+import type {ServerTransport} from '../transport/server-transport.js';
 import type {OrderDialect} from './role-task.js';
 
 /** Timeout of a check, in milliseconds. */
@@ -45,7 +45,7 @@
 	async check(engine: EngineId, address: string, since: number): Promise<EngineState> {
 		const {transport, dialect} = this.parts;
 		const response = await transport.sendRequest({
-			kind: 'liveness', address, ...dialect.statusCall(toId<BackendId>(engine)), signal: AbortSignal.timeout(checkTimeoutMs),
+			kind: 'liveness', binding: {kind: 'ownConnection'}, server: toId<BackendId>(engine), address, ...dialect.statusCall(toId<BackendId>(engine)), signal: AbortSignal.timeout(checkTimeoutMs),
 		});
 		if (response.kind !== 'head') {
 			return response.kind === 'unsent' && response.isRefused === true ? 'ended' : 'unknown';
--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -4,7 +4,7 @@
 	BackendId, Clock, EngineEntry, EngineId, EngineReport, EngineIncarnation,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
-import type {ServerTransport} from '../gateway/server-transport.js';
+import type {ServerTransport} from '../transport/server-transport.js';
 import {pieceTokens} from '../gateway/model-services.js';
 import type {PoolEngineClient} from '../pools/pool-host.js';
 import type {OrderDialect} from './role-task.js';
@@ -32,11 +32,11 @@
 	async fetchReport(engine: EngineEntry): Promise<EngineReport | 'unreachable' | undefined> {
 		const {transport, dialect} = this.parts;
 		const answer = await transport.sendRequest({
-			kind: 'report', address: engine.address, ...dialect.statusCall(toId<BackendId>(engine.id)), signal: AbortSignal.timeout(reportTimeoutMs),
+			kind: 'report', binding: {kind: 'interchangeable', lane: 'report'}, server: toId<BackendId>(engine.id), address: engine.address, ...dialect.statusCall(toId<BackendId>(engine.id)), signal: AbortSignal.timeout(reportTimeoutMs),
 		});
 		const body = answer.kind === 'head' ? await transport.readBody(answer) : answer;
 		if (answer.kind !== 'head' || 'kind' in body) {
-			transport.discardPool(engine.address);
+			transport.discardConnections(engine.address);
 			return 'unreachable';
 		}
 
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -4,7 +4,7 @@
 	BackendId, Clock, EngineId, EngineRole, EngineStart, FencingToken, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, ExpectedMix,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
-import type {ServerTransport} from '../gateway/server-transport.js';
+import type {ServerTransport} from '../transport/server-transport.js';
 
 const log = createLog('roles');
 /** Interval at which the load is sampled and changes are planned, in milliseconds. */
@@ -204,7 +204,7 @@
 
 	async #call(server: ListedServer, kind: 'order' | 'report', call: EngineCall): Promise<{readonly status: number; readonly body: Uint8Array} | undefined> {
 		const answer = await this.parts.transport.sendRequest({
-			kind, address: server.address, ...call, signal: AbortSignal.timeout(callTimeoutMs),
+			kind, binding: {kind: 'ownConnection'}, server: server.id, address: server.address, ...call, signal: AbortSignal.timeout(callTimeoutMs),
 		});
 		const body = answer.kind === 'head' ? await this.parts.transport.readBody(answer) : answer;
 		if (answer.kind !== 'head' || 'kind' in body) {
--- a/packages/daemon/src/gateway/engine-leases.ts
+++ b/packages/daemon/src/gateway/engine-leases.ts
@@ -5,8 +5,8 @@
 	BackendId, EngineAddress, EngineId, ListedServer, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {ServerTransport} from '../transport/server-transport.js';
 import type {FleetView} from './fleet-view.js';
-import type {ServerTransport} from './server-transport.js';
 import type {ReservedEngine, StreamProgress} from './stream-progress.js';
 import type {Call, ServerDialect} from './types.js';
 
@@ -72,12 +72,12 @@
 		const limit = scope.createTimeout(Math.min(leaseTimeoutMs, scope.remainingMs()));
 		const endCall = fleet.begin(server.id);
 		const response = await transport.sendRequest({
-			kind: 'lease', address: server.address, ...dialect.leaseCall(this.parts.expectedTokens(service, call), leaseDurationMs), signal: limit.signal,
+			kind: 'lease', binding: {kind: 'ownConnection'}, server: server.id, address: server.address, ...dialect.leaseCall(this.parts.expectedTokens(service, call), leaseDurationMs), signal: limit.signal,
 		});
 		const body = response.kind === 'head' ? await transport.readBody(response) : response;
 		limit.release();
 		const lease = response.kind === 'head' && Buffer.isBuffer(body) ? dialect.readLease(response.status, body) : undefined;
-		endCall(response.kind === 'unsent' ? 'unreachable' : 'none');
+		endCall(response.kind === 'unsent' && response.isUnreachable === true ? 'unreachable' : 'none');
 		if (lease === undefined) {
 			log('An engine leases no room.', {
 				requestId: call.requestId, engine: server.id, status: response.kind === 'head' ? response.status : undefined, detail: 'detail' in response ? response.detail : undefined,
@@ -101,7 +101,7 @@
 
 		const {transport, dialect} = this.parts;
 		const response = await transport.sendRequest({
-			kind: 'release', address: server.address, method: 'DELETE', target: dialect.dropLeasePath(lease), headers: [], body: undefined, signal: AbortSignal.timeout(dropTimeoutMs),
+			kind: 'release', binding: {kind: 'ownConnection'}, server: server.id, address: server.address, method: 'DELETE', target: dialect.dropLeasePath(lease), headers: [], body: undefined, signal: AbortSignal.timeout(dropTimeoutMs),
 		});
 		if (response.kind === 'head') {
 			response.body.resume();
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -29,6 +29,16 @@
 /** Result of a call as evidence of the server's health; `none` is no evidence. */
 export type CallResult = 'good' | 'failed' | 'unreachable' | 'misplaced' | 'none';
 
+/** The result that a request which was not sent means for its server. */
+export const resultOfUnsent = ({isUnreachable = false, isHeldBack = false}: {readonly isUnreachable?: boolean; readonly isHeldBack?: boolean}): CallResult => {
+	if (isUnreachable) {
+		return 'unreachable';
+	}
+
+	// A server whose connections are all in use for too long is slow
+	return isHeldBack ? 'none' : 'failed';
+};
+
 /** Holds the newest server list and the statistics of this instance's own calls. */
 export class FleetView {
 	readonly #statsById = new Map<BackendId, ServerStats>();
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -26,7 +26,7 @@
 	});
 
 	readonly #foreignResponses = new Counter({
-		name: 'baobabpier_foreign_responses_total', help: 'Responses of servers that belong to no request or to another one, by kind of call', labelNames: ['kind'], registers: [this.registry],
+		name: 'baobabpier_foreign_responses_total', help: 'Responses of servers that belong to no request or to another one, by kind of call', labelNames: ['kind', 'moment'], registers: [this.registry],
 	});
 
 	/** Records a completed call. */
@@ -39,8 +39,8 @@
 		this.#refusals.inc({error});
 	}
 
-	countForeignResponse(kind: string): void {
-		this.#foreignResponses.inc({kind});
+	countForeignResponse(kind: string, moment: string): void {
+		this.#foreignResponses.inc({kind, moment});
 	}
 
 	/** Registers a gauge whose value is read on each scrape. */
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import type {EngineEstimates} from '../settings/engine-estimates.js';
 import {PlacementClient} from '../pools/placement-client.js';
 import {PoolHost} from '../pools/pool-host.js';
+import {ServerTransport} from '../transport/server-transport.js';
 import {Peers} from '../rpc/peers.js';
 import {CallerListener} from './caller-listener.js';
 import {ControlWatch, isListStale} from './control-watch.js';
@@ -26,7 +27,6 @@
 } from './model-services.js';
 import {StreamPlacements} from './stream-placements.js';
 import {PlainRoute} from './plain-route.js';
-import {ServerTransport} from './server-transport.js';
 import {RetryBudgets} from './retry-budgets.js';
 import {StartupGate} from './startup-gate.js';
 import {StreamRoute} from './stream-route.js';
@@ -117,9 +117,9 @@
 		return service === undefined ? unlistedConnections : Math.max(minConnections, Math.floor((service.maxConnections * connectionShare) / controlWatch.entryInstanceCount));
 	};
 
-	const transport = new ServerTransport(connectionLimit, {
-		readRequestId: headers => dialect.server.readRequestId(headers), onForeignResponse(kind) {
-			metrics.countForeignResponse(kind);
+	const transport = new ServerTransport({
+		maxConnectionsTo: connectionLimit, readResponseId: headers => dialect.server.readResponseId(headers), onForeignResponse(kind, moment) {
+			metrics.countForeignResponse(kind, moment);
 		},
 	});
 	const localPool = new PoolHost({
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -4,12 +4,14 @@
 	BackendId, Clock, DataCentreId, ListedServer, RandomSource, ServerLoad, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {ServerTransport} from '../transport/server-transport.js';
+import type {TransportFailure} from '../transport/types.js';
 import type {CallScope} from './call-scope.js';
+import {resultOfUnsent} from './fleet-view.js';
 import type {FleetView} from './fleet-view.js';
 import {errorReply} from './reply.js';
 import type {Reply} from './reply.js';
 import type {RetryBudgets} from './retry-budgets.js';
-import type {TransportFailure, ServerTransport} from './server-transport.js';
 import type {ResponseHead, Call, ServerDialect} from './types.js';
 
 const log = createLog('plain');
@@ -91,9 +93,10 @@
 			}
 
 			case 'unsent': {
-				return errorReply(routerError('noBackend', attempt.detail, this.#retryAfterMs()));
+				return errorReply(scope.reason === 'deadline' ? routerError('timeout') : routerError('noBackend', attempt.detail, this.#retryAfterMs()));
 			}
 
+			case 'foreign':
 			case 'broken': {
 				return errorReply(scope.reason === undefined ? routerError('answerLost', attempt.detail) : routerError('timeout'));
 			}
@@ -106,11 +109,11 @@
 		const timeout = scope.createTimeout(Math.min(timeoutMs, scope.remainingMs()));
 		const endCall = fleet.begin(server.id);
 		const response = await transport.sendRequest({
-			kind: 'run', address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'run'}, scope.remainingMs()), body: call.body, signal: timeout.signal,
+			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'run'}, scope.remainingMs()), body: call.body, signal: timeout.signal,
 		});
 		if (response.kind !== 'head') {
 			timeout.release();
-			endCall(response.kind === 'unsent' ? 'unreachable' : (scope.reason === 'callerGone' ? 'none' : 'failed'));
+			endCall(scope.reason === 'callerGone' ? 'none' : (response.kind === 'unsent' ? resultOfUnsent(response) : 'failed'));
 			return response;
 		}
 
@@ -122,9 +125,8 @@
 			return body;
 		}
 
-		const fault = findResponseFault(call, head);
+		const fault = findResponseFault(head);
 		if (fault !== undefined) {
-			transport.discardPool(server.address);
 			endCall('failed');
 			return {kind: 'broken', detail: fault};
 		}
@@ -138,12 +140,8 @@
 	}
 }
 
-/** Why a response can't be the server's response to this call; undefined when it can. */
-export const findResponseFault = (call: Call, head: ResponseHead): string | undefined => {
-	if (head.requestId !== call.requestId) {
-		return `the response belongs to request ${head.requestId ?? 'unknown'}`;
-	}
-
+/** Why a response can't be passed on as the server's; undefined when it can. */
+export const findResponseFault = (head: ResponseHead): string | undefined => {
 	if (head.isEncoded) {
 		return 'the response body is encoded';
 	}
@@ -158,6 +156,7 @@
 			return call.route.kind !== 'safe' || attempt.head.status < minServerErrorStatus;
 		}
 
+		case 'foreign':
 		case 'broken': {
 			return call.route.kind !== 'safe';
 		}
--- a/packages/daemon/src/gateway/prefill-client.ts
+++ b/packages/daemon/src/gateway/prefill-client.ts
@@ -3,12 +3,14 @@
 import {routerError} from '@baobabpier/core';
 import type {Clock, RouterError} from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {ServerTransport} from '../transport/server-transport.js';
+import type {OpenResponse, TransportFailure} from '../transport/types.js';
 import type {CallScope} from './call-scope.js';
 import type {EngineLeases} from './engine-leases.js';
+import {resultOfUnsent} from './fleet-view.js';
 import type {CallResult, FleetView} from './fleet-view.js';
 import type {StreamPlacement} from './stream-placements.js';
 import type {RetryBudgets} from './retry-budgets.js';
-import type {TransportFailure, ServerTransport} from './server-transport.js';
 import {recordResult, rejectedRetryAfterMs} from './stream-progress.js';
 import type {StreamProgress} from './stream-progress.js';
 import type {KvSource, ServerDialect} from './types.js';
@@ -50,7 +52,7 @@
 		const endCall = fleet.begin(server.id);
 		const startedAt = this.parts.clock.now();
 		const response = await transport.sendRequest({
-			kind: 'prefill', address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'prefill'}, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
+			kind: 'prefill', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'prefill'}, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
 		});
 		progress.sentTo.add(server.address);
 		progress.prefills += response.kind === 'unsent' ? 0 : 1;
@@ -59,7 +61,7 @@
 		placement.prefillDone();
 		const handle = response.kind === 'head' && response.status === 200 && Buffer.isBuffer(body) ? dialect.readPrefill(body) : undefined;
 		const isMisdirected = response.kind === 'head' && dialect.readHead(response.status, response.rawHeaders).isMisdirected;
-		const result = prefillResultOf(response.kind, handle !== undefined, isMisdirected, scope);
+		const result = prefillResultOf(response, handle !== undefined, isMisdirected, scope);
 		endCall(result);
 		recordResult(progress, server, result);
 		log('A prompt was read.', {
@@ -73,7 +75,7 @@
 	async free({address, handle}: KvSource): Promise<void> {
 		const {transport, dialect} = this.parts;
 		const response = await transport.sendRequest({
-			kind: 'free', address, method: 'DELETE', target: dialect.freePath(handle), headers: [], body: undefined, signal: AbortSignal.timeout(freeTimeoutMs),
+			kind: 'free', binding: {kind: 'ownConnection'}, address, method: 'DELETE', target: dialect.freePath(handle), headers: [], body: undefined, signal: AbortSignal.timeout(freeTimeoutMs),
 		});
 		if (response.kind === 'head') {
 			response.body.resume();
@@ -85,13 +87,17 @@
 }
 
 /** Returns the call result that a prefill's outcome means for its engine. */
-const prefillResultOf = (kind: 'head' | TransportFailure['kind'], isPrefilled: boolean, isMisdirected: boolean, scope: CallScope): CallResult => {
+const prefillResultOf = (response: OpenResponse | TransportFailure, isPrefilled: boolean, isMisdirected: boolean, scope: CallScope): CallResult => {
 	if (isPrefilled) {
 		return 'good';
 	}
 
-	if (kind === 'unsent' || isMisdirected) {
-		return isMisdirected ? 'misplaced' : 'unreachable';
+	if (isMisdirected) {
+		return 'misplaced';
+	}
+
+	if (response.kind === 'unsent' && (scope.reason === undefined || response.isUnreachable === true)) {
+		return resultOfUnsent(response);
 	}
 
 	return scope.reason === undefined ? 'failed' : 'none';
--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -3,9 +3,9 @@
 	EngineId, Instant, ListedServer, PaceSample, ServiceName,
 } from '@baobabpier/core';
 import {toId} from '@baobabpier/core';
+import type {TransportFailure} from '../transport/types.js';
 import type {CallScope} from './call-scope.js';
 import type {CallResult} from './fleet-view.js';
-import type {TransportFailure} from './server-transport.js';
 import type {ResponseHead, Call} from './types.js';
 
 /** Retry delay after an engine rejected a placed request, in milliseconds: about one prefill. */
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -4,6 +4,7 @@
 	Clock, EngineAddress, EngineId, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {ServerTransport} from '../transport/server-transport.js';
 import type {CallScope} from './call-scope.js';
 import type {CrashGuard} from './crash-guard.js';
 import {EngineLeases} from './engine-leases.js';
@@ -14,7 +15,6 @@
 import {errorReply} from './reply.js';
 import type {Reply} from './reply.js';
 import type {RetryBudgets} from './retry-budgets.js';
-import type {ServerTransport} from './server-transport.js';
 import {rejectedRetryAfterMs} from './stream-progress.js';
 import type {
 	DecodeOutcome, ReservedEngine, StreamProgress, StreamOutput,
--- a/packages/daemon/src/gateway/stream-runner.ts
+++ b/packages/daemon/src/gateway/stream-runner.ts
@@ -6,13 +6,16 @@
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import {OutputPace} from '../requests/output-pace.js';
+import {failureOf} from '../transport/exchange.js';
+import type {ServerTransport} from '../transport/server-transport.js';
+import type {OpenResponse, TransportFailure} from '../transport/types.js';
 import type {CallScope} from './call-scope.js';
 import type {CrashGuard} from './crash-guard.js';
 import {EventSplitter} from './event-splitter.js';
 import type {StreamEvent} from './event-splitter.js';
+import {resultOfUnsent} from './fleet-view.js';
 import type {CallResult, FleetView} from './fleet-view.js';
 import {findResponseFault} from './plain-route.js';
-import type {OpenResponse, ServerTransport, TransportFailure} from './server-transport.js';
 import {recordResult} from './stream-progress.js';
 import type {DecodeOutcome, StreamProgress} from './stream-progress.js';
 import type {ResponseHead, SendPurpose, ServerDialect} from './types.js';
@@ -55,7 +58,7 @@
 		const endCall = fleet.begin(server.id);
 		const startedAt = clock.now();
 		const response = await transport.sendRequest({
-			kind: 'run', address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
+			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
 		});
 		progress.sentTo.add(server.address);
 		progress.sent += response.kind === 'unsent' ? 0 : 1;
@@ -99,11 +102,9 @@
 	async #relay(progress: StreamProgress, server: ListedServer, response: OpenResponse, limit: ReturnType<CallScope['createTimeout']>, onEvent: () => void): Promise<DecodeOutcome> {
 		const {call, out} = progress;
 		const head = this.parts.dialect.readHead(response.status, response.rawHeaders);
-		const fault = findResponseFault(call, head);
+		const fault = findResponseFault(head);
 		if (fault !== undefined) {
 			response.body.destroy();
-			// The connection may still carry the response to this call
-			this.parts.transport.discardPool(server.address);
 			return {kind: 'broken', detail: fault};
 		}
 
@@ -139,7 +140,7 @@
 				}
 			}
 		} catch (error) {
-			return {kind: 'broken', detail: limit.hasExpired() ? 'the engine is silent' : (error as Error).message};
+			return limit.hasExpired() ? {kind: 'broken', detail: 'the engine is silent'} : failureOf(error);
 		}
 
 		if (response.mayBeTruncated()) {
@@ -196,10 +197,11 @@
 		}
 
 		case 'unsent': {
-			return 'unreachable';
+			return scope.reason === undefined || outcome.isUnreachable === true ? resultOfUnsent(outcome) : 'none';
 		}
 
 		case 'relay':
+		case 'foreign':
 		case 'broken': {
 			return scope.reason === undefined ? 'failed' : 'none';
 		}
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -53,8 +53,6 @@
 	readonly status: number;
 	/** Alternating header names and values. */
 	readonly rawHeaders: readonly string[];
-	/** Id of the request that the response belongs to, as the server reports it. */
-	readonly requestId: string | undefined;
 	/** Whether the response carries the mark by which a server identifies its own responses. */
 	readonly isAuthentic: boolean;
 	/** Whether the address now belongs to another server than the intended one. */
@@ -79,8 +77,8 @@
 	/** Alternating header names and values of a request to a server that must complete within `remainingMs`. */
 	sendHeaders(call: Call, server: ListedServer, purpose: SendPurpose, remainingMs: number): string[];
 	readHead(status: number, rawHeaders: readonly string[]): ResponseHead;
-	/** Returns the request's id that the headers of a request or a response name; undefined when they name none. */
-	readRequestId(rawHeaders: readonly string[]): string | undefined;
+	/** Returns the id of the request that a response names; undefined when it names none. */
+	readResponseId(rawHeaders: readonly string[]): string | undefined;
 	/** Returns the handle of a prefill's result; undefined when the response has none. */
 	readPrefill(body: Uint8Array): string | undefined;
 	/** Creates the request that leases memory and a slot on an engine for one stream, for `ms` milliseconds. */
--- /dev/null
+++ b/packages/daemon/src/transport/server-connection.ts
@@ -0,0 +1,251 @@
+/** One connection to a server, with at most one request on it. */
+import type {Socket} from 'node:net';
+import {Client} from 'undici';
+import type {Dispatcher} from 'undici';
+import type {ResponseVerdict} from '@baobabpier/core';
+import {createTimedConnect} from '../timed-connect.js';
+import type {Exchange} from './exchange.js';
+import type {ForeignMoment} from './types.js';
+
+/** Idle timeout of a connection, in milliseconds; servers close theirs after some seconds. */
+const keepAliveTimeoutMs = 4000;
+/** A connection is closed this long before the server would close it, in milliseconds. */
+const keepAliveMarginMs = 1000;
+/** How long a new connection may wait for its first request, in milliseconds. */
+const firstUseTimeoutMs = 1000;
+/**
+ * Maximum bytes between a request and the end of its response head: room for interim responses and a head of 16 KiB, which
+ * is the HTTP parser's limit for header fields. The parser limits neither the status line nor the number of interim responses.
+ */
+const maxHeadBytes = 64 * 1024;
+
+/** What a connection tells its owner. */
+export type ConnectionListener = {
+	onOpened(): void;
+	/** Called once when the connection is gone, or could not be opened, in which case nothing was sent. */
+	onClosed(error: Error | undefined): void;
+	judge(responseId: string | undefined): ResponseVerdict;
+	/** Called for a response of another request; the connection has been destroyed. */
+	onForeign(moment: ForeignMoment, last: Exchange | undefined, responseId: string | undefined): void;
+	/** Called when bytes arrive on which no request waits; `last` is the request before. */
+	onUnexpectedBytes(last: Exchange | undefined, bytes: Uint8Array | undefined): void;
+	/** Called when a response is complete and nothing followed it. */
+	onEnd(): void;
+	/** Called when the connection closed before its request was written. */
+	onUnwritten(): void;
+	/** Called when a request could not be written, which leaves the connection as it was. */
+	onRefused(): void;
+};
+
+/**
+ * Wraps one socket; a client of undici writes requests and parses responses. The client gets this socket and no other, so that
+ * a further connection is never opened unseen.
+ *
+ * @example
+ * const connection = new ServerConnection('10.0.0.9:8080', 250, listener);
+ * connection.send(exchange); // After `onOpened`
+ */
+export class ServerConnection {
+	#socket: Socket | undefined;
+	#client: Client | undefined;
+	#exchange: Exchange | undefined;
+	#last: Exchange | undefined;
+	#wasReset = false;
+	#isClosed = false;
+	/** Bytes that had been read when the last response was complete. */
+	#bytesRead = 0;
+	/** Whether the response head is still to come. */
+	#isHeadDue = false;
+	#openedAt = 0;
+
+	constructor(private readonly address: string, connectTimeoutMs: number, private readonly listener: ConnectionListener) {
+		const separator = address.lastIndexOf(':');
+		createTimedConnect(connectTimeoutMs, () => {
+			this.#wasReset = true;
+		})({hostname: address.slice(0, separator), port: address.slice(separator + 1), protocol: 'http:'}, (...[error, socket]) => {
+			if (error !== null) {
+				this.#close(error);
+				return;
+			}
+
+			this.#open(socket);
+		});
+	}
+
+	/** Local port, which names the connection in logs. */
+	get localPort(): number | undefined {
+		return this.#socket?.localPort;
+	}
+
+	/** Sends a request; the one before must have ended. */
+	send(exchange: Exchange): void {
+		this.#exchange = exchange;
+		exchange.attach({
+			onWrite: () => {
+				this.#isHeadDue = true;
+				this.#last = exchange;
+			},
+			judge: responseId => {
+				this.#isHeadDue = false;
+				return this.listener.judge(responseId);
+			},
+			onForeign: (moment, responseId) => {
+				this.destroy();
+				this.listener.onForeign(moment, exchange, responseId);
+			},
+			onEnd: () => {
+				this.#handleEnd(exchange);
+			},
+			onFailed: () => {
+				this.destroy();
+			},
+			onRefused: () => {
+				this.#exchange = undefined;
+				this.listener.onRefused();
+			},
+			wasReset: () => this.#wasReset,
+		});
+		if (!this.#isUsable()) {
+			this.destroy();
+			return;
+		}
+
+		const {method, target, headers, body} = exchange.request;
+		this.#client ??= this.#createClient(this.#socket!);
+		this.#client.dispatch({
+			method, path: target, headers, body: body instanceof Uint8Array && body.length === 0 ? null : body ?? null,
+		}, this.#handlerOf(exchange));
+	}
+
+	/** Closes the connection at once. */
+	destroy(): void {
+		// Without an error the client takes the end of the connection for the end of a response without a length
+		this.#socket?.destroy(new Error('the connection was closed by this side'));
+		this.#close(undefined);
+	}
+
+	/** Passes on the events of a request while it is on this connection; one that was not written may be on another by now. */
+	#handlerOf(exchange: Exchange): Dispatcher.DispatchHandler {
+		const isCurrent = (): boolean => this.#exchange === exchange && !exchange.isOver;
+		return {
+			onRequestStart(controller) {
+				if (isCurrent()) {
+					exchange.onRequestStart(controller);
+				} else {
+					controller.abort(new Error('the connection was closed'));
+				}
+			},
+			onResponseStart(controller, status, headers) {
+				exchange.onResponseStart(controller, status, headers);
+			},
+			onResponseData(controller, chunk) {
+				exchange.onResponseData(controller, chunk);
+			},
+			onResponseEnd() {
+				exchange.onResponseEnd();
+			},
+			onResponseError(_controller, error) {
+				if (isCurrent()) {
+					exchange.onResponseError(error);
+				}
+			},
+		};
+	}
+
+	/** Whether nothing has arrived since the last response, and the server has not closed the connection. */
+	#isUsable(): boolean {
+		const socket = this.#socket!;
+		const isStale = this.#client === undefined && performance.now() - this.#openedAt > firstUseTimeoutMs;
+		return !this.#isClosed && !socket.destroyed && socket.writable && !socket.readableEnded && !isStale && socket.bytesRead === this.#bytesRead;
+	}
+
+	#open(socket: Socket): void {
+		this.#socket = socket;
+		if (this.#isClosed) {
+			socket.destroy();
+			return;
+		}
+
+		this.#openedAt = performance.now();
+		socket.on('readable', () => {
+			this.#handleReadable(socket);
+		});
+		socket.once('close', () => {
+			this.#close(undefined);
+		});
+		this.listener.onOpened();
+	}
+
+	#createClient(socket: Socket): Client {
+		let isTaken = false;
+		return new Client(`http://${this.address}`, {
+			pipelining: 1,
+			connect(_options, callback) {
+				if (isTaken || socket.destroyed) {
+					callback(new Error('the connection was closed'), null);
+					return;
+				}
+
+				isTaken = true;
+				// The client expects its connector to call back later
+				queueMicrotask(() => {
+					callback(null, socket);
+				});
+			},
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			keepAliveTimeout: keepAliveTimeoutMs,
+			keepAliveMaxTimeout: 2 * keepAliveTimeoutMs,
+			keepAliveTimeoutThreshold: keepAliveMarginMs,
+		});
+	}
+
+	#handleReadable(socket: Socket): void {
+		if (this.#exchange !== undefined) {
+			if (this.#isHeadDue && socket.bytesRead - this.#bytesRead > maxHeadBytes) {
+				socket.destroy(new Error(`the response head exceeds ${maxHeadBytes} bytes`));
+			}
+
+			return;
+		}
+
+		if (socket.bytesRead > this.#bytesRead) {
+			const bytes = socket.read() as Uint8Array | undefined;
+			this.listener.onUnexpectedBytes(this.#last, bytes ?? undefined);
+		}
+	}
+
+	#handleEnd(exchange: Exchange): void {
+		const {bytesRead} = (this.#socket!);
+		this.#isHeadDue = false;
+		// Bytes that came with the end of the response are parsed in this turn of the event loop and destroy the connection
+		setImmediate(() => {
+			if (this.#exchange !== exchange || this.#isClosed) {
+				return;
+			}
+
+			this.#exchange = undefined;
+			this.#bytesRead = bytesRead;
+			if (this.#socket!.bytesRead > bytesRead) {
+				this.#handleReadable(this.#socket!);
+			} else if (!this.#socket!.destroyed) {
+				this.listener.onEnd();
+			}
+		});
+	}
+
+	#close(error: Error | undefined): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#isClosed = true;
+		if (this.#exchange?.isWritten === false && !this.#exchange.isOver) {
+			this.#exchange = undefined;
+			this.listener.onUnwritten();
+		}
+
+		void this.#client?.destroy(error ?? new Error('the connection was closed'));
+		this.listener.onClosed(error);
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/transport/types.ts
@@ -0,0 +1,103 @@
+/** Types of the transport: requests to other processes and what becomes of them. */
+import type {Readable} from 'node:stream';
+import type {BackendId, ResponseBinding} from '@baobabpier/core';
+
+/** What a request is for, as metrics and logs name it. */
+export type CallKind = 'run' | 'prefill' | 'lease' | 'release' | 'free' | 'order' | 'report' | 'liveness' | 'list' | 'rpc' | 'engine';
+
+/** Where a response of another request, or of none, was found. */
+export type ForeignMoment =
+	/** In place of the response that was due. */
+	| 'awaited'
+	/** Within the body of another response. */
+	| 'body'
+	/** On a connection on which nothing was due. */
+	| 'idle';
+
+/** A request to a server. */
+export type OutgoingRequest = {
+	/** `IP:port`. */
+	readonly address: string;
+	readonly method: string;
+	/** Path and query. */
+	readonly target: string;
+	/** Alternating names and values. */
+	readonly headers: string[];
+	readonly body: Uint8Array | Readable | undefined;
+	readonly signal: AbortSignal;
+	readonly kind: CallKind;
+	/** What ties the response to this request. */
+	readonly binding: ResponseBinding;
+	/** The listed server that is addressed, if it is one. */
+	readonly server?: BackendId;
+	/** Whether the same request was sent to this address before: it gets a connection of its own. */
+	readonly isRepeat?: boolean;
+	/** Asked right before the first byte is written, after the wait for a connection; false withdraws the request. */
+	readonly maySend?: () => boolean;
+};
+
+/** Why a request got no response. */
+export type TransportFailure =
+	/** Nothing was written: the request has not run and will not. */
+	| {
+		readonly kind: 'unsent';
+		readonly detail: string;
+		/** Whether no connection could be established. */
+		readonly isUnreachable?: boolean;
+		/** Whether the address refused the connection: no process listens there. */
+		readonly isRefused?: boolean;
+		/** Whether the request was withdrawn right before it would have been written. */
+		readonly isHeldBack?: boolean;
+	}
+	/** The connection failed, or the request was aborted, after part of it may have been sent. */
+	| {readonly kind: 'broken'; readonly detail: string}
+	/** A response of another request came in place of the response, or within it; the outcome is unknown. */
+	| {readonly kind: 'foreign'; readonly detail: string; readonly responseId: string | undefined};
+
+/** The head of a response, whose body is still to be read. */
+export type OpenResponse = {
+	readonly kind: 'head';
+	readonly status: number;
+	/** Alternating names and values. */
+	readonly rawHeaders: readonly string[];
+	readonly body: Readable;
+	/** Whether the body may be truncated: only the end of the connection marks its end, and that may have been a reset. */
+	readonly mayBeTruncated: () => boolean;
+};
+
+/**
+ * Asked before each request to a listed server, and told of each response from one.
+ *
+ * @example
+ * const gate: ServerGate = {maySend: server => !leaving.has(server), recordSend: () => undefined, recordResponse: () => undefined};
+ */
+export type ServerGate = {
+	/** Whether a request may be written; false ends it as unsent. */
+	maySend(server: BackendId, kind: CallKind): boolean;
+	/** Called right when a request is written. */
+	recordSend(server: BackendId, kind: CallKind): void;
+	/** Called when the head of a response that belongs to its request has arrived. */
+	recordResponse(server: BackendId, kind: CallKind, status: number, rawHeaders: readonly string[]): void;
+};
+
+/** The settings and listeners of a transport. */
+export type ServerTransportOptions = {
+	/** Maximum number of kept connections to an address; it may change. */
+	readonly maxConnectionsTo: (address: string) => number;
+	/** Returns the request's id that a response's headers name; undefined when they name none. */
+	readonly readResponseId: (rawHeaders: readonly string[]) => string | undefined;
+	/** Called for each response that belongs to no request, or to another one. */
+	readonly onForeignResponse?: (kind: CallKind, moment: ForeignMoment) => void;
+	readonly gate?: ServerGate;
+	/** In milliseconds. */
+	readonly connectTimeoutMs?: number;
+};
+
+/** A response of another request was found within a response's body. */
+export class ForeignResponseError extends Error {
+	override readonly name = 'ForeignResponseError';
+
+	constructor(readonly responseId: string | undefined) {
+		super(`the response holds the response to request ${responseId ?? 'unknown'}`);
+	}
+}
