--- a/packages/daemon/src/transport/types.ts
+++ b/packages/daemon/src/transport/types.ts
@@ -93,11 +93,12 @@
 	readonly connectTimeoutMs?: number;
 };
 
-/** A response of another request was found within a response's body. */
+/** A response of another request was found in place of a response, or within its body. */
 export class ForeignResponseError extends Error {
 	override readonly name = 'ForeignResponseError';
 
 	constructor(readonly responseId: string | undefined) {
-		super(`the response holds the response to request ${responseId ?? 'unknown'}`);
+		// Callers get the message; the other request's id is for logs
+		super('a response of another request arrived');
 	}
 }
