--- a/packages/daemon/src/transport/server-connection.ts
+++ b/packages/daemon/src/transport/server-connection.ts
@@ -110,6 +110,10 @@
 			wasReset: () => this.#wasReset,
 		});
 		if (!this.#isUsable()) {
+			if (this.#socket!.bytesRead > this.#bytesRead) {
+				this.listener.onForeign('idle', this.#last, undefined);
+			}
+
 			this.destroy();
 			return;
 		}
