--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -24,7 +24,7 @@
 import {EngineClients} from './engine/engine-clients.js';
 import {EntryApp} from './entry/entry-app.js';
 import {listChanges} from './entry/list-changes.js';
-import {openPort} from './listen.js';
+import {openConnections, openPort} from './listen.js';
 import {createLog} from './log.js';
 import {monotonicClock} from './monotonic-clock.js';
 import {ClaimCleaner} from './fleet/claim-cleaner.js';
@@ -197,7 +197,7 @@
 	rpc.registerMethod(CATALOGUE_HISTORY, ({revision}) => listChanges(control.state.catalogue.changes, revision));
 	rpc.registerMethod(CATALOGUE_APPLY, async proposal => catalogue.propose(proposal));
 	rpc.registerMethod(LEDGER_LOOKUP, async ({key}) => ({record: await ledger.lookup(key)}));
-	const callerPort = new DrainablePort(await openPort(entry.app, settings.listen.callers, settings.entry));
+	const callerPort = new DrainablePort(await openConnections(entry.app, settings.listen.callers, settings.entry));
 	void abandonFormerClaims(control, self, life, closingClaims.signal);
 	host.start(rpc);
 	places.start();
--- a/packages/daemon/src/entry/model-handler.ts
+++ b/packages/daemon/src/entry/model-handler.ts
@@ -10,6 +10,7 @@
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {Metrics} from '../observability/metrics.js';
+import {breakOff} from '../server-connections.js';
 import {ModelRequestTask} from '../requests/model-request-task.js';
 import type {RequestTaskParts, TaskRequest} from '../requests/model-request-task.js';
 import type {BodyReader} from './body-reader.js';
@@ -210,7 +211,7 @@
 
 		const {outcome} = item;
 		if (outcome.kind === 'callerGone') {
-			res.destroy();
+			breakOff(res);
 			return;
 		}
 
--- a/packages/daemon/src/entry/send-error.ts
+++ b/packages/daemon/src/entry/send-error.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {errorResponses, toErrorBody} from '@baobabpier/core';
 import type {ErrorResponse, RequestId, RouterError} from '@baobabpier/core';
+import {breakOff} from '../server-connections.js';
 
 /** How long the rest of a refused body is read and dropped, in milliseconds. */
 const discardMs = 2000;
@@ -33,7 +34,7 @@
  */
 export const sendError = (req: IncomingMessage, res: ServerResponse, requestId: RequestId, error: RouterError): void => {
 	if (res.headersSent) {
-		res.destroy();
+		breakOff(res);
 		return;
 	}
 
--- a/packages/daemon/src/entry/write-answer.ts
+++ b/packages/daemon/src/entry/write-answer.ts
@@ -1,6 +1,7 @@
 /** Writes answers to callers at the callers' own pace. */
 import type {ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
+import {breakOff} from '../server-connections.js';
 
 /**
  * Writes one piece; resolves once the caller's connection takes more, or has closed.
@@ -39,11 +40,11 @@
 		res.end();
 	});
 	body.once('error', () => {
-		res.destroy();
+		breakOff(res);
 	});
 	body.once('close', () => {
 		if (!res.writableEnded) {
-			res.destroy();
+			breakOff(res);
 		}
 	});
 	res.once('close', () => {
--- a/packages/daemon/src/fleet/drainable-port.ts
+++ b/packages/daemon/src/fleet/drainable-port.ts
@@ -1,44 +1,33 @@
 /** A port that closes without cutting off a request. */
-import type {Server} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {ServerConnections} from '../server-connections.js';
 
 const pollMs = 20;
 const quietMs = 200;
 
 /** Counts the requests of a port, and closes it once they are over. */
 export class DrainablePort {
-	#active = 0;
-	#closing = false;
-
-	constructor(private readonly server: Server) {
-		server.prependListener('request', (_req, res) => {
-			this.#active += 1;
-			res.shouldKeepAlive &&= !this.#closing;
-			res.once('close', () => {
-				this.#active -= 1;
-			});
-		});
-	}
+	constructor(private readonly connections: ServerConnections) {}
 
 	/** Requests whose answer is not yet out whole. */
 	get active(): number {
-		return this.#active;
+		return this.connections.active;
 	}
 
 	/** Whether answers ask their callers to close the connection. */
 	setClosing(closing: boolean): void {
-		this.#closing = closing;
+		this.connections.setClosing(closing);
 	}
 
 	/** Takes no new connection, waits for the requests in progress, and closes what is left. */
 	async close(): Promise<void> {
 		const closed = new Promise<void>(resolve => {
-			this.server.close(() => {
+			this.connections.server.close(() => {
 				resolve();
 			});
 		});
 		await Promise.race([closed, this.#waitUntilQuiet()]);
-		this.server.closeAllConnections();
+		this.connections.destroy();
 	}
 
 	async #waitUntilQuiet(): Promise<void> {
@@ -46,7 +35,7 @@
 		while (quiet < quietMs) {
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(pollMs);
-			quiet = this.#active === 0 ? quiet + pollMs : 0;
+			quiet = this.active === 0 ? quiet + pollMs : 0;
 		}
 	}
 }
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -2,15 +2,16 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import {
 	addMs, errorResponses, pickTarget, RouteIndex, routerError, toErrorBody,
 } from '@baobabpier/core';
 import type {
-	Clock, ErrorResponse, ErrorKind, RandomSource, RouterError, RoutingTable,
+	Clock, ErrorResponse, RandomSource, RouterError, RoutingTable,
 } from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
+import {breakOff, ServerConnections} from '../server-connections.js';
 import {CallScope} from './call-scope.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {PlainRoute} from './plain-route.js';
@@ -54,21 +55,19 @@
 /** Accepts calls and serves them over plain or stream routes. */
 export class CallerListener {
 	readonly #server: Server;
+	readonly #connections: ServerConnections;
 	readonly #openScopes = new Set<CallScope>();
 	#index: {readonly table: RoutingTable; readonly routes: RouteIndex} | undefined;
 	#bufferedBytes = 0;
-	#isClosing = false;
 	#isClosed = false;
 
 	constructor(private readonly parts: CallerListenerParts) {
-		this.#server = createServer({
+		this.#connections = new ServerConnections(createServer({
 			maxHeaderSize: initialLimits.headerBytes, headersTimeout: initialLimits.headersTimeoutMs, requestTimeout: 0, keepAliveTimeout: initialLimits.idleTimeoutMs, connectionsCheckingInterval: connectionCheckIntervalMs, noDelay: true,
-		}, (req, res) => {
-			void this.#handle(req, res);
-		});
-		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			this.#refuseMalformed(error, socket);
+		}), (req, res, waitedMs) => {
+			void this.#handle(req, res, waitedMs);
 		});
+		this.#server = this.#connections.server;
 	}
 
 	/** Number of calls in progress. */
@@ -94,15 +93,15 @@
 
 	/** Makes callers reconnect to other instances: each response closes its connection. */
 	startClosing(): void {
-		this.#isClosing = true;
-		this.#server.closeIdleConnections();
+		this.#connections.setClosing(true);
+		this.#connections.closeIdle();
 	}
 
 	/** Stops accepting connections, and calls on open connections. Closes connections without a call in progress. */
 	stopAccepting(): void {
 		this.#isClosed = true;
 		this.#server.close();
-		this.#server.closeIdleConnections();
+		this.#connections.closeIdle();
 	}
 
 	/** Ends the calls in progress and closes all connections. */
@@ -112,17 +111,11 @@
 		}
 
 		this.#server.close();
-		this.#server.closeAllConnections();
+		this.#connections.destroy();
 	}
 
-	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const arrivedAt = this.parts.clock.now();
-		res.once('finish', () => {
-			// A response that started before the stop has no `connection: close` header
-			if (this.#isClosing) {
-				req.socket.end();
-			}
-		});
+	async #handle(req: IncomingMessage, res: ServerResponse, waitedMs: number): Promise<void> {
+		const arrivedAt = addMs(this.parts.clock.now(), -waitedMs);
 		try {
 			const body = await this.#readBody(req);
 			if (body === 'gone') {
@@ -213,6 +206,11 @@
 
 	async #serve(call: Call, service: Parameters<PlainRoute['serve']>[1], req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {clock, plain, streams, metrics} = this.parts;
+		if (call.deadlineAt <= clock.now()) {
+			this.#refuse(req, res, routerError('queueTimeout'), call.requestId);
+			return;
+		}
+
 		const scope = new CallScope(clock, call.deadlineAt);
 		this.#openScopes.add(scope);
 		res.once('close', () => {
@@ -258,29 +256,23 @@
 
 		if (res.headersSent) {
 			log('A response to a stream that has begun is dropped.', {requestId: call.requestId, status: reply.head.status});
-			res.destroy();
+			breakOff(res);
 			return;
 		}
 
 		const {head, body} = reply;
 		const headers = forwardableHeaders(head.rawHeaders, new Set(['content-length']));
 		const isBodiless = call.method === 'HEAD' || head.status === 204 || head.status === 304;
-		this.#announceClose(res);
 		res.writeHead(head.status, isBodiless ? headers : [...headers, 'content-length', String(body.length)]);
 		res.end(isBodiless ? undefined : body);
 	}
 
 	#createStreamOutput(call: Call, _req: IncomingMessage, res: ServerResponse, scope: CallScope): StreamOutput {
-		const announceClose = (): void => {
-			this.#announceClose(res);
-		};
-
 		return {
 			get isStarted() {
 				return res.headersSent;
 			},
 			start(head: ResponseHead) {
-				announceClose();
 				res.writeHead(head.status, forwardableHeaders(head.rawHeaders, new Set(['content-length'])));
 			},
 			write(bytes: Uint8Array) {
@@ -288,25 +280,18 @@
 				if (res.writableLength > maxUnsentBytes) {
 					log('A caller reads its stream too slowly; the stream is aborted.', {requestId: call.requestId, unreadBytes: res.writableLength});
 					scope.end('callerGone');
-					res.destroy();
+					breakOff(res);
 				}
 			},
 			end() {
 				res.end();
 			},
 			abort() {
-				res.destroy();
+				breakOff(res);
 			},
 		};
 	}
 
-	#announceClose(res: ServerResponse): void {
-		if (this.#isClosing && !res.headersSent) {
-			res.setHeader('connection', 'close');
-			res.shouldKeepAlive = false;
-		}
-	}
-
 	#requestId(req: IncomingMessage): string | undefined {
 		const metadata = this.parts.dialect.parseMetadata(req.headers);
 		return metadata.ok ? metadata.val.requestId : undefined;
@@ -314,16 +299,13 @@
 
 	#refuse(req: IncomingMessage, res: ServerResponse, error: RouterError, requestId = this.#requestId(req)): void {
 		if (res.headersSent || res.destroyed) {
-			res.destroy();
+			breakOff(res);
 			return;
 		}
 
 		const response: ErrorResponse = errorResponses[error.kind];
 		const text = JSON.stringify(toErrorBody(error));
-		this.#announceClose(res);
-		if (!req.complete) {
-			res.setHeader('connection', 'close');
-		}
+		res.shouldKeepAlive &&= req.complete;
 
 		res.writeHead(response.status, {
 			'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...this.parts.dialect.errorHeaders(requestId, error.retryAfterMs ?? response.retryAfterMs),
@@ -338,19 +320,4 @@
 		});
 		this.parts.metrics.countRefusal(error.kind);
 	}
-
-	#refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-		if (!socket.writable || error.code === 'ECONNRESET') {
-			socket.destroy();
-			return;
-		}
-
-		const kinds: Readonly<Record<string, ErrorKind>> = {
-			HPE_HEADER_OVERFLOW: 'headersTooLarge', // eslint-disable-line @typescript-eslint/naming-convention
-			ERR_HTTP_REQUEST_TIMEOUT: 'requestTimeout', // eslint-disable-line @typescript-eslint/naming-convention
-		};
-		const kind = kinds[error.code ?? ''] ?? 'malformedRequest';
-		log('A connection sent a malformed request.', {kind, detail: error.message});
-		socket.end(`HTTP/1.1 ${errorResponses[kind].status} ${kind}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
-	}
 }
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -6,6 +6,7 @@
 } from 'prom-client';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
+import {ServerConnections} from '../server-connections.js';
 
 const log = createLog('metrics');
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 5, 15];
@@ -66,7 +67,7 @@
 		}
 	};
 
-	const server = createServer((_req, res) => {
+	const {server} = new ServerConnections(createServer(), (_req, res) => {
 		void respond(res);
 	});
 	await listenOn(server, address);
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import {PlacementClient} from '../pools/placement-client.js';
 import {PoolHost} from '../pools/pool-host.js';
 import {Peers} from '../rpc/peers.js';
+import {ServerConnections} from '../server-connections.js';
 import {CallerListener} from './caller-listener.js';
 import {ControlWatch, isListStale} from './control-watch.js';
 import {CrashGuard} from './crash-guard.js';
@@ -85,7 +86,7 @@
 };
 
 const startReadinessServer = async (address: string, isReady: () => boolean): Promise<Server> => {
-	const server = createServer((_req, res) => {
+	const {server} = new ServerConnections(createServer(), (_req, res) => {
 		res.writeHead(isReady() ? 200 : 503, {'content-length': 0});
 		res.end();
 	});
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -37,4 +37,6 @@
 } from './gateway/types.js';
 export {listenOn} from './listen.js';
 export {createLog} from './log.js';
+export {breakOff, ServerConnections} from './server-connections.js';
+export type {RequestHandler} from './server-connections.js';
 export {startStructuredLog} from './structured-log.js';
--- a/packages/daemon/src/listen.ts
+++ b/packages/daemon/src/listen.ts
@@ -1,12 +1,9 @@
 /** Opens an HTTP port for an h3 app. */
-import {Buffer} from 'node:buffer';
-import {createServer, STATUS_CODES} from 'node:http';
+import {createServer} from 'node:http';
 import type {Server} from 'node:http';
-import type {Duplex} from 'node:stream';
-import {errorResponses, routerError, toErrorBody} from '@baobabpier/core';
-import type {ErrorKind} from '@baobabpier/core';
 import {toNodeHandler} from 'h3';
 import type {H3} from 'h3';
+import {ServerConnections} from './server-connections.js';
 
 /** What a port allows a connection before its request reaches a handler. */
 export type PortLimits = {
@@ -26,50 +23,6 @@
 	return {host: address.slice(0, colon).replaceAll(/[\[\]]/gv, ''), port: Number(address.slice(colon + 1))};
 };
 
-const kindOf = (code: string | undefined): ErrorKind => {
-	switch (code) {
-		case 'HPE_HEADER_OVERFLOW': {
-			return 'headersTooLarge';
-		}
-
-		case 'ERR_HTTP_REQUEST_TIMEOUT': {
-			return 'requestTimeout';
-		}
-
-		default: {
-			return 'malformedRequest';
-		}
-	}
-};
-
-const rawAnswer = (kind: ErrorKind): string => {
-	const {status} = errorResponses[kind];
-	const body = JSON.stringify(toErrorBody(routerError(kind)));
-	const head = [`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`, 'content-type: application/json', `content-length: ${Buffer.byteLength(body)}`, 'connection: close'];
-	return `${head.join('\r\n')}\r\n\r\n${body}`;
-};
-
-/** Answers requests that never reach a handler; a connection whose answer has begun is only closed. */
-const registerClientErrors = (server: Server): void => {
-	const busy = new WeakSet<Duplex>();
-	server.on('request', (req, res) => {
-		busy.add(req.socket);
-		res.once('finish', () => {
-			busy.delete(req.socket);
-		});
-	});
-	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		if (busy.has(socket) || !socket.writable || error.code === 'ECONNRESET') {
-			socket.destroy();
-			return;
-		}
-
-		socket.end(rawAnswer(kindOf(error.code)), () => {
-			socket.destroy();
-		});
-	});
-};
-
 /**
  * Makes a server listen on an address; resolves once it does.
  *
@@ -88,6 +41,25 @@
 	});
 };
 
+/**
+ * Listens on an address with an h3 app, and keeps track of the connections.
+ *
+ * @throws Error when the address can't be listened on.
+ * @example
+ * const connections = await openConnections(app, '127.0.0.1:8001');
+ */
+export const openConnections = async (app: H3, address: string, limits: PortLimits = defaultLimits): Promise<ServerConnections> => {
+	const handler = toNodeHandler(app);
+	const connections = new ServerConnections(createServer({
+		headersTimeout: limits.headersTimeoutMs, maxHeaderSize: limits.maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: timeoutCheckMs,
+	}), (req, res) => {
+		void handler(req, res);
+	});
+	connections.server.maxConnections = limits.maxConnections;
+	await listenOn(connections.server, address);
+	return connections;
+};
+
 /**
  * Listens on an address.
  *
@@ -96,11 +68,6 @@
  * const server = await openPort(app, '127.0.0.1:8001');
  */
 export const openPort = async (app: H3, address: string, limits: PortLimits = defaultLimits): Promise<Server> => {
-	const server = createServer({
-		headersTimeout: limits.headersTimeoutMs, maxHeaderSize: limits.maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: timeoutCheckMs,
-	}, toNodeHandler(app));
-	server.maxConnections = limits.maxConnections;
-	registerClientErrors(server);
-	await listenOn(server, address);
+	const {server} = await openConnections(app, address, limits);
 	return server;
 };
--- /dev/null
+++ b/packages/daemon/src/server-connections.ts
@@ -0,0 +1,261 @@
+/**
+ * The connections of an HTTP server. Handlers get the requests of a connection one after another, and nothing but the
+ * refusal of bytes that are no request is written to a connection outside a handler's response.
+ */
+import {Buffer} from 'node:buffer';
+import {STATUS_CODES} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {errorResponses, routerError, toErrorBody} from '@baobabpier/core';
+import type {ErrorKind} from '@baobabpier/core';
+import {createLog} from './log.js';
+
+const log = createLog('connections');
+/** Time that a refused or closing caller has to close its side, in milliseconds. */
+const lingerMs = 2000;
+
+/** Handles a request that waited for `waitedMs` milliseconds for the responses before it on its connection. */
+export type RequestHandler = (req: IncomingMessage, res: ServerResponse, waitedMs: number) => void;
+
+type Exchange = {
+	readonly req: IncomingMessage;
+	readonly res: ServerResponse;
+	readonly receivedAt: number;
+};
+
+type Connection = {
+	/** Requests whose responses have not been sent completely; only the first one has reached the handler. */
+	readonly exchanges: Exchange[];
+	/** Why the bytes after the last request were refused. */
+	refusal: ErrorKind | undefined;
+};
+
+const kindOf = (code: string | undefined): ErrorKind => {
+	switch (code) {
+		case 'HPE_HEADER_OVERFLOW': {
+			return 'headersTooLarge';
+		}
+
+		case 'ERR_HTTP_REQUEST_TIMEOUT': {
+			return 'requestTimeout';
+		}
+
+		default: {
+			return 'malformedRequest';
+		}
+	}
+};
+
+const toRawResponse = (kind: ErrorKind): string => {
+	const {status} = errorResponses[kind];
+	const body = JSON.stringify(toErrorBody(routerError(kind)));
+	const head = [`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`, 'content-type: application/json', `content-length: ${Buffer.byteLength(body)}`, 'connection: close'];
+	return `${head.join('\r\n')}\r\n\r\n${body}`;
+};
+
+/**
+ * Ends a response such that the caller detects it as incomplete. Only the end of the connection marks the end of a body
+ * without length and chunks, so that connection is reset.
+ *
+ * @example
+ * breakOff(res);
+ */
+export const breakOff = (res: ServerResponse): void => {
+	if (res.chunkedEncoding || res.socket === null) {
+		res.destroy();
+	} else {
+		res.socket.resetAndDestroy();
+	}
+};
+
+/**
+ * Tracks the connections of a server and orders what is written to them.
+ *
+ * @example
+ * const connections = new ServerConnections(createServer(), (req, res) => res.end('hello'));
+ * await connections.close(1000); // Waits for responses in progress for one second
+ */
+export class ServerConnections {
+	readonly #connections = new Map<Socket, Connection>();
+	readonly #idleWaiters = new Set<() => void>();
+	#active = 0;
+	#isClosing = false;
+
+	constructor(readonly server: Server, private readonly handler: RequestHandler) {
+		server.on('connection', socket => {
+			this.#open(socket);
+		});
+		server.on('request', (req, res) => {
+			this.#receive(req, res);
+		});
+		server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+			this.#refuse(socket as Socket, error.code, error.message);
+		});
+		server.on('connect', (_req, socket) => {
+			// Node.js has stopped reading the connection
+			socket.resume();
+			this.#refuse(socket as Socket, undefined, 'tunnels are not supported');
+		});
+	}
+
+	/** Number of requests whose responses have not been sent completely. */
+	get active(): number {
+		return this.#active;
+	}
+
+	/** Sets whether each response closes its connection; requests behind that response are not served. */
+	setClosing(isClosing: boolean): void {
+		this.#isClosing = isClosing;
+		for (const {exchanges} of this.#connections.values()) {
+			for (const {res} of exchanges) {
+				res.shouldKeepAlive &&= !isClosing;
+			}
+		}
+	}
+
+	/** Resolves once no response is in progress, or after `ms` milliseconds. */
+	async waitUntilIdle(ms: number): Promise<void> {
+		if (this.#active === 0) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const end = (): void => {
+				clearTimeout(timer);
+				this.#idleWaiters.delete(end);
+				resolve();
+			};
+
+			const timer = setTimeout(end, ms);
+			this.#idleWaiters.add(end);
+		});
+	}
+
+	/** Closes the connections without a response in progress. */
+	closeIdle(): void {
+		for (const [socket, {exchanges, refusal}] of this.#connections) {
+			if (exchanges.length === 0 && refusal === undefined) {
+				socket.destroy();
+			}
+		}
+	}
+
+	/** Closes all connections: idle ones at once, others after their response, but after `ms` milliseconds at the latest. */
+	async close(ms: number): Promise<void> {
+		this.setClosing(true);
+		this.closeIdle();
+		await this.waitUntilIdle(ms);
+		this.destroy();
+	}
+
+	/** Closes all connections at once; responses in progress are broken off. */
+	destroy(): void {
+		for (const [socket, {exchanges}] of this.#connections) {
+			const [first] = exchanges;
+			if (first !== undefined) {
+				breakOff(first.res);
+			}
+
+			socket.destroy();
+		}
+	}
+
+	#open(socket: Socket): void {
+		const connection: Connection = {exchanges: [], refusal: undefined};
+		this.#connections.set(socket, connection);
+		socket.once('close', () => {
+			this.#connections.delete(socket);
+			this.#count(-connection.exchanges.length);
+			connection.exchanges.length = 0;
+		});
+	}
+
+	#receive(req: IncomingMessage, res: ServerResponse): void {
+		const {socket} = req;
+		const connection = this.#connections.get(socket);
+		if (connection === undefined || connection.refusal !== undefined || !socket.writable) {
+			return;
+		}
+
+		res.shouldKeepAlive &&= !this.#isClosing;
+		const exchange = {req, res, receivedAt: performance.now()};
+		connection.exchanges.push(exchange);
+		this.#count(1);
+		res.once('close', () => {
+			if (connection.exchanges[0] === exchange) {
+				connection.exchanges.shift();
+				this.#count(-1);
+				this.#advance(socket, connection, res);
+			}
+		});
+		if (connection.exchanges.length === 1) {
+			this.handler(req, res, 0);
+		}
+	}
+
+	/** Goes on with what came behind a response that is over. */
+	#advance(socket: Socket, connection: Connection, {writableFinished}: ServerResponse): void {
+		const [next] = connection.exchanges;
+		if (!writableFinished || socket.destroyed || !socket.writable) {
+			return;
+		}
+
+		if (this.#isClosing) {
+			this.#end(socket);
+		} else if (next !== undefined) {
+			this.handler(next.req, next.res, performance.now() - next.receivedAt);
+		} else if (connection.refusal !== undefined) {
+			this.#end(socket, toRawResponse(connection.refusal));
+		}
+	}
+
+	#refuse(socket: Socket, code: string | undefined, detail: string): void {
+		const connection = this.#connections.get(socket);
+		const isAnswering = (connection?.exchanges.length ?? 0) > 0;
+		const hasLeft = code === 'ECONNRESET' || (code === 'HPE_INVALID_EOF_STATE' && isAnswering);
+		const isUnused = code === 'ERR_HTTP_REQUEST_TIMEOUT' && socket.bytesRead === 0;
+		if (connection === undefined || !socket.writable || hasLeft || isUnused) {
+			socket.destroy();
+			return;
+		}
+
+		// The parser reports each chunk after the first malformed one
+		if (connection.refusal !== undefined) {
+			return;
+		}
+
+		connection.refusal = kindOf(code);
+		log('A connection sent a malformed request.', {kind: connection.refusal, detail, isAnswering});
+		socket.once('end', () => {
+			socket.destroy();
+		});
+		if (!isAnswering) {
+			this.#end(socket, toRawResponse(connection.refusal));
+		}
+	}
+
+	/** Ends a connection; a caller that does not end its side is disconnected. */
+	#end(socket: Socket, text?: string): void {
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, lingerMs);
+		timer.unref();
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
+		if (text !== undefined) {
+			socket.write(text);
+		}
+
+		socket.end();
+	}
+
+	#count(change: number): void {
+		this.#active += change;
+		if (this.#active === 0) {
+			for (const resolve of this.#idleWaiters) {
+				resolve();
+			}
+		}
+	}
+}
