--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -254,6 +254,9 @@
 } from './rpc/rpc-methods.js';
 export type {StopProgress, StopUsage} from './rpc/rpc-methods.js';
 export {findStopRefusal, isCovered, stoppedServers} from './stops/stop-validation.js';
+export {fitsDrain} from './stops/drain-window.js';
+export type {DrainCandidate, DrainWindow, Repeatability} from './stops/drain-window.js';
+export {UsualDuration} from './stops/usual-duration.js';
 export {StopTable} from './stops/stop-table.js';
 export type {StopTableSnapshot} from './stops/stop-table.js';
 export type {
--- a/packages/daemon/src/__tests__/unit/caller-listener.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-listener.test.ts
@@ -3,7 +3,7 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import {
-	createSeededRandom, ok, toId,
+	addMs, createSeededRandom, ok, toId,
 } from '@baobabpier/core';
 import type {
 	RequestId, RouteName, RoutingTable, RoutingVersion, ServiceName,
@@ -120,7 +120,7 @@
 	const socket = await openConnection();
 	send(socket, '/stream/1');
 	await receiveUntil(socket, text => text.includes('id: 1'));
-	listener.startClosing();
+	listener.startClosing({knownAt: monotonicClock.now(), endsAt: addMs(monotonicClock.now(), 60_000)});
 	finish!();
 	await once(socket, 'close');
 	expect(servedCalls).toHaveLength(1);
--- a/packages/daemon/src/gateway/call-scope.ts
+++ b/packages/daemon/src/gateway/call-scope.ts
@@ -2,7 +2,7 @@
 import type {Clock, Instant} from '@baobabpier/core';
 
 /** Why a call ended early. */
-export type EndReason = 'callerGone' | 'deadline' | 'stopping' | 'quarantined';
+export type EndReason = 'callerGone' | 'deadline' | 'quarantined';
 
 /**
  * Carries the signal that aborts all work done for a call.
@@ -14,13 +14,12 @@
  */
 export class CallScope {
 	readonly #abortController = new AbortController();
-	readonly #timer: NodeJS.Timeout;
+	#timer: NodeJS.Timeout;
 	#reason: EndReason | undefined;
+	#isLimited = false;
 
-	constructor(private readonly clock: Clock, private readonly deadlineAt: Instant) {
-		this.#timer = setTimeout(() => {
-			this.end('deadline');
-		}, Math.max(0, deadlineAt - clock.now()));
+	constructor(private readonly clock: Clock, private deadlineAt: Instant) {
+		this.#timer = this.#startTimer();
 	}
 
 	/** Why the call ended early; undefined when it has not. */
@@ -28,6 +27,11 @@
 		return this.#reason;
 	}
 
+	/** Whether the call ended at a deadline that `limitTo` had brought forward. */
+	get isCutShort(): boolean {
+		return this.#isLimited && this.#reason === 'deadline';
+	}
+
 	get signal(): AbortSignal {
 		return this.#abortController.signal;
 	}
@@ -37,6 +41,16 @@
 		return Math.max(0, this.deadlineAt - this.clock.now());
 	}
 
+	/** Brings the deadline forward; a later one has no effect. */
+	limitTo(deadlineAt: Instant): void {
+		if (deadlineAt < this.deadlineAt && this.#reason === undefined) {
+			this.deadlineAt = deadlineAt;
+			this.#isLimited = true;
+			clearTimeout(this.#timer);
+			this.#timer = this.#startTimer();
+		}
+	}
+
 	/** Ends the call early; only the first reason is recorded. */
 	end(reason: EndReason): void {
 		if (this.#reason === undefined) {
@@ -83,4 +97,10 @@
 			},
 		};
 	}
+
+	#startTimer(): NodeJS.Timeout {
+		return setTimeout(() => {
+			this.end('deadline');
+		}, this.remainingMs());
+	}
 }
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -7,26 +7,25 @@
 	addMs, errorResponses, pickTarget, RouteIndex, routerError, toErrorBody,
 } from '@baobabpier/core';
 import type {
-	Clock, ErrorResponse, RandomSource, RouterError, RoutingTable,
+	Clock, DrainWindow, ErrorResponse, RandomSource, RouterError, RoutingTable,
 } from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
 import {breakOff, ServerConnections} from '../server-connections.js';
+import {CallBodyReader} from './call-body-reader.js';
+import {CallDrain} from './call-drain.js';
+import type {DrainEffect} from './call-drain.js';
 import {CallScope} from './call-scope.js';
+import {CallerStream} from './caller-stream.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {PlainRoute} from './plain-route.js';
 import {forwardableHeaders} from './raw-headers.js';
 import type {Reply} from './reply.js';
 import type {StartupGate} from './startup-gate.js';
-import type {StreamOutput} from './stream-progress.js';
 import type {StreamRoute} from './stream-route.js';
-import type {ResponseHead, Call, CallerDialect} from './types.js';
+import type {Call, CallerDialect} from './types.js';
 
 const log = createLog('callers');
-/** Maximum bytes of request bodies that are buffered at a time; a quarter of the smallest instance's memory. */
-const maxBufferedBytes = 40 * 1024 * 1024;
-/** Maximum bytes of a stream that are buffered for a slow caller; beyond them the stream is aborted. */
-const maxUnsentBytes = 1024 * 1024;
 const connectionCheckIntervalMs = 500;
 /**
  * Retry delay sent by an instance that has had no configuration for seconds, in milliseconds: by then the load balancer
@@ -40,6 +39,8 @@
 /** Maximum number of connections that wait to be accepted. */
 const backlog = 1024;
 
+const isNotRun = ({kind}: RouterError): boolean => errorResponses[kind].run === 'no';
+
 /** Dependencies of the caller listener. */
 export type CallerListenerParts = {
 	readonly clock: Clock;
@@ -57,8 +58,9 @@
 	readonly #server: Server;
 	readonly #connections: ServerConnections;
 	readonly #openScopes = new Set<CallScope>();
+	readonly #bodies = new CallBodyReader();
+	readonly #drain: CallDrain;
 	#index: {readonly table: RoutingTable; readonly routes: RouteIndex} | undefined;
-	#bufferedBytes = 0;
 	#isClosed = false;
 
 	constructor(private readonly parts: CallerListenerParts) {
@@ -68,6 +70,7 @@
 			void this.#handle(req, res, waitedMs);
 		});
 		this.#server = this.#connections.server;
+		this.#drain = new CallDrain(parts.clock);
 	}
 
 	/** Number of calls in progress. */
@@ -75,6 +78,16 @@
 		return this.#openScopes.size;
 	}
 
+	/** Whether no call is in progress or being read, and all responses have been sent. */
+	get isIdle(): boolean {
+		return this.#openScopes.size === 0 && this.#connections.active === 0;
+	}
+
+	/** Calls of each kind of route that a stop refused, and that it ended before their deadline. */
+	get drainEffects(): Readonly<Record<DrainEffect, string>> {
+		return this.#drain.effects;
+	}
+
 	/** TCP port of the listener. */
 	get port(): number {
 		return (this.#server.address() as AddressInfo).port;
@@ -89,44 +102,57 @@
 		this.#index = {table, routes: new RouteIndex(table.routes)};
 		this.#server.keepAliveTimeout = table.limits.idleTimeoutMs;
 		this.#server.headersTimeout = table.limits.headersTimeoutMs;
+		this.#drain.retainRoutes(table.routes);
 	}
 
-	/** Makes callers reconnect to other instances: each response closes its connection. */
-	startClosing(): void {
+	/**
+	 * Begins to drain: each response closes its connection, calls that can't be expected to end in time are refused, and
+	 * those in progress are ended when the drain is over.
+	 */
+	startClosing(window: DrainWindow): void {
+		this.#drain.begin(window);
 		this.#connections.setClosing(true);
-		this.#connections.closeIdle();
+		for (const scope of this.#openScopes) {
+			scope.limitTo(window.endsAt);
+		}
 	}
 
 	/** Stops accepting connections, and calls on open connections. Closes connections without a call in progress. */
 	stopAccepting(): void {
 		this.#isClosed = true;
-		this.#server.close();
+		this.#connections.stopListening();
 		this.#connections.closeIdle();
 	}
 
-	/** Ends the calls in progress and closes all connections. */
+	/** Ends the calls in progress and closes all connections; sending the responses takes at most `ms` milliseconds. */
+	async close(ms: number): Promise<void> {
+		this.stopAccepting();
+		this.#endCalls();
+		await this.#connections.close(ms);
+	}
+
+	/** Ends the calls in progress and closes all connections at once. */
 	destroy(): void {
+		this.stopAccepting();
+		this.#endCalls();
+		this.#connections.destroy();
+	}
+
+	#endCalls(): void {
+		this.parts.gate.open();
 		for (const scope of this.#openScopes) {
-			scope.end('stopping');
+			scope.limitTo(this.parts.clock.now());
 		}
-
-		this.#server.close();
-		this.#connections.destroy();
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse, waitedMs: number): Promise<void> {
 		const arrivedAt = addMs(this.parts.clock.now(), -waitedMs);
 		try {
-			const body = await this.#readBody(req);
+			const body = await this.#bodies.read(req, this.#index?.table.limits.bodyBytes ?? initialLimits.bodyBytes);
 			if (body === 'gone') {
 				return;
 			}
 
-			if (this.#isClosed) {
-				this.#refuse(req, res, routerError('shuttingDown'));
-				return;
-			}
-
 			if ('kind' in body) {
 				this.#refuse(req, res, body);
 				return;
@@ -139,35 +165,6 @@
 		}
 	}
 
-	/** Reads a complete request body within the size limits. */
-	async #readBody(req: IncomingMessage): Promise<Uint8Array | RouterError | 'gone'> {
-		const bodyBytes = this.#index?.table.limits.bodyBytes ?? initialLimits.bodyBytes;
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
-		try {
-			for await (const chunk of req as AsyncIterable<Uint8Array>) {
-				bytes += chunk.length;
-				this.#bufferedBytes += chunk.length;
-				if (bytes > bodyBytes) {
-					return routerError('bodyTooLarge', `over ${bodyBytes} bytes`);
-				}
-
-				if (this.#bufferedBytes > maxBufferedBytes) {
-					return routerError('overloaded', 'too many bodies are being read');
-				}
-
-				chunks.push(chunk);
-			}
-		} catch (error) {
-			log('A caller disconnected before its call was read.', {detail: (error as Error).message, bytes});
-			return 'gone';
-		} finally {
-			this.#bufferedBytes -= bytes;
-		}
-
-		return Buffer.concat(chunks);
-	}
-
 	async #route(req: IncomingMessage, res: ServerResponse, body: Uint8Array, arrivedAt: ReturnType<Clock['now']>): Promise<void> {
 		const metadata = this.parts.dialect.parseMetadata(req.headers);
 		await this.parts.gate.wait(metadata.ok ? metadata.val.callerTimeoutMs ?? Number.POSITIVE_INFINITY : 0);
@@ -211,7 +208,17 @@
 			return;
 		}
 
+		if (this.#isClosed || !this.#drain.admits(call)) {
+			this.#drain.countEffect('refused', call.route.kind);
+			this.#refuse(req, res, routerError('shuttingDown'), call.requestId);
+			return;
+		}
+
 		const scope = new CallScope(clock, call.deadlineAt);
+		if (this.#drain.window !== undefined) {
+			scope.limitTo(this.#drain.window.endsAt);
+		}
+
 		this.#openScopes.add(scope);
 		res.once('close', () => {
 			if (!res.writableFinished) {
@@ -219,24 +226,37 @@
 			}
 		});
 		try {
-			const reply = call.route.kind === 'stream' ? await streams.serve(call, service, scope, this.#createStreamOutput(call, req, res, scope)) : await plain.serve(call, service, scope);
+			const reply = call.route.kind === 'stream' ? await streams.serve(call, service, scope, new CallerStream(call, res, scope)) : await plain.serve(call, service, scope);
 			this.#writeReply(call, req, res, reply, scope);
 			const outcome = this.#findOutcome(reply, res, scope);
 			log('A call ended.', {
 				requestId: call.requestId, route: call.route.name, service, outcome, status: res.statusCode, ms: Math.round(clock.now() - call.arrivedAt), ended: scope.reason,
 			});
 			metrics.observeCall(call.route.kind, outcome, clock.now() - call.arrivedAt);
+			this.#recordForDrain(call, reply, scope);
 		} finally {
 			scope.close();
 			this.#openScopes.delete(scope);
 		}
 	}
 
+	#recordForDrain({route, arrivedAt}: Call, reply: Reply, scope: CallScope): void {
+		if (scope.isCutShort) {
+			this.#drain.countEffect('cutShort', route.kind);
+		} else if (scope.reason !== 'callerGone' && !(reply.kind === 'error' && isNotRun(reply.error))) {
+			this.#drain.recordDuration(route.name, this.parts.clock.now() - arrivedAt);
+		}
+	}
+
 	#findOutcome(reply: Reply, res: ServerResponse, scope: CallScope): string {
 		if (scope.reason === 'callerGone') {
 			return 'callerGone';
 		}
 
+		if (scope.isCutShort) {
+			return 'cutShort';
+		}
+
 		if (reply.kind === 'error') {
 			return reply.error.kind;
 		}
@@ -250,7 +270,8 @@
 		}
 
 		if (reply.kind === 'error') {
-			this.#refuse(req, res, reply.error, call.requestId);
+			// Another instance may serve at once what this one could not begin
+			this.#refuse(req, res, scope.isCutShort && isNotRun(reply.error) ? routerError('shuttingDown') : reply.error, call.requestId);
 			return;
 		}
 
@@ -267,31 +288,6 @@
 		res.end(isBodiless ? undefined : body);
 	}
 
-	#createStreamOutput(call: Call, _req: IncomingMessage, res: ServerResponse, scope: CallScope): StreamOutput {
-		return {
-			get isStarted() {
-				return res.headersSent;
-			},
-			start(head: ResponseHead) {
-				res.writeHead(head.status, forwardableHeaders(head.rawHeaders, new Set(['content-length'])));
-			},
-			write(bytes: Uint8Array) {
-				res.write(bytes);
-				if (res.writableLength > maxUnsentBytes) {
-					log('A caller reads its stream too slowly; the stream is aborted.', {requestId: call.requestId, unreadBytes: res.writableLength});
-					scope.end('callerGone');
-					breakOff(res);
-				}
-			},
-			end() {
-				res.end();
-			},
-			abort() {
-				breakOff(res);
-			},
-		};
-	}
-
 	#requestId(req: IncomingMessage): string | undefined {
 		const metadata = this.parts.dialect.parseMetadata(req.headers);
 		return metadata.ok ? metadata.val.requestId : undefined;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -3,7 +3,7 @@
 import type {Server} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createSeededRandom, digestServerList, ForecastPolicy, hashText, StaticShareMap, toId,
+	addMs, createSeededRandom, digestServerList, ForecastPolicy, hashText, StaticShareMap, toId,
 } from '@baobabpier/core';
 import type {
 	DataCentreId, FencingToken, ForecastOptions, InstanceId, ListedServer, ModelService, RoutingDocument, RoutingTable, WindowedRetryBudgetSettings, ServiceName, ShareMap, EngineId,
@@ -43,6 +43,10 @@
 const notReadyDelayMs = 2600;
 /** Part of the stop timeout reserved for closing, in milliseconds: closing takes some tens of milliseconds, also on a slow machine. */
 const closeReserveMs = 350;
+/** Maximum fraction of the stop timeout that is reserved for closing. */
+const maxCloseReserveFraction = 0.5;
+/** Fraction of that reserve in which the last responses are sent. */
+const sendReserveFraction = 0.6;
 const drainPollIntervalMs = 25;
 /** Fraction of a server's connection limit that all entry instances together may use. */
 const connectionShare = 0.8;
@@ -246,8 +250,8 @@
 		id: initialSettings.id, dataCentre: initialSettings.dataCentre, callers: initialSettings.listen.callers, seeds: initialSettings.seeds.join(' '),
 	});
 
-	const close = async (): Promise<void> => {
-		callerListener.destroy();
+	const close = async (sendMs: number): Promise<void> => {
+		await callerListener.close(sendMs);
 		places.stop();
 		client.stop();
 		guard.stop();
@@ -259,22 +263,23 @@
 		metricsServer.closeAllConnections();
 		metricsServer.close();
 		await Promise.all([transport.close(), peers.close()]);
-		log('The entry instance stopped.');
+		log('The entry instance stopped.', callerListener.drainEffects);
 	};
 
 	const drain = async (): Promise<void> => {
-		const drainDeadline = clock.now() + settings.stopMs - closeReserveMs;
-		log('A stop begins.', {inProgress: callerListener.inProgress, withinMs: settings.stopMs});
-		callerListener.startClosing();
-		await sleep(notReadyDelayMs);
-		callerListener.stopAccepting();
-		while (callerListener.inProgress > 0 && clock.now() < drainDeadline) {
+		const {stopMs} = settings;
+		const reserveMs = Math.min(closeReserveMs, stopMs * maxCloseReserveFraction);
+		const endsAt = addMs(clock.now(), stopMs - reserveMs);
+		const knownAt = addMs(clock.now(), Math.min(notReadyDelayMs, stopMs - reserveMs));
+		log('A stop begins.', {inProgress: callerListener.inProgress, withinMs: stopMs});
+		callerListener.startClosing({knownAt, endsAt});
+		while (clock.now() < knownAt || (!callerListener.isIdle && clock.now() < endsAt)) {
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(drainPollIntervalMs);
 		}
 
 		log('The drain is over.', {inProgress: callerListener.inProgress});
-		await close();
+		await close(reserveMs * sendReserveFraction);
 	};
 
 	return {
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -5,14 +5,17 @@
 import {Buffer} from 'node:buffer';
 import {STATUS_CODES} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import type {Socket} from 'node:net';
 import {errorResponses, routerError, toErrorBody} from '@baobabpier/core';
 import type {ErrorKind} from '@baobabpier/core';
 import {createLog} from './log.js';
 
 const log = createLog('connections');
-/** Time that a refused or closing caller has to close its side, in milliseconds. */
+/** Time that a refused caller has to close its side, in milliseconds. */
 const lingerMs = 2000;
+/** Idle timeout, while the server is closing, of a connection whose last response did not announce that, in milliseconds. */
+const closingIdleTimeoutMs = 500;
 
 /** Handles a request that waited for `waitedMs` milliseconds for the responses before it on its connection. */
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse, waitedMs: number) => void;
@@ -80,6 +83,7 @@
 	readonly #idleWaiters = new Set<() => void>();
 	#active = 0;
 	#isClosing = false;
+	#stallTimeoutMs = 0;
 
 	constructor(readonly server: Server, private readonly handler: RequestHandler) {
 		server.on('connection', socket => {
@@ -91,6 +95,9 @@
 		server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.#refuse(socket as Socket, error.code, error.message);
 		});
+		server.on('timeout', (socket: Socket) => {
+			this.#handleTimeout(socket);
+		});
 		server.on('connect', (_req, socket) => {
 			// Node.js has stopped reading the connection
 			socket.resume();
@@ -103,7 +110,10 @@
 		return this.#active;
 	}
 
-	/** Sets whether each response closes its connection; requests behind that response are not served. */
+	/**
+	 * Sets whether each response closes its connection; requests behind that response are not served. A connection whose
+	 * response has already begun is closed with the next one, or when it is idle.
+	 */
 	setClosing(isClosing: boolean): void {
 		this.#isClosing = isClosing;
 		for (const {exchanges} of this.#connections.values()) {
@@ -113,6 +123,21 @@
 		}
 	}
 
+	/** Whether bytes of a response wait for a caller to read them. */
+	get isSending(): boolean {
+		return [...this.#connections].some(([socket, {exchanges}]) => exchanges.length > 0 && socket.writableLength > 0);
+	}
+
+	/** Sets the time after which a response is broken off whose caller reads nothing of it, in milliseconds; 0 for never. */
+	setStallTimeout(ms: number): void {
+		this.#stallTimeoutMs = ms;
+		for (const [socket, {exchanges}] of this.#connections) {
+			if (exchanges.length > 0) {
+				socket.setTimeout(ms);
+			}
+		}
+	}
+
 	/** Resolves once no response is in progress, or after `ms` milliseconds. */
 	async waitUntilIdle(ms: number): Promise<void> {
 		if (this.#active === 0) {
@@ -131,6 +156,11 @@
 		});
 	}
 
+	/** Stops accepting connections. The `close` of an HTTP server would also break off responses that are ended but not sent. */
+	stopListening(): void {
+		NetServer.prototype.close.call(this.server);
+	}
+
 	/** Closes the connections without a response in progress. */
 	closeIdle(): void {
 		for (const [socket, {exchanges, refusal}] of this.#connections) {
@@ -178,6 +208,10 @@
 		}
 
 		res.shouldKeepAlive &&= !this.#isClosing;
+		if (this.#stallTimeoutMs > 0) {
+			socket.setTimeout(this.#stallTimeoutMs);
+		}
+
 		const exchange = {req, res, receivedAt: performance.now()};
 		connection.exchanges.push(exchange);
 		this.#count(1);
@@ -193,6 +227,17 @@
 		}
 	}
 
+	/** Closes a connection that is idle, or whose caller reads nothing; a response that has nothing to send yet goes on. */
+	#handleTimeout(socket: Socket): void {
+		const [first] = this.#connections.get(socket)?.exchanges ?? [];
+		if (first === undefined) {
+			socket.destroy();
+		} else if (socket.writableLength > 0) {
+			log('A caller reads nothing of its response, which is broken off.', {unreadBytes: socket.writableLength});
+			breakOff(first.res);
+		}
+	}
+
 	/** Goes on with what came behind a response that is over. */
 	#advance(socket: Socket, connection: Connection, {writableFinished}: ServerResponse): void {
 		const [next] = connection.exchanges;
@@ -200,12 +245,13 @@
 			return;
 		}
 
-		if (this.#isClosing) {
-			this.#end(socket);
-		} else if (next !== undefined) {
+		if (next !== undefined) {
 			this.handler(next.req, next.res, performance.now() - next.receivedAt);
 		} else if (connection.refusal !== undefined) {
 			this.#end(socket, toRawResponse(connection.refusal));
+		} else if (this.#isClosing) {
+			// The response began before the close could be announced, and its caller may send the next request already
+			socket.setTimeout(closingIdleTimeoutMs);
 		}
 	}
 
@@ -234,8 +280,8 @@
 		}
 	}
 
-	/** Ends a connection; a caller that does not end its side is disconnected. */
-	#end(socket: Socket, text?: string): void {
+	/** Writes the last bytes to a connection; a caller that does not end its side is disconnected. */
+	#end(socket: Socket, text: string): void {
 		const timer = setTimeout(() => {
 			socket.destroy();
 		}, lingerMs);
@@ -243,11 +289,7 @@
 		socket.once('close', () => {
 			clearTimeout(timer);
 		});
-		if (text !== undefined) {
-			socket.write(text);
-		}
-
-		socket.end();
+		socket.end(text);
 	}
 
 	#count(change: number): void {
