--- a/packages/daemon/src/fleet/drainable-port.ts
+++ b/packages/daemon/src/fleet/drainable-port.ts
@@ -4,10 +4,12 @@
 
 const pollMs = 20;
 const quietMs = 200;
+const defaultStallMs = 10_000;
 
 /** Counts the requests of a port, and closes it once they are over. */
 export class DrainablePort {
-	constructor(private readonly connections: ServerConnections) {}
+	/** While the port closes, a caller that takes no byte of its answer for `stallMs` milliseconds counts as gone. */
+	constructor(private readonly connections: ServerConnections, private readonly stallMs = defaultStallMs) {}
 
 	/** Requests whose answer is not yet out whole. */
 	get active(): number {
@@ -17,16 +19,13 @@
 	/** Whether answers ask their callers to close the connection. */
 	setClosing(closing: boolean): void {
 		this.connections.setClosing(closing);
+		this.connections.setStallTimeout(closing ? this.stallMs : 0);
 	}
 
 	/** Takes no new connection, waits for the requests in progress, and closes what is left. */
 	async close(): Promise<void> {
-		const closed = new Promise<void>(resolve => {
-			this.connections.server.close(() => {
-				resolve();
-			});
-		});
-		await Promise.race([closed, this.#waitUntilQuiet()]);
+		this.connections.stopListening();
+		await this.#waitUntilQuiet();
 		this.connections.destroy();
 	}
 
