--- a/packages/core/src/transport/connection-plan.ts
+++ b/packages/core/src/transport/connection-plan.ts
@@ -33,6 +33,8 @@
 	opener: Request | undefined;
 	request: Request | undefined;
 	isFirst: boolean;
+	/** Whether it was idle since it was opened: its server may have closed it meanwhile. */
+	hasIdled: boolean;
 	mustClose: boolean;
 };
 
@@ -81,6 +83,12 @@
 			return [...this.#makeRoom(), this.#open(undefined, request)];
 		}
 
+		// The usual case: nothing waits and a connection is idle
+		const idle = this.#waiting.length === 0 ? this.#findIdle(lane) : undefined;
+		if (idle !== undefined) {
+			return [this.#send(idle, request)];
+		}
+
 		this.#waiting.push(request);
 		return this.#pump(lane);
 	}
@@ -107,7 +115,9 @@
 			return [this.#send(connection, opener!)];
 		}
 
-		return this.#pump(lane);
+		const steps = this.#pump(lane);
+		connection.hasIdled = this.isIdle(id);
+		return steps;
 	}
 
 	/** Judges the head of a response on a connection; one of another request puts the connection out of step. */
@@ -135,6 +145,7 @@
 		}
 
 		connection.phase = 'idle';
+		connection.hasIdled = true;
 		return this.#pump(lane);
 	}
 
@@ -150,15 +161,15 @@
 		return this.#pump(connection.lane);
 	}
 
-	/** Records that a connection was closed before its request was written; on a kept connection the request is sent on another one. */
+	/** Records that a connection was closed before its request was written; where it had idled the request is sent on another one. */
 	handleUnwritten(id: ConnectionId): ReadonlyArray<PlanStep<Request>> {
 		const connection = this.#get(id);
-		const {request, isFirst, lane} = connection;
+		const {request, hasIdled, lane} = connection;
 		const steps: Array<PlanStep<Request>> = [this.#close(connection)];
-		if (request !== undefined && isFirst) {
-			steps.push({kind: 'fail', request});
-		} else if (request !== undefined) {
+		if (request !== undefined && hasIdled) {
 			this.#waiting.unshift(request);
+		} else if (request !== undefined) {
+			steps.push({kind: 'fail', request});
 		}
 
 		return [...steps, ...this.#pump(lane)];
@@ -245,7 +256,7 @@
 	#open(lane: string | undefined, opener: Request): PlanStep<Request> {
 		const id = toId<ConnectionId>(this.#nextId++);
 		this.#connections.set(id, {
-			id, lane, phase: 'opening', opener, request: undefined, isFirst: true, mustClose: false,
+			id, lane, phase: 'opening', opener, request: undefined, isFirst: true, hasIdled: false, mustClose: false,
 		});
 		return {kind: 'open', connection: id};
 	}
@@ -268,7 +279,22 @@
 		return idle === undefined || this.#connections.size < this.maxConnections() ? [] : [this.#close(idle)];
 	}
 
+	#findIdle(lane: string): Connection<Request> | undefined {
+		for (const connection of this.#connections.values()) {
+			if (connection.phase === 'idle' && connection.lane === lane) {
+				return connection;
+			}
+		}
+
+		return undefined;
+	}
+
 	#count(lane: string): number {
-		return [...this.#connections.values()].filter(connection => connection.lane === lane).length;
+		let count = 0;
+		for (const connection of this.#connections.values()) {
+			count += connection.lane === lane ? 1 : 0;
+		}
+
+		return count;
 	}
 }
--- a/packages/daemon/src/__tests__/unit/transport-connections.test.ts
+++ b/packages/daemon/src/__tests__/unit/transport-connections.test.ts
@@ -295,6 +295,15 @@
 	expect(foreign).toBe(0);
 });
 
+test('a connection that was opened and not used is replaced when its server may have closed it', async () => {
+	maxConnections = 4;
+	const ids = (round: number): readonly string[] => Array.from({length: 12}, (_, index) => `r${round}-${index}`);
+	expect(await Promise.all(ids(1).map(async id => send(id)))).toEqual(ids(1));
+	await sleep(1100);
+	expect(await Promise.all(ids(2).map(async id => send(id)))).toEqual(ids(2));
+	expect(received).toHaveLength(24);
+});
+
 test('requests that wait fail as unsent when the transport closes, and the one in progress as broken', async () => {
 	respond = () => undefined;
 	const pending = ['r1', 'r2', 'r3'].map(async id => send(id));
