--- a/packages/daemon/src/__tests__/unit/listener-stop.test.ts
+++ b/packages/daemon/src/__tests__/unit/listener-stop.test.ts
@@ -27,7 +27,7 @@
 const routeTimeoutMs = 60_000;
 const longBody = Buffer.alloc(32 * 1024 * 1024, 'x');
 const head: ResponseHead = {
-	status: 200, rawHeaders: [], requestId: 'r', isAuthentic: true, isNotExecuted: false, isMisdirected: false, isEncoded: false, load: undefined,
+	status: 200, rawHeaders: [], isAuthentic: true, isNotExecuted: false, isMisdirected: false, isEncoded: false, load: undefined,
 };
 const routeDefaults = {
 	host: 'a.example', timeoutMs: routeTimeoutMs, targetLatencyMs: 500, priority: 1, targets: [{service, weight: 1}], maxAttempts: 1, resumable: false, targetGapMs: 300,
--- a/packages/daemon/src/__tests__/unit/server-connections.test.ts
+++ b/packages/daemon/src/__tests__/unit/server-connections.test.ts
@@ -85,7 +85,7 @@
 		},
 	};
 	const head: ResponseHead = {
-		status: 200, rawHeaders: ['x-server', 's1'], requestId: 'r', isAuthentic: true, isNotExecuted: false, isMisdirected: false, isEncoded: false, load: undefined,
+		status: 200, rawHeaders: ['x-server', 's1'], isAuthentic: true, isNotExecuted: false, isMisdirected: false, isEncoded: false, load: undefined,
 	};
 	const gate = new StartupGate(monotonicClock);
 	const listener = new CallerListener({
