--- a/packages/daemon/src/rpc/rpc-client.ts
+++ b/packages/daemon/src/rpc/rpc-client.ts
@@ -60,6 +60,10 @@
 				signal: abort.signal,
 			});
 			const response = await answer.body.json() as JSONRPCResponse;
+			if (answer.statusCode === 200 && response.id !== payload.id) {
+				throw new RpcCallError(`${command.method}: the result belongs to call ${String(response.id)}, not ${String(payload.id)}`, true);
+			}
+
 			if (answer.statusCode !== 200 || response.error !== undefined) {
 				throw new RpcCallError(response.error?.message ?? `HTTP status ${answer.statusCode}`, true);
 			}
--- a/packages/daemon/src/rpc/rpc-server.ts
+++ b/packages/daemon/src/rpc/rpc-server.ts
@@ -24,6 +24,13 @@
 
 	constructor(secret: string) {
 		this.#expected = digest(`Bearer ${secret}`);
+		this.app.use(event => {
+			const requestId = event.req.headers.get('x-request-id');
+			if (requestId !== null) {
+				event.res.headers.set('x-request-id', requestId);
+				event.res.errHeaders.set('x-request-id', requestId);
+			}
+		});
 		this.app.post('/rpc', async event => {
 			if (!timingSafeEqual(digest(event.req.headers.get('authorization') ?? ''), this.#expected)) {
 				return Response.json(toErrorBody(routerError('unauthorized')), {status: 401});
--- a/packages/stand-ins/src/backend-server.ts
+++ b/packages/stand-ins/src/backend-server.ts
@@ -26,16 +26,16 @@
 };
 
 /**
- * Starts a stand-in backend server.
+ * Starts a stand-in backend server; `returnsIds` tells whether answers carry the `x-request-id` of their request.
  *
  * Routes: `GET /availability`, `POST /availability`, `POST /bookings` with `{ref}`, `GET /bytes?n=`, `GET /counters`.
  *
  * @example
  * const backend = await startBackend('desk-a', 0);
  */
-export const startBackend = async (id: string, port: number): Promise<BackendServer> => {
+export const startBackend = async (id: string, port: number, returnsIds = true): Promise<BackendServer> => {
 	const runs = new Map<string, number>();
-	const server = new FaultyApp();
+	const server = new FaultyApp(returnsIds);
 	const availability = (): unknown => ({server: id, free: 12});
 	server.on('GET', '/availability', availability);
 	server.on('POST', '/availability', availability);
--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -108,14 +108,14 @@
 export type EngineServer = RunningServer & {readonly model: EngineModel};
 
 /**
- * Starts a stand-in engine.
+ * Starts a stand-in engine; `returnsIds` tells whether answers carry the `x-request-id` of their request.
  *
  * @example
  * const engine = await startEngine({...parameters, id: 'lm-a-1', role: 'decode'}, 0);
  */
-export const startEngine = async (parameters: EngineParameters, port: number): Promise<EngineServer> => {
+export const startEngine = async (parameters: EngineParameters, port: number, returnsIds = true): Promise<EngineServer> => {
 	const model = new EngineModel(parameters);
-	const server = new FaultyApp();
+	const server = new FaultyApp(returnsIds);
 
 	const heldOf = ({requestId, attempt}: Hold): HeldAttempt => {
 		const held = model.findHeld(requestId, attempt);
@@ -158,7 +158,7 @@
 	server.on('POST', '/import', async event => {
 		const order = await bodyOf<Hold & {from: string; kvId: string}>(event);
 		const held = heldOf(order);
-		const answer = await request(`http://${order.from}/export`, {method: 'POST', body: JSON.stringify({kvId: order.kvId})});
+		const answer = await request(`http://${order.from}/export`, {method: 'POST', body: JSON.stringify({kvId: order.kvId}), reset: true});
 		await answer.body.dump();
 		if (answer.statusCode !== 200) {
 			throw gone();
--- a/packages/stand-ins/src/listen.ts
+++ b/packages/stand-ins/src/listen.ts
@@ -56,7 +56,18 @@
 	readonly app: H3 = new H3({silent: true});
 	readonly faults = new FaultBoard();
 
-	constructor() {
+	/** Answers carry the `x-request-id` of their request unless `returnsIds` is false. */
+	constructor(returnsIds = true) {
+		if (returnsIds) {
+			this.app.use(event => {
+				const requestId = event.req.headers.get('x-request-id');
+				if (requestId !== null) {
+					event.res.headers.set('x-request-id', requestId);
+					event.res.errHeaders.set('x-request-id', requestId);
+				}
+			});
+		}
+
 		this.app.put('/faults', async event => {
 			this.faults.set(await event.req.json() as Fault[]);
 			return {ok: true};
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -15,6 +15,7 @@
 	.scriptName('baobabpier-stand-in')
 	.option('port', {type: 'number', default: 0})
 	.option('id', {type: 'string', default: 'stand-in'})
+	.option('returns-ids', {type: 'boolean', default: true, describe: 'Whether answers carry the request\'s id'})
 	.command('engine', 'Starts a model engine.', command => command
 		.option('role', {choices: ['prefill', 'decode'] as const, demandOption: true})
 		.option('pieces', {type: 'number', default: 40})
@@ -25,11 +26,11 @@
 		.option('link-tokens-per-second', {type: 'number', default: 200_000})
 		.option('output-tokens', {type: 'number', default: 60})
 		.option('fences-orders', {type: 'boolean', default: true}), async args => {
-		const engine = await startEngine(args, args.port);
+		const engine = await startEngine(args, args.port, args.returnsIds);
 		announce(engine.address);
 	})
 	.command('backend', 'Starts a plain backend server.', command => command, async args => {
-		const backend = await startBackend(args.id, args.port);
+		const backend = await startBackend(args.id, args.port, args.returnsIds);
 		announce(backend.address);
 	})
 	.command('platform', 'Starts the platform\'s instance list.', command => command.option('lag-ms', {type: 'number', default: 500}), async args => {
