--- a/packages/daemon/src/transport/server-connection.ts
+++ b/packages/daemon/src/transport/server-connection.ts
@@ -3,6 +3,7 @@
 import {Client} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {ResponseVerdict} from '@baobabpier/core';
+import {splitAddress} from '../listen.js';
 import {createTimedConnect} from '../timed-connect.js';
 import type {Exchange} from './exchange.js';
 import type {ForeignMoment} from './types.js';
@@ -59,10 +60,10 @@
 	#openedAt = 0;
 
 	constructor(private readonly address: string, connectTimeoutMs: number, private readonly listener: ConnectionListener) {
-		const separator = address.lastIndexOf(':');
+		const {host, port} = splitAddress(address);
 		createTimedConnect(connectTimeoutMs, () => {
 			this.#wasReset = true;
-		})({hostname: address.slice(0, separator), port: address.slice(separator + 1), protocol: 'http:'}, (...[error, socket]) => {
+		})({hostname: host, port: String(port), protocol: 'http:'}, (...[error, socket]) => {
 			if (error !== null) {
 				this.#close(error);
 				return;
--- a/packages/daemon/src/transport/types.ts
+++ b/packages/daemon/src/transport/types.ts
@@ -3,7 +3,7 @@
 import type {BackendId, ResponseBinding} from '@baobabpier/core';
 
 /** What a request is for, as metrics and logs name it. */
-export type CallKind = 'run' | 'prefill' | 'lease' | 'release' | 'free' | 'order' | 'report' | 'liveness' | 'list' | 'rpc' | 'engine';
+export type CallKind = 'run' | 'prefill' | 'lease' | 'release' | 'free' | 'order' | 'report' | 'liveness' | 'list' | 'rpc' | 'engine' | 'plain';
 
 /** Where a response of another request, or of none, was found. */
 export type ForeignMoment =
@@ -14,6 +14,9 @@
 	/** On a connection on which nothing was due. */
 	| 'idle';
 
+/** Called for each response that belongs to no request, or to another one. */
+export type ForeignResponseListener = (kind: CallKind, moment: ForeignMoment) => void;
+
 /** A request to a server. */
 export type OutgoingRequest = {
 	/** `IP:port`. */
@@ -86,8 +89,7 @@
 	readonly maxConnectionsTo: (address: string) => number;
 	/** Returns the request's id that a response's headers name; undefined when they name none. */
 	readonly readResponseId: (rawHeaders: readonly string[]) => string | undefined;
-	/** Called for each response that belongs to no request, or to another one. */
-	readonly onForeignResponse?: (kind: CallKind, moment: ForeignMoment) => void;
+	readonly onForeignResponse?: ForeignResponseListener;
 	readonly gate?: ServerGate;
 	/** In milliseconds. */
 	readonly connectTimeoutMs?: number;
