--- a/packages/daemon/src/__tests__/unit/raw-backend.ts
+++ b/packages/daemon/src/__tests__/unit/raw-backend.ts
@@ -22,7 +22,12 @@
 	| 'closeKept';
 
 const responseDelayMs = 300;
-const response = 'HTTP/1.1 200 OK\r\ncontent-length: 6\r\ncontent-type: text/plain\r\n\r\nbooked';
+
+/** A response with the id of its request, so that the connection is kept. */
+const responseTo = (request: string): string => {
+	const id = /^x-request-id: (?<id>\S+)/imv.exec(request)?.groups?.id ?? '';
+	return `HTTP/1.1 200 OK\r\ncontent-length: 6\r\ncontent-type: text/plain\r\nx-request-id: ${id}\r\n\r\nbooked`;
+};
 
 const isComplete = (text: string): boolean => {
 	const end = text.indexOf('\r\n\r\n');
@@ -84,15 +89,16 @@
 			if (this.behaviour === 'resetHalfway' || (this.behaviour === 'closeKept' && responses > 0)) {
 				socket.resetAndDestroy();
 			} else if (isComplete(text)) {
+				const response = responseTo(text);
 				text = '';
 				this.runs += 1;
 				responses += 1;
-				this.#respond(socket);
+				this.#respond(socket, response);
 			}
 		});
 	}
 
-	#respond(socket: Socket): void {
+	#respond(socket: Socket, response: string): void {
 		switch (this.behaviour) {
 			case 'resetAfter': {
 				socket.resetAndDestroy();
--- a/packages/daemon/src/requests/backend-sender.ts
+++ b/packages/daemon/src/requests/backend-sender.ts
@@ -4,15 +4,16 @@
 import type {
 	BackendEntry, BackendId, ErrorKind, Result, RouterError,
 } from '@baobabpier/core';
-import {Agent, DecoratorHandler} from 'undici';
-import type {Dispatcher} from 'undici';
-import {isConnectFailure} from '../connect-failure.js';
 import {UseCounter} from '../fleet/use-counter.js';
 import {createLog} from '../log.js';
 import {traceHeaders, withSpan} from '../observability/tracing.js';
+import {readIssuedId, requestIdHeader, RequestIdSource} from '../transport/request-id.js';
+import {ServerTransport} from '../transport/server-transport.js';
+import type {ForeignResponseListener, TransportFailure} from '../transport/types.js';
 import {answerHeaders, forwardHeaders} from './http-headers.js';
 import type {PlainAnswer, PlainCall} from './plain-call.js';
 
+/** In milliseconds. */
 const connectTimeoutMs = 1000;
 const log = createLog('plain');
 
@@ -24,41 +25,17 @@
 	readonly maySend?: () => boolean;
 };
 
-/** The call was held back before its first byte. */
-class HeldBackError extends Error {
-	override readonly name = 'HeldBackError';
-}
-
-// The typings of undici leave the methods of DecoratorHandler out
-// eslint-disable-next-line @typescript-eslint/naming-convention
-const Decorator = DecoratorHandler as unknown as new (handler: Dispatcher.DispatchHandler) => {
-	onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void;
-};
-
-class GateHandler extends Decorator {
-	constructor(handler: Dispatcher.DispatchHandler, private readonly maySend: () => boolean) {
-		super(handler);
-	}
-
-	override onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
-		super.onRequestStart(controller, context);
-		if (!this.maySend()) {
-			controller.abort(new HeldBackError('too late to send'));
-		}
-	}
-}
-
-/** The error kind of a failed send; only a failure before the first byte says that the call was not run. */
-export const failureOf = (error: unknown): ErrorKind => {
-	if (error instanceof HeldBackError) {
+/** The error kind of a failed send; only what was surely not written counts as not run. */
+export const failureOf = (failure: TransportFailure, signal: AbortSignal): ErrorKind => {
+	if (failure.kind === 'unsent' && failure.isHeldBack === true) {
 		return 'ledgerUnavailable';
 	}
 
-	if (isConnectFailure(error)) {
-		return 'backendRefused';
+	if (signal.aborted) {
+		return (signal.reason as Error).name === 'TimeoutError' ? 'timeout' : 'outcomeUnknown';
 	}
 
-	return (error as Error).name === 'TimeoutError' ? 'timeout' : 'outcomeUnknown';
+	return failure.kind === 'unsent' ? 'backendRefused' : 'outcomeUnknown';
 };
 
 /** Sends a call to one backend server. */
@@ -69,12 +46,16 @@
 
 /** Connections to backend servers. Nothing here sends a call twice: no retry, no pipelining. */
 export class BackendSender implements CallSender {
-	readonly #agent = new Agent({
-		pipelining: 1, connect: {timeout: connectTimeoutMs}, headersTimeout: 0, bodyTimeout: 0,
-	});
-
+	readonly #transport: ServerTransport;
+	readonly #ids = new RequestIdSource();
 	readonly #uses = new UseCounter();
 
+	constructor(onForeignResponse?: ForeignResponseListener) {
+		this.#transport = new ServerTransport({
+			maxConnectionsTo: () => Number.POSITIVE_INFINITY, readResponseId: readIssuedId, connectTimeoutMs, onForeignResponse,
+		});
+	}
+
 	/** Calls in progress on a backend server. */
 	usesOf(id: BackendId): number {
 		return this.#uses.count(id);
@@ -87,32 +68,36 @@
 
 		const leave = this.#uses.enter(backend.id);
 		const hasBody = call.method !== 'GET' && call.method !== 'HEAD';
-		const agent = maySend === undefined
-			? this.#agent
-			: this.#agent.compose(dispatch => (options, handler) => dispatch(options, new GateHandler(handler, maySend)));
-		try {
-			const answer = await withSpan('backend.call', {attributes: {backend: backend.id}}, async () => agent.request({
-				origin: `http://${backend.address}`,
-				path: call.path + call.search,
+		const {value, binding} = this.#ids.issue(call.requestId);
+		return withSpan('backend.call', {attributes: {backend: backend.id}}, async () => {
+			const response = await this.#transport.sendRequest({
+				kind: 'plain',
+				binding,
+				server: backend.id,
+				address: backend.address,
 				method: call.method,
-				headers: {...forwardHeaders(call.headers), 'x-request-id': call.requestId, ...traceHeaders()},
+				target: call.path + call.search,
+				headers: [...forwardHeaders(call.headers), requestIdHeader, value, ...Object.entries(traceHeaders()).flat()],
 				body: hasBody ? body : undefined,
 				signal,
-			}));
-			answer.body.once('close', leave);
-			return ok({status: answer.statusCode, headers: answerHeaders(answer.headers), body: answer.body});
-		} catch (error) {
+				maySend,
+			});
+			if (response.kind === 'head') {
+				response.body.once('close', leave);
+				return ok({status: response.status, headers: answerHeaders(response.rawHeaders), body: response.body});
+			}
+
 			leave();
-			const kind = failureOf(error);
+			const kind = failureOf(response, signal);
 			log('A backend server failed.', {
-				requestId: call.requestId, backend: backend.id, kind, reason: (error as Error).message,
+				requestId: call.requestId, backend: backend.id, kind, reason: response.detail,
 			});
 			return err(routerError(kind));
-		}
+		});
 	}
 
 	/** Closes the connections. */
 	async close(): Promise<void> {
-		await this.#agent.destroy();
+		await this.#transport.close();
 	}
 }
--- a/packages/daemon/src/requests/plain-call.ts
+++ b/packages/daemon/src/requests/plain-call.ts
@@ -15,6 +15,7 @@
 	Result,
 	RouterError,
 } from '@baobabpier/core';
+import type {ForeignResponseListener} from '../transport/types.js';
 import {BackendSender} from './backend-sender.js';
 import {BackendPicker} from './backend-picker.js';
 import {ClaimedCaller} from './claimed-call.js';
@@ -53,11 +54,12 @@
 	readonly ledger: ClaimLedger;
 	readonly random: RandomSource;
 	readonly isLeaving: (id: BackendId) => boolean;
+	readonly onForeignResponse?: ForeignResponseListener;
 };
 
 /** Sends calls to plain backend servers: idempotent ones with retries, others once. */
 export class PlainCaller {
-	readonly #sender = new BackendSender();
+	readonly #sender: BackendSender;
 	readonly #picker: BackendPicker;
 	readonly #idempotent: IdempotentCaller;
 	readonly #claimed: ClaimedCaller;
@@ -65,6 +67,7 @@
 	#running = 0;
 
 	constructor(parts: PlainCallParts) {
+		this.#sender = new BackendSender(parts.onForeignResponse);
 		this.#picker = new BackendPicker(parts);
 		this.#idempotent = new IdempotentCaller(this.#picker, this.#sender);
 		this.#claimed = new ClaimedCaller(parts, this.#picker, this.#sender);
