--- a/packages/daemon/src/engine/engine-clients.ts
+++ b/packages/daemon/src/engine/engine-clients.ts
@@ -1,6 +1,7 @@
 /** One client per engine address, made when first needed. */
 import type {EngineClient, EngineHold, EngineId} from '@baobabpier/core';
 import {TracedEngineClient} from '../observability/traced-engine-client.js';
+import type {ForeignResponseListener} from '../transport/types.js';
 import {HttpEngineClient} from './http-engine-client.js';
 
 /** The engines' clients of this process. */
@@ -8,6 +9,8 @@
 	readonly #clients = new Map<string, {readonly http: HttpEngineClient; readonly traced: EngineClient}>();
 	readonly #aliveListeners = new Map<string, () => void>();
 
+	constructor(private readonly onForeignResponse?: ForeignResponseListener) {}
+
 	/** The client of an engine. */
 	get(id: EngineId, address: string): EngineClient {
 		const key = `${id}@${address}`;
@@ -18,7 +21,7 @@
 
 		const http = new HttpEngineClient(id, address, hold => {
 			this.#aliveListeners.get(`${hold.requestId}/${hold.attempt}`)?.();
-		});
+		}, this.onForeignResponse);
 		const traced = new TracedEngineClient(id, http);
 		this.#clients.set(key, {http, traced});
 		return traced;
--- a/packages/daemon/src/engine/http-engine-client.ts
+++ b/packages/daemon/src/engine/http-engine-client.ts
@@ -1,4 +1,6 @@
 /** The adapter to engines that speak the stand-in's HTTP dialect. */
+import {Buffer} from 'node:buffer';
+import {json} from 'node:stream/consumers';
 import {
 	EngineFaultError, err, ok, toId,
 } from '@baobabpier/core';
@@ -18,19 +20,22 @@
 	KvHandle,
 	PrefillRequest,
 } from '@baobabpier/core';
-import {Pool} from 'undici';
-import {isConnectFailure} from '../connect-failure.js';
 import {traceHeaders} from '../observability/tracing.js';
+import {readIssuedId, requestIdHeader, RequestIdSource} from '../transport/request-id.js';
+import {ServerTransport} from '../transport/server-transport.js';
+import type {ForeignResponseListener, OpenResponse, TransportFailure} from '../transport/types.js';
 import {readSse} from './sse-reader.js';
 
-const connections = 1024;
+/** Maximum number of kept connections; each stream has one to itself. */
+const maxConnections = 1024;
+/** In milliseconds. */
 const connectTimeoutMs = 1000;
+/** Timeout of calls that an engine answers at once, in milliseconds. */
 const shortCallMs = 3000;
 
-const faultOf = (error: unknown): EngineFault => {
-	const {message} = error as Error;
-	return isConnectFailure(error) ? {kind: 'unreachable', detail: message} : {kind: 'lost', detail: message};
-};
+const faultOf = (failure: TransportFailure): EngineFault => ({kind: failure.kind === 'unsent' && failure.isUnreachable === true ? 'unreachable' : 'lost', detail: failure.detail});
+
+const lostBy = (error: unknown): EngineFault => ({kind: 'lost', detail: (error as Error).message});
 
 const faultOfStatus = (status: number, body: {kind?: string; freePieces?: number; detail?: string}): EngineFault => {
 	switch (status) {
@@ -60,11 +65,17 @@
 
 /** A client of one engine. */
 export class HttpEngineClient implements EngineClient {
-	readonly #pool: Pool;
-
-	constructor(private readonly id: EngineId, address: string, private readonly onAlive: (hold: EngineHold) => void = () => {/* Nobody watches */}) {
-		this.#pool = new Pool(`http://${address}`, {
-			connections, pipelining: 1, connectTimeout: connectTimeoutMs, headersTimeout: 0, bodyTimeout: 0,
+	readonly #transport: ServerTransport;
+	readonly #ids = new RequestIdSource();
+
+	constructor(
+		private readonly id: EngineId,
+		private readonly address: string,
+		private readonly onAlive: (hold: EngineHold) => void = () => {/* Nobody watches */},
+		onForeignResponse?: ForeignResponseListener,
+	) {
+		this.#transport = new ServerTransport({
+			maxConnectionsTo: () => maxConnections, readResponseId: readIssuedId, connectTimeoutMs, onForeignResponse,
 		});
 	}
 
@@ -97,13 +108,8 @@
 	}
 
 	async report(): Promise<Result<EngineReport, EngineFault>> {
-		try {
-			const answer = await this.#pool.request({path: '/report', method: 'GET', signal: AbortSignal.timeout(shortCallMs)});
-			const body = await answer.body.json() as Omit<EngineReport, 'engine'>;
-			return ok({...body, engine: this.id});
-		} catch (error) {
-			return err(faultOf(error));
-		}
+		const answer = await this.#read<Omit<EngineReport, 'engine'>>(await this.#send('GET', '/report', undefined, AbortSignal.timeout(shortCallMs)));
+		return answer.map(body => ({...body, engine: this.id}));
 	}
 
 	async change(fencing: FencingToken, change: EngineChange): Promise<Result<void, EngineFault>> {
@@ -113,31 +119,49 @@
 
 	/** Closes the connections. */
 	async close(): Promise<void> {
-		await this.#pool.destroy();
+		await this.#transport.close();
 	}
 
 	async #post<T>(path: string, body: unknown, signal: AbortSignal): Promise<Result<T, EngineFault>> {
+		return this.#read<T>(await this.#send('POST', path, body, signal));
+	}
+
+	async #send(method: 'GET' | 'POST', path: string, body: unknown, signal: AbortSignal): Promise<OpenResponse | TransportFailure> {
+		const {value, binding} = this.#ids.issue();
+		return this.#transport.sendRequest({
+			kind: 'engine',
+			binding,
+			address: this.address,
+			method,
+			target: path,
+			headers: [...(body === undefined ? [] : ['content-type', 'application/json']), requestIdHeader, value, ...Object.entries(traceHeaders()).flat()],
+			body: body === undefined ? undefined : Buffer.from(JSON.stringify(body)),
+			signal,
+		});
+	}
+
+	async #read<T>(answer: OpenResponse | TransportFailure): Promise<Result<T, EngineFault>> {
+		if (answer.kind !== 'head') {
+			return err(faultOf(answer));
+		}
+
 		try {
-			const answer = await this.#pool.request({
-				path, method: 'POST', headers: {'content-type': 'application/json', ...traceHeaders()}, body: JSON.stringify(body), signal,
-			});
-			const parsed = await answer.body.json() as T;
-			return answer.statusCode === 200 ? ok(parsed) : err(faultOfStatus(answer.statusCode, parsed as {kind?: string}));
+			const body = await json(answer.body);
+			return answer.status === 200 ? ok(body as T) : err(faultOfStatus(answer.status, body as {kind?: string}));
 		} catch (error) {
-			return err(faultOf(error));
+			return err(lostBy(error));
 		}
 	}
 
 	async * #stream(path: string, body: EngineHold & {readonly fromSeq?: number}, signal: AbortSignal): AsyncGenerator<DecodeChunk> {
+		const answer = await this.#send('POST', path, body, signal);
+		if (answer.kind !== 'head' || answer.status !== 200) {
+			const refused = await this.#read(answer);
+			throw new EngineFaultError(refused.err ? refused.val : {kind: 'refused', detail: 'no stream'});
+		}
+
 		let ended = false;
 		try {
-			const answer = await this.#pool.request({
-				path, method: 'POST', headers: {'content-type': 'application/json', ...traceHeaders()}, body: JSON.stringify(body), signal,
-			});
-			if (answer.statusCode !== 200) {
-				throw new EngineFaultError(faultOfStatus(answer.statusCode, await answer.body.json() as {kind?: string}));
-			}
-
 			for await (const item of readSse(answer.body)) {
 				if (item.kind === 'comment') {
 					this.onAlive(body);
@@ -149,7 +173,7 @@
 				yield chunk;
 			}
 		} catch (error) {
-			throw error instanceof EngineFaultError ? error : new EngineFaultError(faultOf(error));
+			throw new EngineFaultError(lostBy(error));
 		}
 
 		if (!ended) {
