--- a/packages/daemon/src/rpc/peers.ts
+++ b/packages/daemon/src/rpc/peers.ts
@@ -1,6 +1,7 @@
 /** One RPC client per instance, made when first needed. */
 import type {InstanceId} from '@baobabpier/core';
 import type {InstanceEntry} from '../settings/parse-settings.js';
+import type {ForeignResponseListener} from '../transport/types.js';
 import {RpcCallError, RpcClient} from './rpc-client.js';
 
 /** The clients of the other instances. */
@@ -9,7 +10,12 @@
 	readonly #entries: ReadonlyMap<InstanceId, InstanceEntry>;
 
 	/** `addressOf` resolves instances that the settings don't list. */
-	constructor(instances: readonly InstanceEntry[], private readonly secret: string, private readonly addressOf: (id: InstanceId) => string | undefined = () => undefined) {
+	constructor(
+		instances: readonly InstanceEntry[],
+		private readonly secret: string,
+		private readonly addressOf: (id: InstanceId) => string | undefined = () => undefined,
+		private readonly onForeignResponse?: ForeignResponseListener,
+	) {
 		this.#entries = new Map(instances.map(entry => [entry.id, entry]));
 	}
 
@@ -25,7 +31,7 @@
 			throw new RpcCallError(`instance "${id}" is not in the settings`, false);
 		}
 
-		const client = new RpcClient(address, this.secret);
+		const client = new RpcClient(address, this.secret, this.onForeignResponse);
 		this.#clients.set(id, client);
 		return client;
 	}
--- a/packages/daemon/src/rpc/rpc-client.ts
+++ b/packages/daemon/src/rpc/rpc-client.ts
@@ -1,13 +1,17 @@
 /** Calls JSON-RPC 2.0 methods of another instance over HTTP. */
+import {Buffer} from 'node:buffer';
+import {json} from 'node:stream/consumers';
 import type {RpcMethod} from '@baobabpier/core';
 import {createJSONRPCRequest} from 'json-rpc-2.0';
 import type {JSONRPCResponse} from 'json-rpc-2.0';
-import {Pool} from 'undici';
 import {traceHeaders} from '../observability/tracing.js';
-import {isConnectFailure} from '../connect-failure.js';
-import {createTimedConnect} from '../timed-connect.js';
+import {readIssuedId, requestIdHeader, RequestIdSource} from '../transport/request-id.js';
+import {ServerTransport} from '../transport/server-transport.js';
+import type {ForeignResponseListener, OpenResponse} from '../transport/types.js';
 
-const connections = 32;
+/** Maximum number of kept connections to a peer. */
+const maxConnections = 32;
+/** In milliseconds. */
 const connectTimeoutMs = 500;
 
 /** A call that got no result; `sent` is false when it surely did not reach the peer. */
@@ -19,14 +23,15 @@
 	}
 }
 
-/** A client of one peer. Calls are sent once; undici does not repeat a POST. */
+/** A client of one peer. Calls are sent once, and a result is taken only for the call whose ids it names. */
 export class RpcClient {
-	readonly #pool: Pool;
+	readonly #transport: ServerTransport;
+	readonly #ids = new RequestIdSource();
 	#nextId = 1;
 
-	constructor(address: string, private readonly secret: string) {
-		this.#pool = new Pool(`http://${address}`, {
-			connections, pipelining: 1, connect: createTimedConnect(connectTimeoutMs), headersTimeout: 0, bodyTimeout: 0,
+	constructor(private readonly address: string, private readonly secret: string, onForeignResponse?: ForeignResponseListener) {
+		this.#transport = new ServerTransport({
+			maxConnectionsTo: () => maxConnections, readResponseId: readIssuedId, connectTimeoutMs, onForeignResponse,
 		});
 	}
 
@@ -50,31 +55,8 @@
 			giveUp();
 		}
 
-		const payload = createJSONRPCRequest(this.#nextId++, command.method, params);
 		try {
-			const answer = await this.#pool.request({
-				path: '/rpc',
-				method: 'POST',
-				headers: {'content-type': 'application/json', authorization: `Bearer ${this.secret}`, ...traceHeaders()},
-				body: JSON.stringify(payload),
-				signal: abort.signal,
-			});
-			const response = await answer.body.json() as JSONRPCResponse;
-			if (answer.statusCode === 200 && response.id !== payload.id) {
-				throw new RpcCallError(`${command.method}: the result belongs to call ${String(response.id)}, not ${String(payload.id)}`, true);
-			}
-
-			if (answer.statusCode !== 200 || response.error !== undefined) {
-				throw new RpcCallError(response.error?.message ?? `HTTP status ${answer.statusCode}`, true);
-			}
-
-			return response.result as Result;
-		} catch (error) {
-			if (error instanceof RpcCallError) {
-				throw error;
-			}
-
-			throw new RpcCallError(`${command.method}: ${(error as Error).message}`, !isConnectFailure(error));
+			return await this.#exchange(command, params, abort.signal);
 		} finally {
 			clearTimeout(timer);
 			signal?.removeEventListener('abort', giveUp);
@@ -83,6 +65,43 @@
 
 	/** Closes the connections. */
 	async close(): Promise<void> {
-		await this.#pool.destroy();
+		await this.#transport.close();
+	}
+
+	async #exchange<Params, Result>(command: RpcMethod<Params, Result>, params: Params, signal: AbortSignal): Promise<Result> {
+		const payload = createJSONRPCRequest(this.#nextId++, command.method, params);
+		const {value, binding} = this.#ids.issue();
+		const answer = await this.#transport.sendRequest({
+			kind: 'rpc',
+			binding,
+			address: this.address,
+			method: 'POST',
+			target: '/rpc',
+			headers: ['content-type', 'application/json', 'authorization', `Bearer ${this.secret}`, requestIdHeader, value, ...Object.entries(traceHeaders()).flat()],
+			body: Buffer.from(JSON.stringify(payload)),
+			signal,
+		});
+		if (answer.kind !== 'head') {
+			throw new RpcCallError(`${command.method}: ${answer.detail}`, answer.kind !== 'unsent');
+		}
+
+		const response = await this.#readResponse(command.method, answer);
+		if (answer.status === 200 && response.id !== payload.id) {
+			throw new RpcCallError(`${command.method}: the result belongs to call ${String(response.id)}, not ${String(payload.id)}`, true);
+		}
+
+		if (answer.status !== 200 || response.error !== undefined) {
+			throw new RpcCallError(response.error?.message ?? `HTTP status ${answer.status}`, true);
+		}
+
+		return response.result as Result;
+	}
+
+	async #readResponse(method: string, {body}: OpenResponse): Promise<JSONRPCResponse> {
+		try {
+			return await json(body) as JSONRPCResponse;
+		} catch (error) {
+			throw new RpcCallError(`${method}: ${(error as Error).message}`, true);
+		}
 	}
 }
