--- a/bench/src/demo/call-peer.ts
+++ b/bench/src/demo/call-peer.ts
@@ -1,4 +1,5 @@
 /** Calls JSON-RPC methods of an instance's peer port. */
+import {randomUUID} from 'node:crypto';
 import type {RpcMethod} from '@baobabpier/core';
 import {request} from 'undici';
 import type {Dispatcher} from 'undici';
@@ -22,16 +23,21 @@
  * const status = await callPeer({address, secret}, STATUS, {});
  */
 export const callPeer = async <Params, Result>({address, secret, dispatcher}: PeerTarget, command: RpcMethod<Params, Result>, params: Params): Promise<Result> => {
+	const id = randomUUID();
 	const answer = await request(`http://${address}/rpc`, {
 		method: 'POST',
 		headers: {'content-type': 'application/json', authorization: `Bearer ${secret}`},
 		body: JSON.stringify({
-			jsonrpc: '2.0', id: 1, method: command.method, params,
+			jsonrpc: '2.0', id, method: command.method, params,
 		}),
 		signal: AbortSignal.timeout(callMs),
 		dispatcher,
 	});
-	const {result, error} = await answer.body.json() as {result?: Result; error?: {message: string}};
+	const {result, error, id: answered} = await answer.body.json() as {result?: Result; error?: {message: string}; id?: string};
+	if (result !== undefined && answered !== id) {
+		throw new Error(`${command.method}: the result belongs to another call`);
+	}
+
 	if (result === undefined) {
 		throw new Error(error?.message ?? `HTTP status ${answer.statusCode}`);
 	}
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -1,4 +1,5 @@
 /** Calls an instance's operators' methods. */
+import {randomUUID} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
 import type {RpcMethod} from '@baobabpier/core';
 import {createJSONRPCRequest} from 'json-rpc-2.0';
@@ -23,16 +24,23 @@
  */
 export const callInstance = async <Params, Result>(target: OperatorTarget, command: RpcMethod<Params, Result>, params: Params): Promise<Result> => {
 	const secret = await readFile(target.secretFile, 'utf8');
+	const call = createJSONRPCRequest(randomUUID(), command.method, params);
 	const answer = await request(`http://${target.instance}/rpc`, {
 		method: 'POST',
 		headers: {'content-type': 'application/json', authorization: `Bearer ${secret.trim()}`},
-		body: JSON.stringify(createJSONRPCRequest(1, command.method, params as Record<string, unknown>)),
+		body: JSON.stringify(call),
 		signal: AbortSignal.timeout(callMs),
+		// Closes the connection after the call
+		reset: true,
 	});
 	const response = await answer.body.json() as JSONRPCResponse;
 	if (answer.statusCode !== 200 || response.error !== undefined) {
 		throw new Error(`${command.method}: ${response.error?.message ?? `HTTP status ${answer.statusCode}`}`);
 	}
 
+	if (response.id !== call.id) {
+		throw new Error(`${command.method}: the result belongs to another call`);
+	}
+
 	return response.result as Result;
 };
--- a/packages/daemon/src/observability/otlp-exporter.ts
+++ b/packages/daemon/src/observability/otlp-exporter.ts
@@ -39,6 +39,8 @@
 				headers: {'content-type': 'application/json'},
 				body: JSON.stringify(toOtlpRequest(spans, this.resource)),
 				signal: AbortSignal.timeout(exportMs),
+				// Closes the connection: nothing ties an answer to its batch
+				reset: true,
 			});
 			await answer.body.dump();
 			return answer.statusCode < 300;
--- a/packages/daemon/src/platform-watcher.ts
+++ b/packages/daemon/src/platform-watcher.ts
@@ -1,7 +1,10 @@
 /** Polls the platform's list of live and leaving instances, engines and backend servers. */
+import {json} from 'node:stream/consumers';
 import type {ServerListEntry} from '@baobabpier/core';
-import {Pool} from 'undici';
 import {z} from 'zod';
+import {readIssuedId} from './transport/request-id.js';
+import {ServerTransport} from './transport/server-transport.js';
+import type {ForeignResponseListener} from './transport/types.js';
 
 const pollMs = 500;
 const callMs = 800;
@@ -16,39 +19,49 @@
 
 /** Reads the list, one poll at a time, so that an old answer never follows a newer one. */
 export class PlatformWatcher {
-	readonly #pool: Pool | undefined;
+	readonly #transport: ServerTransport;
 	#timer: NodeJS.Timeout | undefined;
 	#polling = false;
 
-	constructor(list: string | undefined, private readonly listener: ListListener) {
-		this.#pool = list === undefined ? undefined : new Pool(`http://${list}`, {connections: 1});
+	constructor(private readonly list: string | undefined, private readonly listener: ListListener, onForeignResponse?: ForeignResponseListener) {
+		this.#transport = new ServerTransport({
+			maxConnectionsTo: () => 1, readResponseId: readIssuedId, connectTimeoutMs: callMs, onForeignResponse,
+		});
 	}
 
 	/** Starts polling, at once and then by the timer. */
 	start(): void {
-		const pool = this.#pool;
-		if (pool !== undefined) {
-			void this.#poll(pool);
+		const {list} = this;
+		if (list !== undefined) {
+			void this.#poll(list);
 			this.#timer = setInterval(() => {
-				void this.#poll(pool);
+				void this.#poll(list);
 			}, pollMs);
 		}
 	}
 
 	async stop(): Promise<void> {
 		clearInterval(this.#timer);
-		await this.#pool?.destroy();
+		await this.#transport.close();
 	}
 
-	async #poll(pool: Pool): Promise<void> {
+	async #poll(address: string): Promise<void> {
 		if (this.#polling) {
 			return;
 		}
 
 		this.#polling = true;
 		try {
-			const answer = await pool.request({path: '/instances', method: 'GET', signal: AbortSignal.timeout(callMs)});
-			const entries = listSchema.parse(await answer.body.json());
+			const response = await this.#transport.sendRequest({
+				// A list names no request, and an old one would undo marks
+				kind: 'list', binding: {kind: 'ownConnection'}, address, method: 'GET', target: '/instances', headers: [], body: undefined, signal: AbortSignal.timeout(callMs),
+			});
+			if (response.kind !== 'head') {
+				this.listener.onListFailed();
+				return;
+			}
+
+			const entries = listSchema.parse(await json(response.body));
 			this.listener.onList(entries.map(({id, state, mark}) => ({id, state, mark})));
 		} catch {
 			// The list is out of reach or malformed; what is known stays
