--- a/packages/daemon/src/__tests__/unit/repeated-plain-answers.test.ts
+++ b/packages/daemon/src/__tests__/unit/repeated-plain-answers.test.ts
@@ -12,6 +12,7 @@
 import type {
 	BackendId, ClaimKey, ClaimLedger, DataCentreId, InstanceId, InstanceIncarnation, LogTime, OwnerName, PlainService, RequestId, ServiceName,
 } from '@baobabpier/core';
+import type {ForeignResponseListener} from '../../transport/types.js';
 import {RepeatingServer, responseOf} from './repeating-server.js';
 import type {RawRequest, RepeatMoment, ReturnedId} from './repeating-server.js';
 import {PlainCaller} from '@baobabpier/daemon';
@@ -53,9 +54,9 @@
 	return server;
 };
 
-const createCaller = (table = new ClaimTable({retentionMs: 1e9, maxRecords: 100})): PlainCaller => {
+const createCaller = (table = new ClaimTable({retentionMs: 1e9, maxRecords: 100}), onForeignResponse?: ForeignResponseListener): PlainCaller => {
 	const caller = new PlainCaller({
-		self: toId<InstanceId>('i1'), life: toId<InstanceIncarnation>('l1'), clock: new ManualClock(), dataCentre, ledger: ledgerOf(table), random: createSeededRandom(3), isLeaving: () => false,
+		self: toId<InstanceId>('i1'), life: toId<InstanceIncarnation>('l1'), clock: new ManualClock(), dataCentre, ledger: ledgerOf(table), random: createSeededRandom(3), isLeaving: () => false, onForeignResponse,
 	});
 	open.push(caller);
 	return caller;
@@ -316,3 +317,25 @@
 	const result = await createCaller().call(callOf(serviceOf(server.address), get!, 1));
 	expect(result.ok && result.val.headers.map(([name]) => name)).toEqual(['x-answer']);
 });
+
+test.each([
+	{repeat: 'beforeNext', moment: 'awaited'},
+	{repeat: 'togetherWithNext', moment: 'awaited'},
+	{repeat: 'atOnce', moment: 'idle'},
+] as const)('each copy sent $repeat is counted once, as $moment', async ({repeat, moment}) => {
+	const [get] = kinds;
+	const server = await startServer({repeat, returns: 'same', respond: get!.respond});
+	const counted: string[][] = [];
+	const caller = createCaller(undefined, (...labels) => {
+		counted.push(labels);
+	});
+	for (const number of [1, 2]) {
+		// eslint-disable-next-line no-await-in-loop
+		await receive(caller, callOf(serviceOf(server.address), get!, number));
+		// eslint-disable-next-line no-await-in-loop
+		await sleep(betweenCallsMs);
+	}
+
+	expect(server.copies).toBeGreaterThan(0);
+	expect(counted).toEqual(Array.from({length: server.copies}, () => ['plain', moment]));
+});
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -44,6 +44,7 @@
 import {Peers} from './rpc/peers.js';
 import {RpcServer} from './rpc/rpc-server.js';
 import type {Settings} from './settings/parse-settings.js';
+import type {ForeignResponseListener} from './transport/types.js';
 
 const log = createLog('daemon');
 
@@ -82,14 +83,18 @@
 
 	const stopTracing = settings.tracing && startTracing(settings.tracing.endpoint, self);
 	const metrics = settings.metrics ? new StatsdMetrics(settings.metrics, {instance: self, dataCentre}) : noMetrics;
-	const peers = new Peers(settings.instances, secret);
+	const onForeignResponse: ForeignResponseListener = (kind, moment) => {
+		metrics.count('responses.foreign', 1, {kind, moment});
+	};
+
+	const peers = new Peers(settings.instances, secret, undefined, onForeignResponse);
 	const rpc = new RpcServer(secret);
 	const control = new ReplicatedControlLog({
 		self: settings.instances.find(({id}) => id === self)!, instances: settings.instances, folder: settings.storage?.folder, peers, clock, random,
 	});
 	const catalogue = new ReplicatedCatalogueStore(control);
 	const ledger = new TracedLedger(new ReplicatedClaimLedger(control));
-	const clients = new EngineClients();
+	const clients = new EngineClients(onForeignResponse);
 	const canceller = new EngineCanceller(clients, clock);
 	const fleet = new Fleet({
 		self: {id: self, dataCentre}, incarnation, instances: settings.instances, clock, random, peers, list: settings.platform?.list, onLeaving() {
@@ -98,6 +103,7 @@
 		onDead(id) {
 			void claims.clean(id);
 		},
+		onForeignResponse,
 	});
 	const claims = new ClaimCleaner({
 		self, instances: settings.instances.map(({id}) => id), control, fleet,
@@ -152,7 +158,7 @@
 		self, dataCentre, shares, peers, clock, leaving: () => unavailable() as ReadonlySet<EngineId>,
 	});
 	const plain: PlainCaller = new PlainCaller({
-		self, life, clock, dataCentre, ledger, random, isLeaving: (id: BackendId) => fleet.leaving.has(id) || stops.stopped.has(id),
+		self, life, clock, dataCentre, ledger, random, isLeaving: (id: BackendId) => fleet.leaving.has(id) || stops.stopped.has(id), onForeignResponse,
 	});
 	const limits = new LimitTask({
 		self: {id: self, dataCentre}, incarnation, instances: settings.instances, clock, random, shares, peers, catalogue,
--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -13,6 +13,7 @@
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import {PlatformWatcher} from '../platform-watcher.js';
+import type {ForeignResponseListener} from '../transport/types.js';
 import type {Peers} from '../rpc/peers.js';
 import type {RpcServer} from '../rpc/rpc-server.js';
 
@@ -37,6 +38,7 @@
 	readonly list: string | undefined;
 	readonly onLeaving: (leaving: ReadonlySet<string>) => void;
 	readonly onDead: (id: InstanceId) => void;
+	readonly onForeignResponse?: ForeignResponseListener;
 };
 
 /** Knows which instances run and which servers are leaving. */
@@ -58,7 +60,7 @@
 			onListFailed: () => {
 				this.#dispatch({kind: 'listFailed'});
 			},
-		});
+		}, parts.onForeignResponse);
 	}
 
 	/** Servers that take no new work. */
--- a/packages/daemon/src/observability/metric-table.ts
+++ b/packages/daemon/src/observability/metric-table.ts
@@ -32,6 +32,9 @@
 	refusals: {
 		type: 'counter', unit: 'requests', tags: ['kind'], meaning: 'Requests refused before admission, by error kind.',
 	},
+	'responses.foreign': {
+		type: 'counter', unit: 'responses', tags: ['kind', 'moment'], meaning: 'Responses that belong to no request or to another one, by kind of call (`plain`, `engine`, `rpc`, `list`) and place (`awaited`, `body`, `idle`).',
+	},
 	'requests.open': {
 		type: 'gauge', unit: 'requests', tags: [], meaning: 'Requests in progress.',
 	},
