--- a/packages/daemon/src/requests/backend-sender.ts
+++ b/packages/daemon/src/requests/backend-sender.ts
@@ -10,6 +10,7 @@
 import {readIssuedId, requestIdHeader, RequestIdSource} from '../transport/request-id.js';
 import {ServerTransport} from '../transport/server-transport.js';
 import type {ForeignResponseListener, TransportFailure} from '../transport/types.js';
+import {answerBody} from './answer-body.js';
 import {answerHeaders, forwardHeaders} from './http-headers.js';
 import type {PlainAnswer, PlainCall} from './plain-call.js';
 
@@ -84,7 +85,7 @@
 			});
 			if (response.kind === 'head') {
 				response.body.once('close', leave);
-				return ok({status: response.status, headers: answerHeaders(response.rawHeaders), body: response.body});
+				return ok({status: response.status, headers: answerHeaders(response.rawHeaders), body: answerBody(response)});
 			}
 
 			leave();
