--- a/bench/src/overhead/main.ts
+++ b/bench/src/overhead/main.ts
@@ -22,6 +22,7 @@
 	.option('rounds', {type: 'number', default: 5, describe: 'Rounds; medians are printed'})
 	.option('run-ms', {type: 'number', default: 1500, describe: 'Length of one run'})
 	.option('calls', {type: 'boolean', default: true, describe: 'Measure calls'})
+	.option('ids', {type: 'boolean', default: true, describe: 'Whether the backend server returns the id of a request'})
 	.option('streams', {type: 'boolean', default: true, describe: 'Measure the memory of open streams too'})
 	.strict()
 	.parseAsync();
@@ -68,7 +69,7 @@
 const measureCalls = async (): Promise<void> => {
 	const single = await SingleInstance.start({
 		standIns: {},
-		programs: {target: {file: program('target-server'), args: []}},
+		programs: {target: {file: program('target-server'), args: args.ids ? ['returns-ids'] : []}},
 		services: ({target}) => ({
 			target: {
 				kind: 'plain',
@@ -88,6 +89,7 @@
 		router: {address: single.callers, path: '/services/target/check', pid: pidOf('one')},
 	};
 	await Promise.all(ways.map(async way => runLoad({...targets[way], callers: 16, runMs: warmUpMs})));
+	print(`The backend server returns ${args.ids ? 'the id of a request' : 'no id'}.\n`);
 	print('| Callers | Direct (rate, p50, p95, processor time) | Bare pass-through | Router | Router / bare: rate, requests by processor time | p50, p95 router / direct | Added at p95 |');
 	print('| --- | --- | --- | --- | --- | --- | --- |');
 	let highest = 0;
