--- /dev/null
+++ b/packages/core/src/__tests__/unit/connection-plan.test.ts
@@ -0,0 +1,43 @@
+import {expect, test} from 'vitest';
+import {ConnectionPlan} from '../../index.js';
+import type {ConnectionId, PlanStep, ResponseBinding} from '../../index.js';
+
+type Request = {readonly name: string; readonly binding: ResponseBinding};
+
+const requestOf = (name: string): Request => ({name, binding: {kind: 'echoedIfSupported', requestId: name}});
+const [first, second] = [1, 2] as ConnectionId[];
+
+const namesOf = (steps: ReadonlyArray<PlanStep<Request>>): string[] => steps.map(step => {
+	const target = 'connection' in step ? step.connection : '';
+	return `${step.kind} ${target} ${'request' in step ? step.request.name : ''}`.trim().replaceAll(/ +/gv, ' ');
+});
+
+/** Leaves two connections: one that carried both requests, and one that was opened for the second and carried none. */
+const planWithUnused = (): ConnectionPlan<Request> => {
+	const plan = new ConnectionPlan<Request>(() => 4);
+	plan.add(requestOf('a'));
+	plan.add(requestOf('b'));
+	plan.handleOpened(first!);
+	for (const name of ['a', 'b']) {
+		plan.judge(first!, name);
+		plan.handleEnd(first!);
+	}
+
+	plan.handleOpened(second!);
+	return plan;
+};
+
+test('a request that can not be written on a connection that waited unused is sent on another one', () => {
+	const plan = planWithUnused();
+	expect(namesOf(plan.add(requestOf('c')))).toEqual(['send 1 c']);
+	expect(namesOf(plan.add(requestOf('d')))).toEqual(['send 2 d']);
+	expect(namesOf(plan.handleUnwritten(second!))).toEqual(['close 2', 'open 3']);
+	expect(namesOf(plan.handleOpened(3 as ConnectionId))).toEqual(['send 3 d']);
+});
+
+test('a request that can not be written on the connection that was just opened for it fails', () => {
+	const plan = new ConnectionPlan<Request>(() => 4);
+	plan.add(requestOf('a'));
+	plan.handleOpened(first!);
+	expect(namesOf(plan.handleUnwritten(first!))).toEqual(['close 1', 'fail a']);
+});
--- a/packages/core/src/transport/connection-plan.ts
+++ b/packages/core/src/transport/connection-plan.ts
@@ -33,6 +33,8 @@
 	opener: Request | undefined;
 	request: Request | undefined;
 	isFirst: boolean;
+	/** Whether it was open for a time without a request: its server may have closed it meanwhile. */
+	wasIdle: boolean;
 	mustClose: boolean;
 };
 
@@ -107,7 +109,9 @@
 			return [this.#send(connection, opener!)];
 		}
 
-		return this.#pump(lane);
+		const steps = this.#pump(lane);
+		connection.wasIdle = this.isIdle(id);
+		return steps;
 	}
 
 	/** Judges the head of a response on a connection; one of another request puts the connection out of step. */
@@ -135,6 +139,7 @@
 		}
 
 		connection.phase = 'idle';
+		connection.wasIdle = true;
 		return this.#pump(lane);
 	}
 
@@ -150,12 +155,12 @@
 		return this.#pump(connection.lane);
 	}
 
-	/** Records that a connection was closed before its request was written; on a kept connection the request is sent on another one. */
+	/** Records that a connection was closed before its request was written; unless it had just been opened, the request is sent on another one. */
 	handleUnwritten(id: ConnectionId): ReadonlyArray<PlanStep<Request>> {
 		const connection = this.#get(id);
-		const {request, isFirst, lane} = connection;
+		const {request, wasIdle, lane} = connection;
 		const steps: Array<PlanStep<Request>> = [this.#close(connection)];
-		if (request !== undefined && isFirst) {
+		if (request !== undefined && !wasIdle) {
 			steps.push({kind: 'fail', request});
 		} else if (request !== undefined) {
 			this.#waiting.unshift(request);
@@ -245,7 +250,7 @@
 	#open(lane: string | undefined, opener: Request): PlanStep<Request> {
 		const id = toId<ConnectionId>(this.#nextId++);
 		this.#connections.set(id, {
-			id, lane, phase: 'opening', opener, request: undefined, isFirst: true, mustClose: false,
+			id, lane, phase: 'opening', opener, request: undefined, isFirst: true, wasIdle: false, mustClose: false,
 		});
 		return {kind: 'open', connection: id};
 	}
