--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -41,10 +41,10 @@
  * checks once a second and removes an instance after two failures.
  */
 const notReadyDelayMs = 2600;
-/** Part of the stop timeout reserved for closing, in milliseconds: closing takes some tens of milliseconds, also on a slow machine. */
-const closeReserveMs = 350;
+/** Part of the stop timeout reserved for closing, in milliseconds: closing takes some tens of milliseconds, and several times that on a busy machine. */
+const closeReserveMs = 500;
 /** Maximum fraction of the stop timeout that is reserved for closing. */
-const maxCloseReserveFraction = 0.5;
+const maxCloseReserveFraction = 1 / 8;
 /** Fraction of that reserve in which the last responses are sent. */
 const sendReserveFraction = 0.6;
 const drainPollIntervalMs = 25;
