--- a/packages/daemon/src/__tests__/unit/server-connections.test.ts
+++ b/packages/daemon/src/__tests__/unit/server-connections.test.ts
@@ -231,6 +231,7 @@
 		name: 'a head that does not end', bytes: 'GET /safe/late HTTP/1.1\r\nhost: a.exa', status: 408, seenAfterMs: headersTimeoutMs + 1000,
 	},
 	{name: 'a request with two lengths', bytes: get('/safe/2', 'content-length: 1\r\ncontent-length: 2\r\n'), status: 400},
+	{name: 'a request without a host', bytes: 'GET /safe/2 HTTP/1.1\r\n\r\n', status: 400},
 	{name: 'a request for a tunnel', bytes: 'CONNECT b.example:1 HTTP/1.1\r\nhost: b.example:1\r\n\r\n', status: 400},
 ];
 
@@ -260,10 +261,10 @@
 		expect(subject.served).toEqual([path]);
 	});
 
-	test('answers pipelined requests in their order, and passes on a request once the answer before is sent', async () => {
+	test.each(['', 'expect: 100-continue\r\n'])('answers pipelined requests in their order, and passes on one with "%s" once the answer before is sent', async fields => {
 		subject = await start();
 		const connection = await Connection.open();
-		connection.socket.write(`${get('/stream/1')}${get('/safe/2', 'expect: 100-continue\r\n')}no request\r\n\r\n`);
+		connection.socket.write(`${get('/stream/1')}${get('/safe/2', fields)}no request\r\n\r\n`);
 		await until('the first request is served', () => subject.served.length === 1);
 		await sleep(50);
 		expect(subject.served).toEqual(['/stream/1']);
@@ -276,6 +277,17 @@
 		]);
 	});
 
+	test('closes the connection with the answer to a request for another protocol', async () => {
+		subject = await start();
+		const connection = await Connection.open();
+		connection.socket.write(`${get('/safe/1', 'connection: upgrade\r\nupgrade: h2c\r\n')}${get('/safe/2')}`);
+		await until('the request is served', () => subject.served.length === 1);
+		subject.finish('/safe/1');
+		await until('the connection is closed', () => connection.isClosed);
+		expect(parseResponses(connection.text)).toMatchObject([{status: 200, body: 'plain /safe/1', isComplete: true}]);
+		expect(subject.served).toEqual(['/safe/1']);
+	});
+
 	test('writes nothing when a caller leaves within a request behind a running answer', async () => {
 		subject = await start();
 		const connection = await Connection.open();
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -207,7 +207,8 @@
 			return;
 		}
 
-		res.shouldKeepAlive &&= !this.#isClosing;
+		// The parser drops the bytes behind a request for another protocol
+		res.shouldKeepAlive &&= !this.#isClosing && req.headers.upgrade === undefined;
 		if (this.#stallTimeoutMs > 0) {
 			socket.setTimeout(this.#stallTimeoutMs);
 		}
