--- a/packages/daemon/src/__tests__/unit/listener-stop.test.ts
+++ b/packages/daemon/src/__tests__/unit/listener-stop.test.ts
@@ -77,7 +77,8 @@
 		random: createSeededRandom(1),
 		dialect: {
 			parseMetadata: headers => ok({
-				requestId: toId<RequestId>('r'), callerTimeoutMs: headers.deadline === undefined ? undefined : Number(headers.deadline), promptTokens: 0, maxTokens: 0, lastEventId: undefined, sharedSegments: [],
+				requestId: toId<RequestId>('r'), promptTokens: 0, maxTokens: 0, lastEventId: undefined, sharedSegments: [],
+				callerTimeoutMs: headers.deadline === undefined ? undefined : Number(headers.deadline),
 			}),
 			errorHeaders: (_id, retryAfterMs): Record<string, string> => retryAfterMs === undefined ? {} : {'retry-after': String(retryAfterMs / 1000)},
 		},
@@ -95,6 +96,10 @@
 				}
 
 				const failure = await work(call, scope);
+				if (call.target.endsWith('silent')) {
+					return {kind: 'streamed'};
+				}
+
 				if (failure !== undefined && !out.isStarted) {
 					return errorReply(routerError(failure));
 				}
@@ -184,6 +189,9 @@
 	{
 		name: 'a stream without an event', path: '/stream/long/sent', status: 504, isComplete: true, fields: ['"run":"unknown"'],
 	},
+	{
+		name: 'a stream whose route determined no response', path: '/stream/long/silent', status: 502, isComplete: true, fields: ['"run":"unknown"'],
+	},
 	{
 		name: 'a stream that has begun', path: '/stream/long/begun', status: 200, isComplete: false, fields: ['first '],
 	},
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -4,7 +4,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
-	addMs, errorResponses, pickTarget, RouteIndex, routerError, toErrorBody,
+	addMs, errorResponses, isErrorKind, pickTarget, RouteIndex, routerError, toErrorBody,
 } from '@baobabpier/core';
 import type {
 	Clock, DrainWindow, ErrorResponse, RandomSource, RouterError, RoutingTable,
@@ -20,6 +20,7 @@
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {PlainRoute} from './plain-route.js';
 import {forwardableHeaders} from './raw-headers.js';
+import {errorReply} from './reply.js';
 import type {Reply} from './reply.js';
 import type {StartupGate} from './startup-gate.js';
 import type {StreamRoute} from './stream-route.js';
@@ -39,7 +40,15 @@
 /** Maximum number of connections that wait to be accepted. */
 const backlog = 1024;
 
-const isNotRun = ({kind}: RouterError): boolean => errorResponses[kind].run === 'no';
+/** The reply to a call whose route returned `reply`: every caller gets a response, and one that fits the end of its call. */
+const toFinalReply = (reply: Reply, res: ServerResponse, scope: CallScope): Reply => {
+	if (reply.kind === 'streamed' && !res.headersSent && scope.reason !== 'callerGone') {
+		return errorReply(routerError('answerLost', 'the stream ended without a response'));
+	}
+
+	// Another instance may serve at once what this one could not begin
+	return reply.kind === 'error' && scope.isCutShort && errorResponses[reply.error.kind].run === 'no' ? errorReply(routerError('shuttingDown')) : reply;
+};
 
 /** Dependencies of the caller listener. */
 export type CallerListenerParts = {
@@ -65,7 +74,12 @@
 
 	constructor(private readonly parts: CallerListenerParts) {
 		this.#connections = new ServerConnections(createServer({
-			maxHeaderSize: initialLimits.headerBytes, headersTimeout: initialLimits.headersTimeoutMs, requestTimeout: 0, keepAliveTimeout: initialLimits.idleTimeoutMs, connectionsCheckingInterval: connectionCheckIntervalMs, noDelay: true,
+			maxHeaderSize: initialLimits.headerBytes,
+			headersTimeout: initialLimits.headersTimeoutMs,
+			requestTimeout: 0,
+			keepAliveTimeout: initialLimits.idleTimeoutMs,
+			connectionsCheckingInterval: connectionCheckIntervalMs,
+			noDelay: true,
 		}), (req, res, waitedMs) => {
 			void this.#handle(req, res, waitedMs);
 		});
@@ -226,24 +240,25 @@
 			}
 		});
 		try {
-			const reply = call.route.kind === 'stream' ? await streams.serve(call, service, scope, new CallerStream(call, res, scope)) : await plain.serve(call, service, scope);
+			const routed = call.route.kind === 'stream' ? await streams.serve(call, service, scope, new CallerStream(call, res, scope)) : await plain.serve(call, service, scope);
+			const reply = toFinalReply(routed, res, scope);
 			this.#writeReply(call, req, res, reply, scope);
 			const outcome = this.#findOutcome(reply, res, scope);
 			log('A call ended.', {
 				requestId: call.requestId, route: call.route.name, service, outcome, status: res.statusCode, ms: Math.round(clock.now() - call.arrivedAt), ended: scope.reason,
 			});
 			metrics.observeCall(call.route.kind, outcome, clock.now() - call.arrivedAt);
-			this.#recordForDrain(call, reply, scope);
+			this.#recordForDrain(call, outcome);
 		} finally {
 			scope.close();
 			this.#openScopes.delete(scope);
 		}
 	}
 
-	#recordForDrain({route, arrivedAt}: Call, reply: Reply, scope: CallScope): void {
-		if (scope.isCutShort) {
+	#recordForDrain({route, arrivedAt}: Call, outcome: string): void {
+		if (outcome === 'cutShort') {
 			this.#drain.countEffect('cutShort', route.kind);
-		} else if (scope.reason !== 'callerGone' && !(reply.kind === 'error' && isNotRun(reply.error))) {
+		} else if (outcome !== 'callerGone' && !(isErrorKind(outcome) && errorResponses[outcome].run === 'no')) {
 			this.#drain.recordDuration(route.name, this.parts.clock.now() - arrivedAt);
 		}
 	}
@@ -253,15 +268,15 @@
 			return 'callerGone';
 		}
 
-		if (scope.isCutShort) {
-			return 'cutShort';
+		if (reply.kind !== 'error' && res.writableEnded) {
+			return 'answered';
 		}
 
-		if (reply.kind === 'error') {
-			return reply.error.kind;
+		if (scope.isCutShort) {
+			return 'cutShort';
 		}
 
-		return reply.kind === 'relay' || res.writableEnded ? 'answered' : 'brokenOff';
+		return reply.kind === 'error' ? reply.error.kind : 'brokenOff';
 	}
 
 	#writeReply(call: Call, req: IncomingMessage, res: ServerResponse, reply: Reply, scope: CallScope): void {
@@ -270,8 +285,7 @@
 		}
 
 		if (reply.kind === 'error') {
-			// Another instance may serve at once what this one could not begin
-			this.#refuse(req, res, scope.isCutShort && isNotRun(reply.error) ? routerError('shuttingDown') : reply.error, call.requestId);
+			this.#refuse(req, res, reply.error, call.requestId);
 			return;
 		}
 
@@ -302,7 +316,6 @@
 		const response: ErrorResponse = errorResponses[error.kind];
 		const text = JSON.stringify(toErrorBody(error));
 		res.shouldKeepAlive &&= req.complete;
-
 		res.writeHead(response.status, {
 			'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...this.parts.dialect.errorHeaders(requestId, error.retryAfterMs ?? response.retryAfterMs),
 		});
