--- a/packages/core/src/transport/connection-plan.ts
+++ b/packages/core/src/transport/connection-plan.ts
@@ -170,8 +170,6 @@
 			steps.push({kind: 'fail', request});
 		} else if (request !== undefined) {
 			this.#waiting.unshift(request);
-		} else if (request !== undefined) {
-			steps.push({kind: 'fail', request});
 		}
 
 		return [...steps, ...this.#pump(lane)];
