--- a/packages/daemon/src/timed-connect.ts
+++ b/packages/daemon/src/timed-connect.ts
@@ -10,7 +10,7 @@
  * `onReset` is called for each connection that its peer resets, before undici hears of its end.
  *
  * @example
- * new Pool(origin, {connect: createTimedConnect(250)});
+ * createTimedConnect(250)({hostname: '10.0.0.9', port: '8080', protocol: 'http:'}, callback);
  */
 export const createTimedConnect = (timeoutMs: number, onReset?: () => void): buildConnector.connector => (options, callback) => {
 	const socket = connect({host: options.hostname, port: Number(options.port), noDelay: true});
