--- a/packages/daemon/src/transport/server-connection.ts
+++ b/packages/daemon/src/transport/server-connection.ts
@@ -61,7 +61,6 @@
 	#bytesRead = 0;
 	/** Whether the response head is still to come. */
 	#isHeadDue = false;
-	#openedAt = 0;
 
 	constructor(private readonly address: string, connectTimeoutMs: number, private readonly listener: ConnectionListener) {
 		const {host, port} = splitAddress(address);
@@ -165,8 +164,7 @@
 	/** Whether nothing has arrived since the last response, and the server has not closed the connection. */
 	#isUsable(): boolean {
 		const socket = this.#socket!;
-		const isStale = this.#client === undefined && performance.now() - this.#openedAt > firstUseTimeoutMs;
-		return !this.#isClosed && !socket.destroyed && socket.writable && !socket.readableEnded && !isStale && socket.bytesRead === this.#bytesRead;
+		return !this.#isClosed && !socket.destroyed && socket.writable && !socket.readableEnded && socket.bytesRead === this.#bytesRead;
 	}
 
 	#open(socket: Socket): void {
@@ -176,7 +174,12 @@
 			return;
 		}
 
-		this.#openedAt = performance.now();
+		// The client closes idle connections, but gets this one with the first request only
+		setTimeout(() => {
+			if (this.#client === undefined) {
+				this.destroy();
+			}
+		}, firstUseTimeoutMs).unref();
 		socket.on('readable', () => {
 			this.#handleReadable(socket);
 		});
