--- a/packages/cli/src/status-command.ts
+++ b/packages/cli/src/status-command.ts
@@ -10,7 +10,8 @@
 const controlLines = (control: ControlStatus): string[] => [
 	`control log: index ${control.index}, leader ${control.leader ?? 'unknown'}${control.hearsQuorum ? '' : '; can\'t hear the quorum, goes on with what it has'}`,
 	...(control.replica === undefined ? [] : [`replica ${control.replica}: ${control.role}, term ${control.term}`]),
-	...(control.failure === undefined ? [] : [`replica stopped: ${control.failure}`]),
+	...(control.failure === undefined ? [] : [`replica stopped: ${control.failure}${control.failedForMs === undefined ? '' : `, ${Math.round(control.failedForMs / 1000)} s ago`}`]),
+	...(control.reopenings === 0 ? [] : [`storage opened again ${control.reopenings} times since the start`]),
 	...control.members.map(({replica, voter, lag}) => `member ${replica}: ${voter ? 'voter' : 'learner'}${lag === undefined ? '' : `, lag ${lag}`}`),
 ];
 
--- a/packages/core/src/consensus/consensus-replica.ts
+++ b/packages/core/src/consensus/consensus-replica.ts
@@ -135,7 +135,7 @@
 			}
 
 			case 'transfer': {
-				this.#transferLeadership();
+				this.#leaderTerm?.transferLeadership(now);
 				break;
 			}
 		}
@@ -359,14 +359,6 @@
 		}
 	}
 
-	#transferLeadership(): void {
-		const target = this.#store.log.membership.voters.find(id => id !== this.#options.self && this.#leaderTerm?.matchIndexOf(id) === this.#store.log.lastIndex);
-		if (target !== undefined) {
-			this.#leaderTerm!.relinquishLease();
-			this.#send(target, {kind: 'electNow', term: this.#store.hardState.term});
-		}
-	}
-
 	#setRole(role: ReplicaRole, leader: ReplicaId | undefined): void {
 		if (role === this.#role && leader === this.#leader) {
 			return;
--- a/packages/core/src/consensus/leader-term.ts
+++ b/packages/core/src/consensus/leader-term.ts
@@ -152,9 +152,18 @@
 		this.#leaseSuspendedUntilRound = this.#round + 1;
 	}
 
-	/** Relinquishes the lease for the rest of the term: a successor may be elected at any time. */
-	relinquishLease(): void {
-		this.#leaseSuspendedUntilRound = Number.POSITIVE_INFINITY;
+	/**
+	 * Requests a voter that replied lately and has the most synced entries to start an election. It may lack the newest entries,
+	 * and is elected only if a majority has no more. Relinquishes the lease for the rest of the term: the successor may lead at any time.
+	 */
+	transferLeadership(now: Instant): void {
+		const {self, store: {log, hardState}, timings, send} = this.options;
+		const responsive = log.membership.voters.filter(id => id !== self && now - (this.#lastReplyAt.get(id) ?? Number.NEGATIVE_INFINITY) <= timings.minElectionTimeoutMs);
+		const [successor] = responsive.toSorted((a, b) => this.matchIndexOf(b) - this.matchIndexOf(a));
+		if (successor !== undefined) {
+			this.#leaseSuspendedUntilRound = Number.POSITIVE_INFINITY;
+			send(successor, {kind: 'electNow', term: hardState.term});
+		}
 	}
 
 	/** Last index known to be synced at a member. */
--- a/packages/core/src/rpc/rpc-methods.ts
+++ b/packages/core/src/rpc/rpc-methods.ts
@@ -232,8 +232,12 @@
 	readonly term: number | undefined;
 	readonly role: ReplicaRole | undefined;
 	readonly members: ReadonlyArray<{readonly replica: ReplicaId; readonly voter: boolean; readonly lag: number | undefined}>;
-	/** Why the replica stopped; undefined while it runs or when the instance has no replica. */
+	/** Why the replica's storage is failed; undefined while the replica runs or when the instance has none. */
 	readonly failure: string | undefined;
+	/** How long the storage has been failed, in milliseconds. */
+	readonly failedForMs: number | undefined;
+	/** How often a failed storage was opened again since the start of the instance. */
+	readonly reopenings: number;
 };
 
 /* eslint-disable @typescript-eslint/naming-convention */
--- a/packages/daemon/src/__tests__/unit/replica-storage.test.ts
+++ b/packages/daemon/src/__tests__/unit/replica-storage.test.ts
@@ -60,6 +60,13 @@
 		};
 	}
 
+	async overwrite(file: string, offset: number, bytes: Uint8Array): Promise<void> {
+		const content = this.files.get(file)!;
+		content.bytes.set(bytes, offset);
+		this.#mayFail('sync');
+		content.synced = content.bytes.length;
+	}
+
 	async rename(from: string, to: string): Promise<void> {
 		this.#mayFail('rename');
 		this.files.set(to, this.files.get(from)!);
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -30,8 +30,6 @@
 import {WatchServer} from './watch-server.js';
 
 const log = createLog('control-node');
-/** Delay before a failed disk is opened again, in milliseconds. */
-const reopenDelayMs = 1000;
 /** Interval between reads of the server list, in milliseconds: a leaving server must be known within seconds, and the platform charges for reads. */
 const listIntervalMs = 700;
 /** Number of connections to the platform's list, and to each engine for reports and orders. */
@@ -159,7 +157,6 @@
 		founders: first.isFirstStart ? first.seeds : [],
 		discovered: () => settings.seeds,
 		voters: first.voters,
-		reopenMs: reopenDelayMs,
 	});
 	const shares = new LeaderShares(first.id, control);
 	const transport = new ServerTransport(() => serverConnections);
@@ -245,6 +242,8 @@
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => control.state.routing.current?.version ?? 0);
 	metrics.registerGauge('control_term', 'Term of the control log', () => control.status.term ?? 0);
 	metrics.registerGauge('control_leads', 'Whether this instance leads the control log', () => control.status.role === 'leader' ? 1 : 0);
+	metrics.registerGauge('storage_failed_seconds', 'How long the storage of the replica has been failed; 0 while it runs', () => (control.status.failedForMs ?? 0) / 1000);
+	metrics.registerGauge('storage_reopenings', 'How often a failed storage was opened again', () => control.status.reopenings);
 	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => watchServer.entries);
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => control.state.quarantine.entries.length);
 	metrics.registerGauge('suspected_sets', 'Prompt segment sets under suspicion at the leader', () => quarantine.suspects?.sets.length ?? 0);
--- a/packages/daemon/src/control/control-log-parts.ts
+++ b/packages/daemon/src/control/control-log-parts.ts
@@ -2,6 +2,7 @@
 import type {Clock, InstanceId, RandomSource} from '@baobabpier/core';
 import type {Peers} from '../rpc/peers.js';
 import type {InstanceEntry} from '../settings/parse-settings.js';
+import type {FileSystem} from '../storage/file-system.js';
 
 /** Dependencies of the control log of an instance. */
 export type ControlLogParts = {
@@ -18,6 +19,6 @@
 	readonly discovered?: () => readonly InstanceId[];
 	/** Target number of voters; unbounded when undefined. */
 	readonly voters?: number;
-	/** Interval at which a failed storage is reopened, in milliseconds; never when undefined. */
-	readonly reopenMs?: number;
+	/** Where the replica's files are; the machine's file system when undefined. */
+	readonly fileSystem?: FileSystem;
 };
--- a/packages/daemon/src/control/control-timings.ts
+++ b/packages/daemon/src/control/control-timings.ts
@@ -35,3 +35,18 @@
 
 /** Interval at which a replica that is no member of the log requests to join, in milliseconds. */
 export const joinIntervalMs = 300;
+
+/** Delay before a storage that failed is opened again, in milliseconds; doubled after each further failure. */
+export const initialReopenDelayMs = 250;
+
+/** Longest delay before a storage that failed is opened again, in milliseconds: a change must be accepted within seconds of the room for it. */
+export const maxReopenDelayMs = 1000;
+
+/** Delay before a storage that can't be trusted is opened again, in milliseconds: only an operator can change what it holds. */
+export const damagedReopenDelayMs = 30_000;
+
+/** Running time of a replica after which its next failure counts as a new one, in milliseconds. */
+export const stableAfterMs = 5000;
+
+/** Interval at which an unchanged failure of the storage is logged again, in milliseconds. */
+export const failureLogIntervalMs = 60_000;
--- a/packages/daemon/src/control/learner-task.ts
+++ b/packages/daemon/src/control/learner-task.ts
@@ -14,22 +14,45 @@
 export class LearnerTask {
 	#position: ControlPosition | undefined;
 	#source = 0;
-	#isStopped = false;
+	/** Counts the starts and stops, so that a fetch that was pending at one of them ends its loop. */
+	#generation = 0;
+	#isRunning = false;
 
-	/** `sources` are tried in this order. */
-	constructor(private readonly sources: readonly InstanceId[], private readonly peers: Peers, private readonly applied: AppliedLog) {}
+	/** `sources` are tried in this order; they may change. */
+	constructor(private readonly sources: () => readonly InstanceId[], private readonly peers: Peers, private readonly applied: AppliedLog) {}
 
 	/** The position that the source last reported; undefined while no source responds. */
 	get position(): ControlPosition | undefined {
 		return this.#position;
 	}
 
-	/** Follows until stopped. */
-	async run(): Promise<void> {
-		while (!this.#isStopped && this.sources.length > 0) {
-			const source = this.sources[this.#source % this.sources.length]!;
+	/** Follows until stopped; may be started again. */
+	start(): void {
+		if (!this.#isRunning) {
+			this.#isRunning = true;
+			this.#generation += 1;
+			void this.#run(this.#generation);
+		}
+	}
+
+	/** Stops following; what a pending fetch brings is ignored. */
+	stop(): void {
+		this.#isRunning = false;
+		this.#generation += 1;
+		this.#position = undefined;
+	}
+
+	/** Fetches once from an instance. Throws `RpcCallError`. */
+	async fetch(source: InstanceId, waitMs: number): Promise<ControlPosition> {
+		return this.#fetch(source, waitMs, () => true);
+	}
+
+	async #run(generation: number): Promise<void> {
+		while (generation === this.#generation) {
+			const sources = this.sources();
+			const source = sources[this.#source % Math.max(1, sources.length)];
 			// eslint-disable-next-line no-await-in-loop
-			const isGood = await this.#follow(source);
+			const isGood = source !== undefined && await this.#follow(source, generation);
 			if (!isGood) {
 				this.#source += 1;
 				// eslint-disable-next-line no-await-in-loop
@@ -38,13 +61,12 @@
 		}
 	}
 
-	stop(): void {
-		this.#isStopped = true;
-	}
-
-	/** Fetches once from an instance. Throws `RpcCallError`. */
-	async fetch(source: InstanceId, waitMs: number): Promise<ControlPosition> {
+	async #fetch(source: InstanceId, waitMs: number, isWanted: () => boolean): Promise<ControlPosition> {
 		const {update, position} = await this.peers.get(source).call(CONTROL_FETCH, {after: this.applied.state.index, waitMs}, waitMs + fetchGraceMs);
+		if (!isWanted()) {
+			return position;
+		}
+
 		if (update.kind === 'capture') {
 			this.applied.restore(update.capture);
 		} else {
@@ -54,11 +76,17 @@
 		return position;
 	}
 
-	async #follow(source: InstanceId): Promise<boolean> {
+	async #follow(source: InstanceId, generation: number): Promise<boolean> {
+		const isCurrent = (): boolean => generation === this.#generation;
 		try {
-			this.#position = await this.fetch(source, fetchTimeoutMs);
-			return this.#position.hearsQuorum;
+			const position = await this.#fetch(source, fetchTimeoutMs, isCurrent);
+			this.#position = isCurrent() ? position : this.#position;
+			return position.hearsQuorum;
 		} catch (error) {
+			if (!isCurrent()) {
+				return false;
+			}
+
 			if (this.#position !== undefined) {
 				log('The source does not answer.', {source, error: (error as Error).message});
 			}
--- a/packages/daemon/src/control/replica-task.ts
+++ b/packages/daemon/src/control/replica-task.ts
@@ -54,7 +54,7 @@
 	readonly random: RandomSource;
 	/** Target number of voters; unbounded when undefined. */
 	readonly voters?: number | undefined;
-	/** Called when the storage failed and the replica stopped permanently. */
+	/** Called when the storage failed and the replica stopped; the task is not used again. */
 	readonly onFailure: (error: Error) => void;
 };
 
@@ -164,6 +164,10 @@
 
 	/** Returns the index that a read must observe now; undefined when this replica does not lead. */
 	async readIndex(waitMs: number): Promise<LogIndex | undefined> {
+		if (this.#isStopped) {
+			return undefined;
+		}
+
 		const id = this.#nextId++;
 		return new Promise(resolve => {
 			const timer = setTimeout(() => {
@@ -186,12 +190,7 @@
 
 	/** Stops participating. */
 	async stop(): Promise<void> {
-		this.#isStopped = true;
-		clearInterval(this.#timer);
-		for (const id of this.#waiting.keys()) {
-			this.#settle(id, {kind: 'unknown'});
-		}
-
+		this.#end();
 		await this.#persisting;
 		await this.parts.storage.close();
 	}
@@ -329,9 +328,25 @@
 	}
 
 	#fail(error: Error): void {
-		log('The replica stops: its storage failed.', {error: error.message});
+		log('The replica stops: its storage failed.', {error: error.message, role: this.view.role});
+		// A leader that can't write would keep its followers from electing another one until its silence is noticed
+		this.step({kind: 'transfer'});
+		this.#end();
+		void this.parts.storage.close();
+		this.parts.onFailure(error);
+	}
+
+	/** Stops, and settles what waits: a command that has no place in the log yet is certain not to get one. */
+	#end(): void {
 		this.#isStopped = true;
 		clearInterval(this.#timer);
-		this.parts.onFailure(error);
+		const unsubmitted = new Set(this.#proposals.map(({id}) => id));
+		for (const id of this.#waiting.keys()) {
+			this.#settle(id, {kind: unsubmitted.has(id) ? 'notSubmitted' : 'unknown'});
+		}
+
+		for (const id of this.#reads.keys()) {
+			this.#finishRead(id, undefined);
+		}
 	}
 }
--- a/packages/daemon/src/control/replicated-control-log.ts
+++ b/packages/daemon/src/control/replicated-control-log.ts
@@ -31,19 +31,17 @@
 import type {RpcContext, RpcServer} from '../rpc/rpc-server.js';
 import type {InstanceEntry} from '../settings/parse-settings.js';
 import {nodeFileSystem} from '../storage/file-system.js';
-import {ReplicaStorage} from '../storage/replica-storage.js';
 import {AppliedLog} from './applied-log.js';
 import type {ControlLogParts} from './control-log-parts.js';
 import {
 	attemptTimeoutMs, catchUpTimeoutMs, retryDelayMs, submitTimeoutMs,
 } from './control-timings.js';
 import {LearnerTask} from './learner-task.js';
-import {ReplicaJoiner} from './replica-joiner.js';
-import {ReplicaTask} from './replica-task.js';
+import {ReplicaHost} from './replica-host.js';
+import type {ReplicaTask} from './replica-task.js';
 
 const log = createLog('control');
 const callGraceMs = 200;
-const transferTimeoutMs = 300;
 
 /**
  * Submits commands through the leader. Commands may be resent: a repeated one gets the result of the first.
@@ -56,24 +54,24 @@
 	readonly #applied = new AppliedLog();
 	readonly #learner: LearnerTask;
 	readonly #listed: readonly InstanceId[];
-	#task: ReplicaTask | undefined;
-	#joiner: ReplicaJoiner | undefined;
-	#failure: string | undefined;
-	#isFollowing = false;
+	readonly #host: ReplicaHost | undefined;
+	#isStarted = false;
+	#isStopped = false;
 	#leaderHint: InstanceId | undefined;
-	#reopening: NodeJS.Timeout | undefined;
 
 	constructor(private readonly parts: ControlLogParts) {
-		const {self, instances, peers} = parts;
+		const {self, instances, peers, folder} = parts;
 		this.#listed = instances.filter(({replica}) => replica).map(({id}) => id);
 		const distance = ({dataCentre, replica}: InstanceEntry): number => (dataCentre === self.dataCentre ? 0 : 1) + (replica ? 0 : 2);
 		const sources = instances.filter(({id}) => id !== self.id).toSorted((a, b) => distance(a) - distance(b)).map(({id}) => id);
-		this.#learner = new LearnerTask(sources.filter(id => this.#listed.includes(id)), peers, this.#applied);
+		const listedSources = sources.filter(id => this.#listed.includes(id));
+		this.#learner = new LearnerTask(() => [...new Set([...listedSources, ...this.replicas])].filter(id => id !== self.id), peers, this.#applied);
+		this.#host = self.replica && folder !== undefined ? this.#createHost(folder) : undefined;
 	}
 
 	/** The instances that are known to hold replicas. */
 	get replicas(): readonly InstanceId[] {
-		const {voters = [], learners = []} = this.#task?.view.membership ?? {};
+		const {voters = [], learners = []} = this.#host?.membership ?? {};
 		return [...new Set([...this.#listed, ...[...voters, ...learners].map(id => instanceOf(id)), ...this.parts.discovered?.() ?? []])];
 	}
 
@@ -106,35 +104,30 @@
 				replica, voter: voters.includes(replica), lag: replica === view!.id ? 0 : lagOf(view!.matchIndexes.find(item => item.replica === replica)?.match),
 			})),
 			failure: this.#failure,
+			failedForMs: this.#host?.failedForMs,
+			reopenings: this.#host?.reopenings ?? 0,
 		};
 	}
 
 	/** Starts the replica or the learner; resolves once the state is as new as the reachable instances allow. */
 	async start(server: RpcServer): Promise<void> {
 		this.#registerMethods(server);
-		if (this.parts.self.replica) {
-			await this.#startReplica(this.parts.folder);
+		if (this.#failure !== undefined) {
+			log('This instance goes on without its replica.', {error: this.#failure});
 		}
 
+		await this.#host?.start();
 		await this.#catchUp();
-		if (this.#task === undefined) {
-			this.#follow();
-		}
-
+		this.#isStarted = true;
+		this.#chooseSource();
 		this.#applied.open();
 	}
 
 	/** Transfers leadership and stops. */
 	async stop(): Promise<void> {
+		this.#isStopped = true;
 		this.#learner.stop();
-		clearTimeout(this.#reopening);
-		this.#joiner?.stop();
-		if (this.#task?.view.role === 'leader') {
-			this.#task.step({kind: 'transfer'});
-			await sleep(transferTimeoutMs);
-		}
-
-		await this.#task?.stop();
+		await this.#host?.stop();
 	}
 
 	registerListener(listener: AppliedListener): () => void {
@@ -167,57 +160,43 @@
 		}
 	}
 
-	async #startReplica(folder: string | undefined): Promise<void> {
-		const {self, peers, clock, random, voters} = this.parts;
-		if (folder === undefined) {
-			this.#onFailure(new Error('the settings name no storage folder'));
-			return;
-		}
-
-		try {
-			const storage = await ReplicaStorage.open(nodeFileSystem, folder, self.id);
-			this.#task = new ReplicaTask({
-				self: self.id, storage, peers, applied: this.#applied, clock, random, voters, onFailure: error => {
-					this.#onFailure(error);
-				},
-			});
-			this.#failure = undefined;
-		} catch (error) {
-			this.#onFailure(error as Error);
-			return;
-		}
-
-		this.#task.start();
-		this.#joiner = new ReplicaJoiner({
-			self: self.id, founders: this.parts.founders ?? this.#listed, replicas: () => this.replicas, instances: () => this.#instances(), peers, task: this.#task,
-		});
-		void this.#joiner.run();
+	get #task(): ReplicaTask | undefined {
+		return this.#host?.task;
 	}
 
-	/** Continues without the replica, as a learner of another instance. */
-	#onFailure(error: Error): void {
-		log('This instance goes on without its replica.', {error: error.message});
-		this.#failure = error.message;
-		this.#joiner?.stop();
-		this.#task = undefined;
-		if (this.parts.reopenMs === undefined) {
-			this.#follow();
-			return;
-		}
-
-		this.#reopening = setTimeout(() => {
-			void this.#startReplica(this.parts.folder);
-		}, this.parts.reopenMs);
+	/** Why this instance has no running replica; undefined when it has one, or is to have none. */
+	get #failure(): string | undefined {
+		return this.parts.self.replica && this.parts.folder === undefined ? 'the settings name no storage folder' : this.#host?.failure;
 	}
 
-	#instances(): readonly InstanceId[] {
-		return [...new Set([...this.parts.instances.map(({id}) => id), ...this.replicas])];
+	#createHost(folder: string): ReplicaHost {
+		const {
+			self, fileSystem = nodeFileSystem, founders = this.#listed, peers, clock, random, voters,
+		} = this.parts;
+		return new ReplicaHost({
+			self: self.id,
+			folder,
+			fileSystem,
+			peers,
+			applied: this.#applied,
+			clock,
+			random,
+			voters,
+			founders,
+			replicas: () => this.replicas,
+			instances: () => [...new Set([...this.parts.instances.map(({id}) => id), ...this.replicas])],
+			onChange: () => {
+				this.#chooseSource();
+			},
+		});
 	}
 
-	#follow(): void {
-		if (!this.#isFollowing) {
-			this.#isFollowing = true;
-			void this.#learner.run();
+	/** Follows another instance while no replica runs here: entries come from one source at a time. */
+	#chooseSource(): void {
+		if (this.#task !== undefined || this.#isStopped) {
+			this.#learner.stop();
+		} else if (this.#isStarted) {
+			this.#learner.start();
 		}
 	}
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -30,6 +30,7 @@
 import {ClaimCleaner} from './fleet/claim-cleaner.js';
 import {DrainablePort} from './fleet/drainable-port.js';
 import {Fleet} from './fleet/fleet.js';
+import type {GaugeSources} from './observability/gauge-sampler.js';
 import {noMetrics, StatsdMetrics} from './observability/metrics.js';
 import {TracedLedger} from './observability/traced-ledger.js';
 import {startTracing} from './observability/tracing.js';
@@ -62,6 +63,13 @@
 	});
 };
 
+const storageGauges = (control: ReplicatedControlLog): GaugeSources => ({
+	/* eslint-disable @typescript-eslint/naming-convention */
+	'control.storage_failed': () => control.status.failedForMs ?? 0,
+	'control.storage_reopenings': () => control.status.reopenings,
+	/* eslint-enable @typescript-eslint/naming-convention */
+});
+
 /**
  * Starts an instance with checked settings.
  *
@@ -169,6 +177,7 @@
 		isStopping: () => hasOwnStop || ownStop.isStopping || !fleet.informed || !limits.isInitialized,
 		limits: settings.entry,
 		metrics,
+		gauges: settings.storage && storageGauges(control),
 	});
 
 	catalogue.registerListener(snapshot => {
--- a/packages/daemon/src/entry/entry-app.ts
+++ b/packages/daemon/src/entry/entry-app.ts
@@ -9,6 +9,7 @@
 	isTracing, readTrace, runIn, startSpan,
 } from '../observability/tracing.js';
 import {registerGauges} from '../observability/gauge-sampler.js';
+import type {GaugeSources} from '../observability/gauge-sampler.js';
 import {noMetrics} from '../observability/metrics.js';
 import type {Metrics} from '../observability/metrics.js';
 import {defaultEntrySettings} from '../settings/parse-settings.js';
@@ -29,6 +30,8 @@
 	readonly metrics?: Metrics;
 	readonly isStopping: () => boolean;
 	readonly limits?: EntrySettings | undefined;
+	/** Gauges of other parts, sampled with those of the entry. */
+	readonly gauges?: GaugeSources;
 };
 
 /** Routes as spans show them; the rest of a path may hold what callers would not want traced. */
@@ -93,6 +96,7 @@
 			'bodies.buffered': () => bodies.bufferedBytes,
 			'cancels.pending': () => parts.canceller.pending,
 			'catalogue.revision': () => parts.catalogue.current().revision,
+			...parts.gauges,
 		});
 		/* eslint-enable @typescript-eslint/naming-convention */
 		this.app.get('/healthz', () => ({healthy: true}));
--- a/packages/daemon/src/observability/metric-table.ts
+++ b/packages/daemon/src/observability/metric-table.ts
@@ -44,6 +44,12 @@
 	'catalogue.revision': {
 		type: 'gauge', unit: 'revision', tags: [], meaning: 'Revision in force.',
 	},
+	'control.storage_failed': {
+		type: 'gauge', unit: 'ms', tags: [], meaning: 'How long the storage of the replica has been failed; 0 while it runs.',
+	},
+	'control.storage_reopenings': {
+		type: 'gauge', unit: 'openings', tags: [], meaning: 'How often a failed storage was opened again since the start.',
+	},
 	'process.resident': {
 		type: 'gauge', unit: 'bytes', tags: [], meaning: 'Resident memory.',
 	},
--- a/packages/daemon/src/storage/file-system.ts
+++ b/packages/daemon/src/storage/file-system.ts
@@ -18,6 +18,8 @@
 	read(file: string): Promise<Uint8Array>;
 	/** Opens for appending, cut to `length` bytes. */
 	openAppend(file: string, length: number): Promise<AppendFile>;
+	/** Writes over the bytes at an offset, in place, and makes them durable. */
+	overwrite(file: string, offset: number, bytes: Uint8Array): Promise<void>;
 	rename(from: string, to: string): Promise<void>;
 	remove(file: string): Promise<void>;
 	/** Makes renames and removals in a folder durable. */
@@ -37,7 +39,13 @@
 	},
 	async openAppend(file, length) {
 		const handle = await open(file, 'a');
-		await handle.truncate(length);
+		try {
+			await handle.truncate(length);
+		} catch (error) {
+			await handle.close();
+			throw error;
+		}
+
 		return {
 			async write(bytes) {
 				await handle.appendFile(bytes);
@@ -50,6 +58,21 @@
 			},
 		};
 	},
+	async overwrite(file, offset, bytes) {
+		const handle = await open(file, 'r+');
+		try {
+			for (let done = 0; done < bytes.length;) {
+				// A write may take a part of the bytes
+				// eslint-disable-next-line no-await-in-loop
+				const {bytesWritten} = await handle.write(bytes, done, bytes.length - done, offset + done);
+				done += bytesWritten;
+			}
+
+			await handle.datasync();
+		} finally {
+			await handle.close();
+		}
+	},
 	async rename(from, to) {
 		await rename(from, to);
 	},
--- a/packages/daemon/src/storage/record-format.ts
+++ b/packages/daemon/src/storage/record-format.ts
@@ -31,9 +31,13 @@
 	return Buffer.concat([prefix, bytes]);
 };
 
+const emptyRecord = encodeRecord('');
+
 /** What a file holds. */
 export type DecodedFile = {
 	readonly records: readonly string[];
+	/** Length up to the end of the last empty record, which is written after a sync; 0 when there is none. */
+	readonly markedBytes: number;
 	/** Length of the whole records; the rest is a torn tail. */
 	readonly validBytes: number;
 	readonly tornBytes: number;
@@ -63,6 +67,10 @@
 	return false;
 };
 
+/** Whether an empty record once stood at an offset, of which a power cut left nothing or a part, and a whole record follows. */
+const isLostMark = (bytes: FileBytes, offset: number): boolean =>
+	emptyRecord.every((byte, index) => bytes[offset + index] === byte || bytes[offset + index] === 0) && findRecordEnd(bytes, offset + prefixBytes) !== undefined;
+
 /**
  * Reads a file's records. A bad record with no whole record after it is a torn tail; with one, the file is corrupt.
  *
@@ -83,13 +91,20 @@
 
 	const records: string[] = [];
 	let offset = headerBytes;
+	let markedBytes = 0;
 	while (offset < bytes.length) {
 		const end = findRecordEnd(bytes, offset);
+		if (end === undefined && isLostMark(bytes, offset)) {
+			offset += prefixBytes;
+			continue;
+		}
+
 		if (end === undefined) {
 			break;
 		}
 
 		records.push(bytes.toString('utf8', offset + prefixBytes, end));
+		markedBytes = end === offset + prefixBytes ? end : markedBytes;
 		offset = end;
 	}
 
@@ -97,5 +112,7 @@
 		throw new StorageError('corrupt', file, `the record at byte ${offset} is damaged and whole records follow`);
 	}
 
-	return {records, validBytes: offset, tornBytes: bytes.length - offset};
+	return {
+		records, markedBytes, validBytes: offset, tornBytes: bytes.length - offset,
+	};
 };
