--- a/packages/daemon/src/__tests__/unit/replica-host.test.ts
+++ b/packages/daemon/src/__tests__/unit/replica-host.test.ts
@@ -112,6 +112,21 @@
 	await Promise.all(instances.map(async instance => instance.start()));
 };
 
+test('founders that could not store the beginning are told again', async () => {
+	for (const {fs} of instances.slice(1)) {
+		let isDone = false;
+		fs.rule = (call, _number, file) => {
+			const fails = !isDone && call === 'write' && file.endsWith('log-2.part');
+			isDone ||= fails;
+			return fails ? 'ENOSPC' : undefined;
+		};
+	}
+
+	await startAll();
+	await everywhere(await change(instances[0]!));
+	expect(instances.map(({control}) => control.status.reopenings)).toEqual([0, 1, 1]);
+}, limitMs * 2);
+
 test('a leader whose disk is full hands over, follows another instance, and takes part again once there is room', async () => {
 	await startAll();
 	for (let turn = 0; turn < 3; turn++) {
--- a/packages/daemon/src/control/replica-joiner.ts
+++ b/packages/daemon/src/control/replica-joiner.ts
@@ -34,8 +34,13 @@
 
 	/** Runs until stopped: a replica may lose its membership later, when its disk is replaced by an older copy. */
 	async run(): Promise<void> {
-		await this.#sendBeginning();
 		while (!this.#isStopped) {
+			// A founder that could not store the beginning is told again, until a majority has it and elects a leader
+			if (this.parts.task.view.leader === undefined && this.parts.task.view.commit === 0) {
+				// eslint-disable-next-line no-await-in-loop
+				await this.#sendBeginning();
+			}
+
 			if (!this.parts.task.view.membership.voters.includes(this.parts.task.id)) {
 				// eslint-disable-next-line no-await-in-loop
 				await this.#tryJoin();
