--- a/packages/daemon/src/__tests__/unit/replica-host.test.ts
+++ b/packages/daemon/src/__tests__/unit/replica-host.test.ts
@@ -166,3 +166,24 @@
 	failing.setFull(false);
 	await everywhere(await change(first!));
 }, limitMs * 2);
+
+test('a listener that fails keeps no later change from taking effect', async () => {
+	for (const {control} of instances) {
+		control.registerListener(() => {
+			throw new Error('a fault of a listener');
+		});
+	}
+
+	await startAll();
+	const seen = instances.map(() => 0);
+	for (const [index, {control}] of instances.entries()) {
+		control.registerListener(() => {
+			seen[index] = control.state.catalogue.current.revision;
+		});
+	}
+
+	await change(instances[0]!);
+	const revision = await change(instances[1]!);
+	await everywhere(revision);
+	expect(seen).toEqual([revision, revision, revision]);
+}, limitMs * 2);
--- a/packages/daemon/src/control/applied-log.ts
+++ b/packages/daemon/src/control/applied-log.ts
@@ -9,7 +9,9 @@
 	LogEntry,
 	LogIndex,
 } from '@baobabpier/core';
+import {createLog} from '../log.js';
 
+const log = createLog('control');
 const retentionMs = 24 * 60 * 60 * 1000;
 const maxRecords = 100_000;
 const keptEntries = 2000;
@@ -107,16 +109,23 @@
 
 		onResult?.(entry, result);
 		if (this.#isOpen && entry.payload.kind === 'command') {
-			for (const listener of this.#listeners) {
-				listener({index: entry.index, at: entry.at, command: entry.payload.command});
-			}
+			this.#notify({index: entry.index, at: entry.at, command: entry.payload.command});
 		}
 	}
 
 	#notifyReplaced(): void {
 		if (this.#isOpen) {
-			for (const listener of this.#listeners) {
-				listener(undefined);
+			this.#notify(undefined);
+		}
+	}
+
+	/** A listener that fails keeps neither the others nor the entries that follow from taking effect. */
+	#notify(entry: Parameters<AppliedListener>[0]): void {
+		for (const listener of this.#listeners) {
+			try {
+				listener(entry);
+			} catch (error) {
+				log('A listener of the control state failed.', {index: this.state.index, command: entry?.command.kind, error: (error as Error).stack});
 			}
 		}
 	}
--- a/packages/daemon/src/control/replica-message-queue.ts
+++ b/packages/daemon/src/control/replica-message-queue.ts
@@ -1,8 +1,11 @@
 /** Exchanges messages between replicas: batches over JSON-RPC, with replies in the response when they are ready in time. */
 import {CONTROL_CONSENSUS, instanceOf} from '@baobabpier/core';
 import type {ConsensusMessageBatch, ConsensusMessage, ReplicaId} from '@baobabpier/core';
+import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
+import {RpcCallError} from '../rpc/rpc-client.js';
 
+const log = createLog('replica');
 const callTimeoutMs = 1000;
 const replyWaitMs = 25;
 const maxBatchMessages = 64;
@@ -53,9 +56,13 @@
 				setImmediate(resolve);
 			};
 		});
-		this.listener(batch);
-		await replied;
-		queue.notifyReply = undefined;
+		try {
+			this.listener(batch);
+			await replied;
+		} finally {
+			queue.notifyReply = undefined;
+		}
+
 		return {messages: queue.messages.splice(0, maxBatchMessages)};
 	}
 
@@ -78,8 +85,11 @@
 				this.listener({
 					from: to, to: this.self, cluster, messages: response.messages,
 				});
-			} catch {
+			} catch (error) {
 				// The protocol of the replicas tolerates lost messages
+				if (!(error instanceof RpcCallError)) {
+					log('The replies of a replica could not be handled.', {to, error: (error as Error).message});
+				}
 			}
 		}
 
