--- a/packages/core/src/__tests__/history/consensus-mutations.test.ts
+++ b/packages/core/src/__tests__/history/consensus-mutations.test.ts
@@ -51,6 +51,8 @@
 	['replicas with leader contact ignore candidates', 'freezes', {rules: new IgnoresLeaderStickiness()}, /holds a lease/v],
 	['one membership change at a time', 'disks', {rules: new ChangesMembershipConcurrently()}, /do not agree|was accepted in term|holds a lease/v],
 	['a lost disk makes a new replica', 'disks', {reusesReplicaId: true}, /was accepted in term|ACCEPTED_ENTRY_CHANGED|has the leaders/v],
+	['a replica opens its storage again after a full disk', 'fullDisks', {staysFailed: true}, /do not agree/v],
+	['a failed write is not confirmed', 'fullDisks', {ignoresFailedWrites: true}, /was accepted in term|ACCEPTED_ENTRY_CHANGED|has the leaders|do not agree|restarted with revision|LOG_GAP/v],
 	['a catalogue is applied only once its commit is synced', 'crashes', {requiresDurableCommit: () => false}, /restarted with revision/v],
 ];
 
--- a/packages/core/src/__tests__/history/consensus-schedules.ts
+++ b/packages/core/src/__tests__/history/consensus-schedules.ts
@@ -3,7 +3,7 @@
 import type {Action, Mutation, Profile} from './consensus-simulation.js';
 
 const baseWeights: Record<Action, number> = {
-	advance: 12, deliver: 60, sync: 24, command: 8, read: 3, drop: 0, repeat: 0, crash: 0, loseDisk: 0, cut: 0, heal: 0, freeze: 0, compact: 0, transfer: 0,
+	advance: 12, deliver: 60, sync: 24, command: 8, read: 3, drop: 0, repeat: 0, crash: 0, loseDisk: 0, cut: 0, heal: 0, freeze: 0, compact: 0, transfer: 0, fillDisk: 0,
 };
 
 /** Profiles by the faults that they inject. */
@@ -23,6 +23,11 @@
 			...baseWeights, crash: 2, loseDisk: 3, compact: 2, drop: 1,
 		},
 	},
+	fullDisks: {
+		replicas: 3, steps: 450, maxEntriesPerMessage: 4, weights: {
+			...baseWeights, fillDisk: 3, crash: 1, loseDisk: 1, compact: 2, transfer: 1, drop: 1,
+		},
+	},
 	freezes: {
 		replicas: 3, steps: 400, maxEntriesPerMessage: 4, weights: {
 			...baseWeights, freeze: 1, transfer: 1, cut: 1, heal: 1,
--- a/packages/core/src/__tests__/history/consensus-simulation.ts
+++ b/packages/core/src/__tests__/history/consensus-simulation.ts
@@ -39,7 +39,7 @@
 	readonly weights: Readonly<Record<Action, number>>;
 };
 
-export type Action = 'advance' | 'deliver' | 'sync' | 'command' | 'read' | 'drop' | 'repeat' | 'crash' | 'loseDisk' | 'cut' | 'heal' | 'freeze' | 'compact' | 'transfer';
+export type Action = 'advance' | 'deliver' | 'sync' | 'command' | 'read' | 'drop' | 'repeat' | 'crash' | 'loseDisk' | 'cut' | 'heal' | 'freeze' | 'compact' | 'transfer' | 'fillDisk';
 
 /** A safety mechanism that a test disables. */
 export type Mutation = {
@@ -47,8 +47,17 @@
 	/** A replica with a new disk keeps its old id. */
 	readonly reusesReplicaId?: boolean;
 	readonly requiresDurableCommit?: (command: ControlCommand) => boolean;
+	/** A replica whose write failed does not open its storage again. */
+	readonly staysFailed?: boolean;
+	/** A write that failed counts as synced. */
+	readonly ignoresFailedWrites?: boolean;
 };
 
+/** Time between the room on a disk and the next opening of its storage, in milliseconds. */
+const reopenDelayMs = 50;
+/** Bound of the time in which a command is accepted after all faults ended, in rounds. */
+const acceptanceRounds = 80;
+
 type Disk = {recovered: RecoveredLog; pending: PersistEffect[]};
 type Envelope = {readonly from: ReplicaId; readonly to: ReplicaId; readonly cluster: string; readonly message: ConsensusMessage};
 type ProposedCommand = {readonly id: number; readonly command: ControlCommand};
@@ -60,6 +69,10 @@
 	replica: ConsensusReplica;
 	state: ControlState;
 	frozenUntil: number;
+	/** Until when every write fails. */
+	fullUntil: number;
+	/** Whether a write failed since the storage was opened. */
+	isFailed: boolean;
 	/** Reads that reached a frozen replica; handled first when it resumes. */
 	backlog: ConsensusEvent[];
 	revision: number;
@@ -108,7 +121,7 @@
 		};
 		this.#nodes = ids.map(id => {
 			const node = {
-				instance: instanceOf(id), id, revision: 0, disk: {recovered: {hard, snapshot, entries: []}, pending: []},
+				instance: instanceOf(id), id, revision: 0, fullUntil: 0, disk: {recovered: {hard, snapshot, entries: []}, pending: []},
 			} as unknown as SimulatedReplica;
 			this.#startReplica(node);
 			return node;
@@ -203,6 +216,36 @@
 				this.#step(node, {kind: 'transfer'});
 				break;
 			}
+
+			case 'fillDisk': {
+				this.#fillDisk(node);
+				break;
+			}
+		}
+	}
+
+	/** Fills the leader's disk two times in three; never two disks at once. */
+	#fillDisk(node: SimulatedReplica): void {
+		if (this.#nodes.some(({fullUntil}) => fullUntil > this.#now)) {
+			return;
+		}
+
+		const leader = this.#nodes.find(({replica, isFailed}) => !isFailed && replica.status(this.#now as Instant).role === 'leader');
+		const filled = this.#random.next() < 2 / 3 ? leader ?? node : node;
+		filled.fullUntil = this.#now + 100 + pickIndex(this.#random, 1500);
+	}
+
+	/** A write fails: the replica hands over and stops until its storage is opened again. */
+	#failStorage(node: SimulatedReplica): void {
+		this.#step(node, {kind: 'transfer'});
+		node.isFailed = true;
+	}
+
+	#reopenStorages(): void {
+		for (const node of this.#nodes) {
+			if (node.isFailed && this.#now >= node.fullUntil + reopenDelayMs && this.mutation.staysFailed !== true) {
+				this.#crash(node);
+			}
 		}
 	}
 
@@ -224,6 +267,7 @@
 
 	#advance(ms: number): void {
 		this.#now += ms;
+		this.#reopenStorages();
 		for (const node of this.#nodes) {
 			this.#step(node, {kind: 'tick'});
 			const isVoter = node.replica.status(this.#now as Instant).membership.voters.includes(node.id);
@@ -254,20 +298,30 @@
 	}
 
 	#sync(node: SimulatedReplica, count: number): void {
+		const isFailing = node.fullUntil > this.#now && node.disk.pending.length > 0;
+		if (node.isFailed || (isFailing && this.mutation.ignoresFailedWrites !== true)) {
+			if (!node.isFailed && node.frozenUntil <= this.#now) {
+				this.#failStorage(node);
+			}
+
+			return;
+		}
+
 		const done = node.frozenUntil > this.#now ? [] : node.disk.pending.splice(0, count);
 		for (const effect of done) {
-			node.disk.recovered = persist(node.disk, effect);
+			node.disk.recovered = isFailing ? node.disk.recovered : persist(node.disk, effect);
 			this.#step(node, {kind: 'persisted', sequence: effect.sequence});
 		}
 	}
 
-	/** Restarts a replica; a prefix of its unsynced writes may have reached the disk. */
+	/** Restarts a replica; a prefix of its unsynced writes may have reached the disk. With a full disk it stays failed. */
 	#crash(node: SimulatedReplica): void {
 		for (const effect of node.disk.pending.slice(0, pickIndex(this.#random, node.disk.pending.length + 1))) {
 			node.disk.recovered = persist(node.disk, effect);
 		}
 
 		this.#startReplica(node);
+		node.isFailed = node.fullUntil > this.#now;
 	}
 
 	/** Loses a disk if every replica is a voter of the committed membership: one loss at a time. */
@@ -291,6 +345,7 @@
 		node.id = this.mutation.reusesReplicaId ? node.id : toReplicaId(node.instance, String(this.#storageCount));
 		node.disk.recovered = {hard: {...hard, cluster: this.mutation.reusesReplicaId ? 'c' : ''}, snapshot: {...emptySnapshot, membership}, entries: []};
 		node.revision = 0;
+		node.fullUntil = 0;
 		this.#startReplica(node);
 	}
 
@@ -304,6 +359,7 @@
 		};
 		node.disk.pending = [];
 		node.frozenUntil = 0;
+		node.isFailed = false;
 		node.backlog = [];
 		node.proposed = new Map();
 		node.state = new ControlState(bounds);
@@ -315,6 +371,10 @@
 	}
 
 	#step(node: SimulatedReplica, event: ConsensusEvent, command?: ControlCommand): void {
+		if (node.isFailed) {
+			return;
+		}
+
 		if (node.frozenUntil > this.#now) {
 			if (event.kind === 'read') {
 				node.backlog.push(event);
@@ -432,30 +492,53 @@
 		}
 	}
 
-	/** Ends all faults: every replica must apply all acknowledged commands. */
+	/** Ends all faults: every replica must apply all acknowledged commands, and a further command must be accepted. */
 	#healAndConverge(): void {
 		this.#blockedLinks.clear();
 		for (const node of this.#nodes) {
 			node.frozenUntil = 0;
+			node.fullUntil = Math.min(node.fullUntil, this.#now);
 		}
 
 		for (let round = 0; round < 400 && !this.#hasConverged(); round++) {
-			this.#advance(25);
-			for (let hops = 0; hops < 4; hops++) {
-				for (const node of this.#nodes) {
-					this.#sync(node, node.disk.pending.length);
-				}
+			this.#runRound();
+		}
 
-				const messages = this.#messages;
-				this.#messages = [];
-				for (const item of messages) {
-					this.#messages.push(item);
-					this.#deliver(this.#messages.indexOf(item), true);
-				}
+		this.#check(this.#hasConverged(), 'the replicas do not agree in ten seconds after all faults ended');
+		this.#acceptOneMore();
+	}
+
+	#acceptOneMore(): void {
+		const before = this.acknowledgedCount;
+		for (let round = 0; round < acceptanceRounds && this.acknowledgedCount === before; round++) {
+			const leader = this.#nodes.find(({replica}) => replica.status(this.#now as Instant).role === 'leader');
+			if (leader && round % 8 === 0) {
+				const order = this.#nextCommand(leader);
+				this.#step(leader, {kind: 'propose', proposals: [order], at: toId<LogTime>(this.#now)}, order.command);
 			}
+
+			this.#runRound();
 		}
 
-		this.#check(this.#hasConverged(), 'the replicas do not agree in ten seconds after all faults ended');
+		this.#check(this.acknowledgedCount > before, 'no command is accepted after all faults ended');
+		this.acknowledgedCount = before;
+	}
+
+	/** Lets time pass with all syncs and messages done at once. */
+	#runRound(): void {
+		this.#advance(25);
+		for (let hops = 0; hops < 4; hops++) {
+			for (const node of this.#nodes) {
+				this.#sync(node, node.disk.pending.length);
+			}
+
+			const messages = this.#messages;
+			this.#messages = [];
+			for (const item of messages) {
+				this.#messages.push(item);
+				this.#deliver(this.#messages.indexOf(item), true);
+			}
+		}
 	}
 
 	#hasConverged(): boolean {
