--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -254,6 +254,9 @@
 } from './rpc/rpc-methods.js';
 export type {StopProgress, StopUsage} from './rpc/rpc-methods.js';
 export {findStopRefusal, isCovered, stoppedServers} from './stops/stop-validation.js';
+export {fitsDrain} from './stops/drain-window.js';
+export type {DrainCandidate, DrainWindow, Repeatability} from './stops/drain-window.js';
+export {UsualDuration} from './stops/usual-duration.js';
 export {StopTable} from './stops/stop-table.js';
 export type {StopTableSnapshot} from './stops/stop-table.js';
 export type {
@@ -305,3 +308,7 @@
 } from './placement/role-planner.js';
 export {PipelinedQueueModel} from './placement/pipelined-queue-model.js';
 export {planMembershipChange} from './consensus/replica-membership.js';
+export {ConnectionPlan} from './transport/connection-plan.js';
+export type {ConnectionId, PlannedRequest, PlanStep} from './transport/connection-plan.js';
+export {judgeResponse} from './transport/response-binding.js';
+export type {ResponseBinding, ResponseVerdict} from './transport/response-binding.js';
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -2,30 +2,31 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import {
-	addMs, errorResponses, pickTarget, RouteIndex, routerError, toErrorBody,
+	addMs, errorResponses, isErrorKind, pickTarget, RouteIndex, routerError, toErrorBody,
 } from '@baobabpier/core';
 import type {
-	Clock, ErrorResponse, ErrorKind, RandomSource, RouterError, RoutingTable,
+	Clock, DrainWindow, ErrorResponse, RandomSource, RouterError, RoutingTable,
 } from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
+import {breakOff, ServerConnections} from '../server-connections.js';
+import {CallBodyReader} from './call-body-reader.js';
+import {CallDrain} from './call-drain.js';
+import type {DrainEffect} from './call-drain.js';
 import {CallScope} from './call-scope.js';
+import {CallerStream} from './caller-stream.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {PlainRoute} from './plain-route.js';
 import {forwardableHeaders} from './raw-headers.js';
+import {errorReply} from './reply.js';
 import type {Reply} from './reply.js';
 import type {StartupGate} from './startup-gate.js';
-import type {StreamOutput} from './stream-progress.js';
 import type {StreamRoute} from './stream-route.js';
-import type {ResponseHead, Call, CallerDialect} from './types.js';
+import type {Call, CallerDialect} from './types.js';
 
 const log = createLog('callers');
-/** Maximum bytes of request bodies that are buffered at a time; a quarter of the smallest instance's memory. */
-const maxBufferedBytes = 40 * 1024 * 1024;
-/** Maximum bytes of a stream that are buffered for a slow caller; beyond them the stream is aborted. */
-const maxUnsentBytes = 1024 * 1024;
 const connectionCheckIntervalMs = 500;
 /**
  * Retry delay sent by an instance that has had no configuration for seconds, in milliseconds: by then the load balancer
@@ -39,6 +40,16 @@
 /** Maximum number of connections that wait to be accepted. */
 const backlog = 1024;
 
+/** The reply to a call whose route returned `reply`: every caller gets a response, and one that fits the end of its call. */
+const toFinalReply = (reply: Reply, res: ServerResponse, scope: CallScope): Reply => {
+	if (reply.kind === 'streamed' && !res.headersSent && scope.reason !== 'callerGone') {
+		return errorReply(routerError('answerLost', 'the stream ended without a response'));
+	}
+
+	// Another instance may serve at once what this one could not begin
+	return reply.kind === 'error' && scope.isCutShort && errorResponses[reply.error.kind].run === 'no' ? errorReply(routerError('shuttingDown')) : reply;
+};
+
 /** Dependencies of the caller listener. */
 export type CallerListenerParts = {
 	readonly clock: Clock;
@@ -54,21 +65,26 @@
 /** Accepts calls and serves them over plain or stream routes. */
 export class CallerListener {
 	readonly #server: Server;
+	readonly #connections: ServerConnections;
 	readonly #openScopes = new Set<CallScope>();
+	readonly #bodies = new CallBodyReader();
+	readonly #drain: CallDrain;
 	#index: {readonly table: RoutingTable; readonly routes: RouteIndex} | undefined;
-	#bufferedBytes = 0;
-	#isClosing = false;
 	#isClosed = false;
 
 	constructor(private readonly parts: CallerListenerParts) {
-		this.#server = createServer({
-			maxHeaderSize: initialLimits.headerBytes, headersTimeout: initialLimits.headersTimeoutMs, requestTimeout: 0, keepAliveTimeout: initialLimits.idleTimeoutMs, connectionsCheckingInterval: connectionCheckIntervalMs, noDelay: true,
-		}, (req, res) => {
-			void this.#handle(req, res);
-		});
-		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			this.#refuseMalformed(error, socket);
+		this.#connections = new ServerConnections(createServer({
+			maxHeaderSize: initialLimits.headerBytes,
+			headersTimeout: initialLimits.headersTimeoutMs,
+			requestTimeout: 0,
+			keepAliveTimeout: initialLimits.idleTimeoutMs,
+			connectionsCheckingInterval: connectionCheckIntervalMs,
+			noDelay: true,
+		}), (req, res, waitedMs) => {
+			void this.#handle(req, res, waitedMs);
 		});
+		this.#server = this.#connections.server;
+		this.#drain = new CallDrain(parts.clock);
 	}
 
 	/** Number of calls in progress. */
@@ -76,6 +92,16 @@
 		return this.#openScopes.size;
 	}
 
+	/** Whether no call is in progress or being read, and all responses have been sent. */
+	get isIdle(): boolean {
+		return this.#openScopes.size === 0 && this.#connections.active === 0;
+	}
+
+	/** Calls of each kind of route that a stop refused, and that it ended before their deadline. */
+	get drainEffects(): Readonly<Record<DrainEffect, string>> {
+		return this.#drain.effects;
+	}
+
 	/** TCP port of the listener. */
 	get port(): number {
 		return (this.#server.address() as AddressInfo).port;
@@ -90,50 +116,57 @@
 		this.#index = {table, routes: new RouteIndex(table.routes)};
 		this.#server.keepAliveTimeout = table.limits.idleTimeoutMs;
 		this.#server.headersTimeout = table.limits.headersTimeoutMs;
+		this.#drain.retainRoutes(table.routes);
 	}
 
-	/** Makes callers reconnect to other instances: each response closes its connection. */
-	startClosing(): void {
-		this.#isClosing = true;
-		this.#server.closeIdleConnections();
+	/**
+	 * Begins to drain: each response closes its connection, calls that can't be expected to end in time are refused, and
+	 * those in progress are ended when the drain is over.
+	 */
+	startClosing(window: DrainWindow): void {
+		this.#drain.begin(window);
+		this.#connections.setClosing(true);
+		for (const scope of this.#openScopes) {
+			scope.limitTo(window.endsAt);
+		}
 	}
 
 	/** Stops accepting connections, and calls on open connections. Closes connections without a call in progress. */
 	stopAccepting(): void {
 		this.#isClosed = true;
-		this.#server.close();
-		this.#server.closeIdleConnections();
+		this.#connections.stopListening();
+		this.#connections.closeIdle();
 	}
 
-	/** Ends the calls in progress and closes all connections. */
+	/** Ends the calls in progress and closes all connections; sending the responses takes at most `ms` milliseconds. */
+	async close(ms: number): Promise<void> {
+		this.stopAccepting();
+		this.#endCalls();
+		await this.#connections.close(ms);
+	}
+
+	/** Ends the calls in progress and closes all connections at once. */
 	destroy(): void {
+		this.stopAccepting();
+		this.#endCalls();
+		this.#connections.destroy();
+	}
+
+	#endCalls(): void {
+		this.parts.gate.open();
 		for (const scope of this.#openScopes) {
-			scope.end('stopping');
+			scope.limitTo(this.parts.clock.now());
 		}
-
-		this.#server.close();
-		this.#server.closeAllConnections();
 	}
 
-	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const arrivedAt = this.parts.clock.now();
-		res.once('finish', () => {
-			// A response that started before the stop has no `connection: close` header
-			if (this.#isClosing) {
-				req.socket.end();
-			}
-		});
+	async #handle(req: IncomingMessage, res: ServerResponse, waitedMs: number): Promise<void> {
+		const arrivedAt = addMs(this.parts.clock.now(), -waitedMs);
 		try {
-			const body = await this.#readBody(req);
+			const body = await this.#bodies.read(req, this.#index?.table.limits.bodyBytes ?? initialLimits.bodyBytes);
 			if (body === 'gone') {
 				return;
 			}
 
-			if (this.#isClosed) {
-				this.#refuse(req, res, routerError('shuttingDown'));
-				return;
-			}
-
 			if ('kind' in body) {
 				this.#refuse(req, res, body);
 				return;
@@ -146,35 +179,6 @@
 		}
 	}
 
-	/** Reads a complete request body within the size limits. */
-	async #readBody(req: IncomingMessage): Promise<Uint8Array | RouterError | 'gone'> {
-		const bodyBytes = this.#index?.table.limits.bodyBytes ?? initialLimits.bodyBytes;
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
-		try {
-			for await (const chunk of req as AsyncIterable<Uint8Array>) {
-				bytes += chunk.length;
-				this.#bufferedBytes += chunk.length;
-				if (bytes > bodyBytes) {
-					return routerError('bodyTooLarge', `over ${bodyBytes} bytes`);
-				}
-
-				if (this.#bufferedBytes > maxBufferedBytes) {
-					return routerError('overloaded', 'too many bodies are being read');
-				}
-
-				chunks.push(chunk);
-			}
-		} catch (error) {
-			log('A caller disconnected before its call was read.', {detail: (error as Error).message, bytes});
-			return 'gone';
-		} finally {
-			this.#bufferedBytes -= bytes;
-		}
-
-		return Buffer.concat(chunks);
-	}
-
 	async #route(req: IncomingMessage, res: ServerResponse, body: Uint8Array, arrivedAt: ReturnType<Clock['now']>): Promise<void> {
 		const metadata = this.parts.dialect.parseMetadata(req.headers);
 		await this.parts.gate.wait(metadata.ok ? metadata.val.callerTimeoutMs ?? Number.POSITIVE_INFINITY : 0);
@@ -213,7 +217,22 @@
 
 	async #serve(call: Call, service: Parameters<PlainRoute['serve']>[1], req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {clock, plain, streams, metrics} = this.parts;
+		if (call.deadlineAt <= clock.now()) {
+			this.#refuse(req, res, routerError('queueTimeout'), call.requestId);
+			return;
+		}
+
+		if (this.#isClosed || !this.#drain.admits(call)) {
+			this.#drain.countEffect('refused', call.route.kind);
+			this.#refuse(req, res, routerError('shuttingDown'), call.requestId);
+			return;
+		}
+
 		const scope = new CallScope(clock, call.deadlineAt);
+		if (this.#drain.window !== undefined) {
+			scope.limitTo(this.#drain.window.endsAt);
+		}
+
 		this.#openScopes.add(scope);
 		res.once('close', () => {
 			if (!res.writableFinished) {
@@ -221,29 +240,43 @@
 			}
 		});
 		try {
-			const reply = call.route.kind === 'stream' ? await streams.serve(call, service, scope, this.#createStreamOutput(call, req, res, scope)) : await plain.serve(call, service, scope);
+			const routed = call.route.kind === 'stream' ? await streams.serve(call, service, scope, new CallerStream(call, res, scope)) : await plain.serve(call, service, scope);
+			const reply = toFinalReply(routed, res, scope);
 			this.#writeReply(call, req, res, reply, scope);
 			const outcome = this.#findOutcome(reply, res, scope);
 			log('A call ended.', {
 				requestId: call.requestId, route: call.route.name, service, outcome, status: res.statusCode, ms: Math.round(clock.now() - call.arrivedAt), ended: scope.reason,
 			});
 			metrics.observeCall(call.route.kind, outcome, clock.now() - call.arrivedAt);
+			this.#recordForDrain(call, outcome);
 		} finally {
 			scope.close();
 			this.#openScopes.delete(scope);
 		}
 	}
 
+	#recordForDrain({route, arrivedAt}: Call, outcome: string): void {
+		if (outcome === 'cutShort') {
+			this.#drain.countEffect('cutShort', route.kind);
+		} else if (outcome !== 'callerGone' && !(isErrorKind(outcome) && errorResponses[outcome].run === 'no')) {
+			this.#drain.recordDuration(route.name, this.parts.clock.now() - arrivedAt);
+		}
+	}
+
 	#findOutcome(reply: Reply, res: ServerResponse, scope: CallScope): string {
 		if (scope.reason === 'callerGone') {
 			return 'callerGone';
 		}
 
-		if (reply.kind === 'error') {
-			return reply.error.kind;
+		if (reply.kind !== 'error' && res.writableEnded) {
+			return 'answered';
 		}
 
-		return reply.kind === 'relay' || res.writableEnded ? 'answered' : 'brokenOff';
+		if (scope.isCutShort) {
+			return 'cutShort';
+		}
+
+		return reply.kind === 'error' ? reply.error.kind : 'brokenOff';
 	}
 
 	#writeReply(call: Call, req: IncomingMessage, res: ServerResponse, reply: Reply, scope: CallScope): void {
@@ -258,55 +291,17 @@
 
 		if (res.headersSent) {
 			log('A response to a stream that has begun is dropped.', {requestId: call.requestId, status: reply.head.status});
-			res.destroy();
+			breakOff(res);
 			return;
 		}
 
 		const {head, body} = reply;
 		const headers = forwardableHeaders(head.rawHeaders, new Set(['content-length']));
 		const isBodiless = call.method === 'HEAD' || head.status === 204 || head.status === 304;
-		this.#announceClose(res);
 		res.writeHead(head.status, isBodiless ? headers : [...headers, 'content-length', String(body.length)]);
 		res.end(isBodiless ? undefined : body);
 	}
 
-	#createStreamOutput(call: Call, _req: IncomingMessage, res: ServerResponse, scope: CallScope): StreamOutput {
-		const announceClose = (): void => {
-			this.#announceClose(res);
-		};
-
-		return {
-			get isStarted() {
-				return res.headersSent;
-			},
-			start(head: ResponseHead) {
-				announceClose();
-				res.writeHead(head.status, forwardableHeaders(head.rawHeaders, new Set(['content-length'])));
-			},
-			write(bytes: Uint8Array) {
-				res.write(bytes);
-				if (res.writableLength > maxUnsentBytes) {
-					log('A caller reads its stream too slowly; the stream is aborted.', {requestId: call.requestId, unreadBytes: res.writableLength});
-					scope.end('callerGone');
-					res.destroy();
-				}
-			},
-			end() {
-				res.end();
-			},
-			abort() {
-				res.destroy();
-			},
-		};
-	}
-
-	#announceClose(res: ServerResponse): void {
-		if (this.#isClosing && !res.headersSent) {
-			res.setHeader('connection', 'close');
-			res.shouldKeepAlive = false;
-		}
-	}
-
 	#requestId(req: IncomingMessage): string | undefined {
 		const metadata = this.parts.dialect.parseMetadata(req.headers);
 		return metadata.ok ? metadata.val.requestId : undefined;
@@ -314,17 +309,13 @@
 
 	#refuse(req: IncomingMessage, res: ServerResponse, error: RouterError, requestId = this.#requestId(req)): void {
 		if (res.headersSent || res.destroyed) {
-			res.destroy();
+			breakOff(res);
 			return;
 		}
 
 		const response: ErrorResponse = errorResponses[error.kind];
 		const text = JSON.stringify(toErrorBody(error));
-		this.#announceClose(res);
-		if (!req.complete) {
-			res.setHeader('connection', 'close');
-		}
-
+		res.shouldKeepAlive &&= req.complete;
 		res.writeHead(response.status, {
 			'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...this.parts.dialect.errorHeaders(requestId, error.retryAfterMs ?? response.retryAfterMs),
 		});
@@ -338,19 +329,4 @@
 		});
 		this.parts.metrics.countRefusal(error.kind);
 	}
-
-	#refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-		if (!socket.writable || error.code === 'ECONNRESET') {
-			socket.destroy();
-			return;
-		}
-
-		const kinds: Readonly<Record<string, ErrorKind>> = {
-			HPE_HEADER_OVERFLOW: 'headersTooLarge', // eslint-disable-line @typescript-eslint/naming-convention
-			ERR_HTTP_REQUEST_TIMEOUT: 'requestTimeout', // eslint-disable-line @typescript-eslint/naming-convention
-		};
-		const kind = kinds[error.code ?? ''] ?? 'malformedRequest';
-		log('A connection sent a malformed request.', {kind, detail: error.message});
-		socket.end(`HTTP/1.1 ${errorResponses[kind].status} ${kind}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
-	}
 }
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -6,6 +6,7 @@
 } from 'prom-client';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
+import {ServerConnections} from '../server-connections.js';
 
 const log = createLog('metrics');
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 5, 15];
@@ -25,6 +26,10 @@
 		name: 'baobabpier_refusals_total', help: 'Calls answered with an error of the closed table', labelNames: ['error'], registers: [this.registry],
 	});
 
+	readonly #foreignResponses = new Counter({
+		name: 'baobabpier_foreign_responses_total', help: 'Responses of servers that belong to no request or to another one, by kind of call', labelNames: ['kind', 'moment'], registers: [this.registry],
+	});
+
 	/** Records a completed call. */
 	observeCall(kind: string, outcome: string, ms: number): void {
 		this.#calls.inc({kind, outcome});
@@ -35,6 +40,10 @@
 		this.#refusals.inc({error});
 	}
 
+	countForeignResponse(kind: string, moment: string): void {
+		this.#foreignResponses.inc({kind, moment});
+	}
+
 	/** Registers a gauge whose value is read on each scrape. */
 	registerGauge(name: string, help: string, read: () => number): void {
 		this.registry.registerMetric(new Gauge({
@@ -66,7 +75,7 @@
 		}
 	};
 
-	const server = createServer((_req, res) => {
+	const {server} = new ServerConnections(createServer(), (_req, res) => {
 		void respond(res);
 	});
 	await listenOn(server, address);
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -3,7 +3,7 @@
 import type {Server} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createSeededRandom, digestServerList, ForecastPolicy, hashText, StaticShareMap, toId,
+	addMs, createSeededRandom, digestServerList, ForecastPolicy, hashText, StaticShareMap, toId,
 } from '@baobabpier/core';
 import type {
 	DataCentreId, FencingToken, ForecastOptions, InstanceId, ListedServer, ModelService, RoutingDocument, RoutingTable, WindowedRetryBudgetSettings, ServiceName, ShareMap, EngineId,
@@ -14,7 +14,9 @@
 import type {EngineEstimates} from '../settings/engine-estimates.js';
 import {PlacementClient} from '../pools/placement-client.js';
 import {PoolHost} from '../pools/pool-host.js';
+import {ServerTransport} from '../transport/server-transport.js';
 import {Peers} from '../rpc/peers.js';
+import {ServerConnections} from '../server-connections.js';
 import {CallerListener} from './caller-listener.js';
 import {ControlWatch, isListStale} from './control-watch.js';
 import {CrashGuard} from './crash-guard.js';
@@ -26,7 +28,6 @@
 } from './model-services.js';
 import {StreamPlacements} from './stream-placements.js';
 import {PlainRoute} from './plain-route.js';
-import {ServerTransport} from './server-transport.js';
 import {RetryBudgets} from './retry-budgets.js';
 import {StartupGate} from './startup-gate.js';
 import {StreamRoute} from './stream-route.js';
@@ -40,8 +41,12 @@
  * checks once a second and removes an instance after two failures.
  */
 const notReadyDelayMs = 2600;
-/** Part of the stop timeout reserved for closing, in milliseconds: closing takes some tens of milliseconds, also on a slow machine. */
-const closeReserveMs = 350;
+/** Part of the stop timeout reserved for closing, in milliseconds: closing takes some tens of milliseconds, and several times that on a busy machine. */
+const closeReserveMs = 500;
+/** Maximum fraction of the stop timeout that is reserved for closing. */
+const maxCloseReserveFraction = 1 / 8;
+/** Fraction of that reserve in which the last responses are sent. */
+const sendReserveFraction = 0.6;
 const drainPollIntervalMs = 25;
 /** Fraction of a server's connection limit that all entry instances together may use. */
 const connectionShare = 0.8;
@@ -85,7 +90,7 @@
 };
 
 const startReadinessServer = async (address: string, isReady: () => boolean): Promise<Server> => {
-	const server = createServer((_req, res) => {
+	const {server} = new ServerConnections(createServer(), (_req, res) => {
 		res.writeHead(isReady() ? 200 : 503, {'content-length': 0});
 		res.end();
 	});
@@ -117,7 +122,11 @@
 		return service === undefined ? unlistedConnections : Math.max(minConnections, Math.floor((service.maxConnections * connectionShare) / controlWatch.entryInstanceCount));
 	};
 
-	const transport = new ServerTransport(connectionLimit);
+	const transport = new ServerTransport({
+		maxConnectionsTo: connectionLimit, readResponseId: headers => dialect.server.readResponseId(headers), onForeignResponse(kind, moment) {
+			metrics.countForeignResponse(kind, moment);
+		},
+	});
 	const localPool = new PoolHost({
 		self: initialSettings.id,
 		clock,
@@ -245,8 +254,8 @@
 		id: initialSettings.id, dataCentre: initialSettings.dataCentre, callers: initialSettings.listen.callers, seeds: initialSettings.seeds.join(' '),
 	});
 
-	const close = async (): Promise<void> => {
-		callerListener.destroy();
+	const close = async (sendMs: number): Promise<void> => {
+		await callerListener.close(sendMs);
 		places.stop();
 		client.stop();
 		guard.stop();
@@ -258,22 +267,23 @@
 		metricsServer.closeAllConnections();
 		metricsServer.close();
 		await Promise.all([transport.close(), peers.close()]);
-		log('The entry instance stopped.');
+		log('The entry instance stopped.', callerListener.drainEffects);
 	};
 
 	const drain = async (): Promise<void> => {
-		const drainDeadline = clock.now() + settings.stopMs - closeReserveMs;
-		log('A stop begins.', {inProgress: callerListener.inProgress, withinMs: settings.stopMs});
-		callerListener.startClosing();
-		await sleep(notReadyDelayMs);
-		callerListener.stopAccepting();
-		while (callerListener.inProgress > 0 && clock.now() < drainDeadline) {
+		const {stopMs} = settings;
+		const reserveMs = Math.min(closeReserveMs, stopMs * maxCloseReserveFraction);
+		const endsAt = addMs(clock.now(), stopMs - reserveMs);
+		const knownAt = addMs(clock.now(), Math.min(notReadyDelayMs, stopMs - reserveMs));
+		log('A stop begins.', {inProgress: callerListener.inProgress, withinMs: stopMs});
+		callerListener.startClosing({knownAt, endsAt});
+		while (clock.now() < knownAt || (!callerListener.isIdle && clock.now() < endsAt)) {
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(drainPollIntervalMs);
 		}
 
 		log('The drain is over.', {inProgress: callerListener.inProgress});
-		await close();
+		await close(reserveMs * sendReserveFraction);
 	};
 
 	return {
