--- a/packages/core/src/transport/connection-plan.ts
+++ b/packages/core/src/transport/connection-plan.ts
@@ -83,6 +83,12 @@
 			return [...this.#makeRoom(), this.#open(undefined, request)];
 		}
 
+		// The usual case: nothing waits and a connection is idle
+		const idle = this.#waiting.length === 0 ? this.#findIdle(lane) : undefined;
+		if (idle !== undefined) {
+			return [this.#send(idle, request)];
+		}
+
 		this.#waiting.push(request);
 		return this.#pump(lane);
 	}
@@ -273,7 +279,22 @@
 		return idle === undefined || this.#connections.size < this.maxConnections() ? [] : [this.#close(idle)];
 	}
 
+	#findIdle(lane: string): Connection<Request> | undefined {
+		for (const connection of this.#connections.values()) {
+			if (connection.phase === 'idle' && connection.lane === lane) {
+				return connection;
+			}
+		}
+
+		return undefined;
+	}
+
 	#count(lane: string): number {
-		return [...this.#connections.values()].filter(connection => connection.lane === lane).length;
+		let count = 0;
+		for (const connection of this.#connections.values()) {
+			count += connection.lane === lane ? 1 : 0;
+		}
+
+		return count;
 	}
 }
