--- a/packages/daemon/src/requests/backend-sender.ts
+++ b/packages/daemon/src/requests/backend-sender.ts
@@ -32,11 +32,11 @@
 		return 'ledgerUnavailable';
 	}
 
-	if (signal.aborted) {
-		return (signal.reason as Error).name === 'TimeoutError' ? 'timeout' : 'outcomeUnknown';
+	if (failure.kind === 'unsent' && (failure.isUnreachable === true || !signal.aborted)) {
+		return 'backendRefused';
 	}
 
-	return failure.kind === 'unsent' ? 'backendRefused' : 'outcomeUnknown';
+	return signal.aborted && (signal.reason as Error).name === 'TimeoutError' ? 'timeout' : 'outcomeUnknown';
 };
 
 /** Sends a call to one backend server. */
