--- a/packages/core/src/transport/connection-plan.ts
+++ b/packages/core/src/transport/connection-plan.ts
@@ -33,8 +33,8 @@
 	opener: Request | undefined;
 	request: Request | undefined;
 	isFirst: boolean;
-	/** Whether it was idle since it was opened: its server may have closed it meanwhile. */
-	hasIdled: boolean;
+	/** Whether it was open for a time without a request: its server may have closed it meanwhile. */
+	wasIdle: boolean;
 	mustClose: boolean;
 };
 
@@ -116,7 +116,7 @@
 		}
 
 		const steps = this.#pump(lane);
-		connection.hasIdled = this.isIdle(id);
+		connection.wasIdle = this.isIdle(id);
 		return steps;
 	}
 
@@ -145,7 +145,7 @@
 		}
 
 		connection.phase = 'idle';
-		connection.hasIdled = true;
+		connection.wasIdle = true;
 		return this.#pump(lane);
 	}
 
@@ -161,15 +161,15 @@
 		return this.#pump(connection.lane);
 	}
 
-	/** Records that a connection was closed before its request was written; where it had idled the request is sent on another one. */
+	/** Records that a connection was closed before its request was written; unless it had just been opened, the request is sent on another one. */
 	handleUnwritten(id: ConnectionId): ReadonlyArray<PlanStep<Request>> {
 		const connection = this.#get(id);
-		const {request, hasIdled, lane} = connection;
+		const {request, wasIdle, lane} = connection;
 		const steps: Array<PlanStep<Request>> = [this.#close(connection)];
-		if (request !== undefined && hasIdled) {
-			this.#waiting.unshift(request);
-		} else if (request !== undefined) {
+		if (request !== undefined && !wasIdle) {
 			steps.push({kind: 'fail', request});
+		} else if (request !== undefined) {
+			this.#waiting.unshift(request);
 		}
 
 		return [...steps, ...this.#pump(lane)];
@@ -256,7 +256,7 @@
 	#open(lane: string | undefined, opener: Request): PlanStep<Request> {
 		const id = toId<ConnectionId>(this.#nextId++);
 		this.#connections.set(id, {
-			id, lane, phase: 'opening', opener, request: undefined, isFirst: true, hasIdled: false, mustClose: false,
+			id, lane, phase: 'opening', opener, request: undefined, isFirst: true, wasIdle: false, mustClose: false,
 		});
 		return {kind: 'open', connection: id};
 	}
