--- a/packages/daemon/src/__tests__/unit/faulty-file-system.ts
+++ b/packages/daemon/src/__tests__/unit/faulty-file-system.ts
@@ -30,6 +30,8 @@
 export type FailureRule = (call: FileCall, number: number, file: string) => string | undefined;
 
 export class FaultyFileSystem implements FileSystem {
+	/** Syncs wait for it. */
+	syncBarrier: Promise<void> | undefined;
 	readonly files = new Map<string, StoredFile>();
 	/** Room for all files together, in bytes. */
 	capacity = Number.POSITIVE_INFINITY;
@@ -72,6 +74,7 @@
 				}
 			},
 			sync: async () => {
+				await this.syncBarrier;
 				this.#sync(content, 'sync', file);
 			},
 			close: async () => {
--- a/packages/daemon/src/__tests__/unit/replica-host.test.ts
+++ b/packages/daemon/src/__tests__/unit/replica-host.test.ts
@@ -152,6 +152,23 @@
 	}
 }, limitMs * 4);
 
+test('a leader whose disk hangs hands over', async () => {
+	await startAll();
+	const leader = await findLeader();
+	const other = instances.find(instance => instance !== leader)!;
+	await everywhere(await change(other));
+	let release: () => void;
+	leader.fs.syncBarrier = new Promise(resolve => {
+		release = resolve;
+	});
+	const revision = await change(other);
+	expect(leader.control.state.catalogue.current.revision).toBeLessThan(revision);
+	release!();
+	leader.fs.syncBarrier = undefined;
+	await everywhere(await change(other));
+	expect(leader.control.status).toMatchObject({reopenings: 0});
+}, limitMs * 3);
+
 test('a disk that stays full for long holds no file open, and is asked at most a few times a second', async () => {
 	await startAll();
 	const [first, ...others] = instances;
--- a/packages/daemon/src/control/control-timings.ts
+++ b/packages/daemon/src/control/control-timings.ts
@@ -36,6 +36,9 @@
 /** Interval at which a replica that is no member of the log requests to join, in milliseconds. */
 export const joinIntervalMs = 300;
 
+/** Duration of one write and sync after which a leader hands over, in milliseconds: it answers no change of the catalogue meanwhile. */
+export const stalledWriteMs = 1000;
+
 /** Delay before a storage that failed is opened again, in milliseconds; doubled after each further failure. */
 export const initialReopenDelayMs = 250;
 
--- a/packages/daemon/src/control/replica-task.ts
+++ b/packages/daemon/src/control/replica-task.ts
@@ -11,6 +11,7 @@
 	ControlCommand,
 	ControlCommandKind,
 	ControlCommandResults,
+	Instant,
 	InstanceId,
 	LogEntry,
 	LogIndex,
@@ -26,7 +27,9 @@
 import type {Peers} from '../rpc/peers.js';
 import type {ReplicaStorage} from '../storage/replica-storage.js';
 import type {AppliedLog} from './applied-log.js';
-import {consensusTimings, snapshotBytes, tickIntervalMs} from './control-timings.js';
+import {
+	consensusTimings, snapshotBytes, stalledWriteMs, tickIntervalMs,
+} from './control-timings.js';
 import {ReplicaMessageQueue} from './replica-message-queue.js';
 
 const log = createLog('replica');
@@ -70,6 +73,8 @@
 	#proposals: Array<{readonly id: number; readonly command: ControlCommand}> = [];
 	#persists: PersistEffect[] = [];
 	#isPersisting = false;
+	/** When the write in progress began; undefined while there is none, or once its stall was handled. */
+	#writeStartedAt: Instant | undefined;
 	#persisting: Promise<void> | undefined;
 	#isStopped = false;
 	#nextId = 1;
@@ -87,6 +92,7 @@
 		this.#perform(this.#replica.start());
 		this.#timer = setInterval(() => {
 			this.step({kind: 'tick'});
+			this.#checkStall();
 		}, tickIntervalMs);
 	}
 
@@ -313,6 +319,7 @@
 		while (this.#persists.length > 0 && !this.#isStopped) {
 			const batch = this.#persists;
 			this.#persists = [];
+			this.#writeStartedAt = this.parts.clock.now();
 			try {
 				// eslint-disable-next-line no-await-in-loop
 				await this.parts.storage.persist(batch);
@@ -321,12 +328,22 @@
 				return;
 			}
 
+			this.#writeStartedAt = undefined;
 			this.step({kind: 'persisted', sequence: batch.at(-1)!.sequence});
 		}
 
 		this.#isPersisting = false;
 	}
 
+	/** A leader whose disk hangs hands over, once for each write; it can't be elected again before it persists its vote. */
+	#checkStall(): void {
+		if (this.#writeStartedAt !== undefined && this.view.role === 'leader' && this.parts.clock.now() - this.#writeStartedAt > stalledWriteMs) {
+			this.#writeStartedAt = undefined;
+			log('A write takes too long; the leader hands over.', {limitMs: stalledWriteMs});
+			this.step({kind: 'transfer'});
+		}
+	}
+
 	#fail(error: Error): void {
 		log('The replica stops: its storage failed.', {error: error.message, role: this.view.role});
 		// A leader that can't write would keep its followers from electing another one until its silence is noticed
