--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -282,6 +282,8 @@
 export {WindowedRetryBudget} from './routing/windowed-retry-budget.js';
 export type {WindowedRetryBudgetSettings} from './routing/windowed-retry-budget.js';
 export {chooseServer} from './routing/choose-server.js';
+export {boundHoldBack, ServerAvailability, spreadRetryDelay} from './routing/server-availability.js';
+export type {HoldBack, SendBlock, SendEffect} from './routing/server-availability.js';
 export type {ServerLoad} from './routing/choose-server.js';
 export type {
 	CallerLimits,
