--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -5,6 +5,7 @@
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../gateway/server-transport.js';
+import type {NoticeDialect} from '../gateway/types.js';
 
 const log = createLog('roles');
 /** Interval at which the load is sampled and changes are planned, in milliseconds. */
@@ -42,7 +43,7 @@
 };
 
 /** Translates orders to engines. */
-export type OrderDialect = {
+export type OrderDialect = NoticeDialect & {
 	/** Creates the request for an engine's report; another engine at its address refuses it. */
 	statusCall(engine: BackendId): EngineCall;
 	readStatus(body: Uint8Array): EngineStatus | undefined;
--- /dev/null
+++ b/packages/daemon/src/gateway/availability-gate.ts
@@ -0,0 +1,174 @@
+/** Keeps requests from servers that say in their responses that they leave, or that ask for time. */
+import {ServerAvailability} from '@baobabpier/core';
+import type {BackendId, Clock, SendEffect} from '@baobabpier/core';
+import {createLog} from '../log.js';
+import type {NoticeDialect} from './types.js';
+
+const log = createLog('availability');
+/** What the kinds of calls mean for their servers; all others are work. */
+const effects: ReadonlyMap<string, SendEffect> = new Map<string, SendEffect>([['release', 'release'], ['free', 'release'], ['report', 'probe'], ['liveness', 'probe']]);
+/** Status with which servers refuse requests that they have no capacity for. */
+const refusedStatus = 503;
+/** Servers whose unusable times are remembered as logged, at most. */
+const maxLoggedServers = 10_000;
+
+/** What the gate counts: servers that leave, times asked for, requests that were not sent, and requests that were sent although work is not. */
+export type GateEvent = 'marked' | 'asked' | 'held_back' | 'sent_anyway';
+
+/** Dependencies of an availability gate. */
+export type AvailabilityGateParts = {
+	readonly clock: Clock;
+	readonly dialect: NoticeDialect;
+	readonly count: (event: GateEvent, kind: string) => void;
+	/** Called when a server begins or ceases to leave or to be held back. */
+	readonly onChange: () => void;
+};
+
+/**
+ * Decides for all calls of this instance whether a server may get them now. Each instance acts on the responses that it saw itself, at once,
+ * whether or not it reaches others.
+ *
+ * @example
+ * gate.recordResponse(server.id, 'run', response.status, response.rawHeaders);
+ * if (gate.maySend(server.id, 'run')) send();
+ */
+export class AvailabilityGate {
+	readonly #availability = new ServerAvailability();
+	readonly #loggedTimes = new Set<BackendId>();
+	#timer: NodeJS.Timeout | undefined;
+	#isStopped = false;
+
+	constructor(private readonly parts: AvailabilityGateParts) {}
+
+	/** The servers that get no work because they leave or asked for time. */
+	get unavailable(): ReadonlySet<BackendId> {
+		return new Set([...this.#availability.leaving, ...this.#availability.heldBack(this.parts.clock.now())]);
+	}
+
+	get leavingCount(): number {
+		return this.#availability.leaving.length;
+	}
+
+	get heldBackCount(): number {
+		return this.#availability.heldBack(this.parts.clock.now()).length;
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+		clearTimeout(this.#timer);
+	}
+
+	/** Whether a server may get work now. */
+	isAvailable(server: BackendId): boolean {
+		return this.#availability.findBlock(server, 'work', this.parts.clock.now()) === undefined;
+	}
+
+	/** Time until one of the servers gets work, in milliseconds; 0 when one may get it now. */
+	availableInMs(servers: Iterable<BackendId>): number {
+		return this.#availability.availableInMs(servers, this.parts.clock.now());
+	}
+
+	/** Whether a request may be sent now; asked right before its first byte is written. */
+	maySend(server: BackendId, kind: string): boolean {
+		const block = this.#availability.findBlock(server, effectOf(kind), this.parts.clock.now());
+		if (block !== undefined) {
+			this.parts.count('held_back', kind);
+		}
+
+		return block === undefined;
+	}
+
+	/** Counts a request that is sent now. */
+	recordSend(server: BackendId, kind: string): void {
+		const now = this.parts.clock.now();
+		const block = this.#availability.findBlock(server, 'work', now);
+		this.#availability.recordSend(server, effectOf(kind), now);
+		if (block !== undefined) {
+			this.parts.count('sent_anyway', kind);
+		}
+	}
+
+	/** Takes note of what a server says of itself in the head of a response. */
+	recordResponse(server: BackendId, kind: string, status: number, rawHeaders: readonly string[]): void {
+		const {isLeaving, retryAfterMs} = this.parts.dialect.readNotice(rawHeaders);
+		const now = this.parts.clock.now();
+		let isChanged = false;
+		if (isLeaving && this.#availability.recordLeaving(server, now)) {
+			log('A server says that it leaves, and gets no more work.', {server, kind, status});
+			this.parts.count('marked', kind);
+			isChanged = true;
+		}
+
+		if (status === refusedStatus && retryAfterMs !== undefined) {
+			isChanged = this.#holdBack(server, kind, retryAfterMs) || isChanged;
+		}
+
+		if (isChanged) {
+			this.#applyChange();
+		}
+	}
+
+	/** Takes note of the servers that are listed. */
+	retain(listed: ReadonlySet<BackendId>): void {
+		const now = this.parts.clock.now();
+		const before = new Set(this.#availability.leaving);
+		for (const server of this.#availability.retain(listed, now)) {
+			if (before.has(server)) {
+				log('A server that left is forgotten.', {server});
+			}
+		}
+
+		for (const server of this.#loggedTimes) {
+			if (!listed.has(server)) {
+				this.#loggedTimes.delete(server);
+			}
+		}
+	}
+
+	#holdBack(server: BackendId, kind: string, retryAfterMs: number): boolean {
+		const now = this.parts.clock.now();
+		const wasHeldBack = this.#availability.heldBack(now).includes(server);
+		const {ms, isBounded} = this.#availability.recordHoldBack(server, retryAfterMs, now);
+		if (isBounded && !this.#loggedTimes.has(server) && this.#loggedTimes.size < maxLoggedServers) {
+			this.#loggedTimes.add(server);
+			log('A server asks for a time that is unreadable or out of bounds.', {
+				server, kind, requestedMs: Number.isNaN(retryAfterMs) ? 'unreadable' : retryAfterMs, heldBackMs: ms,
+			});
+		}
+
+		if (ms === 0) {
+			return false;
+		}
+
+		this.parts.count('asked', kind);
+		if (!wasHeldBack) {
+			log('A server asks for time, and gets no requests until it is over.', {server, kind, heldBackMs: Math.round(ms)});
+		}
+
+		return !wasHeldBack;
+	}
+
+	#applyChange(): void {
+		if (this.#isStopped) {
+			return;
+		}
+
+		this.#scheduleEnd();
+		this.parts.onChange();
+	}
+
+	/** Calls `onChange` when the next time that a server asked for is over. */
+	#scheduleEnd(): void {
+		const now = this.parts.clock.now();
+		const end = this.#availability.nextEnd(now);
+		clearTimeout(this.#timer);
+		this.#timer = end === undefined
+			? undefined
+			: setTimeout(() => {
+				this.#applyChange();
+			}, Math.ceil(end - now));
+		this.#timer?.unref();
+	}
+}
+
+const effectOf = (kind: string): SendEffect => effects.get(kind) ?? 'work';
--- a/packages/daemon/src/gateway/engine-leases.ts
+++ b/packages/daemon/src/gateway/engine-leases.ts
@@ -33,10 +33,9 @@
 export class EngineLeases {
 	constructor(private readonly parts: EngineLeasesParts) {}
 
-	/** Returns the engine's entry in the server list; undefined when it is not listed or is leaving. */
+	/** Returns the engine's entry in the server list; undefined when it is not listed, is leaving or asked for time. */
 	findListed({id}: EngineAddress): ListedServer | undefined {
-		const server = this.parts.fleet.get(toId<BackendId>(id));
-		return server?.leaving === false ? server : undefined;
+		return this.parts.fleet.findUsable(toId<BackendId>(id));
 	}
 
 	/** Returns the decode engine with the fewest requests of this instance. */
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -1,8 +1,9 @@
 /** The servers that this instance may call, with statistics of its own calls to them. */
 import type {
-	BackendId, Clock, ListedServer, ServerLoad, ServiceName,
+	BackendId, Clock, EngineRole, ListedServer, ServerLoad, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {AvailabilityGate} from './availability-gate.js';
 
 const log = createLog('fleet');
 /** Weight of the newest call in the moving averages of the failure rate and the response time. */
@@ -29,6 +30,17 @@
 /** Result of a call as evidence of the server's health; `none` is no evidence. */
 export type CallResult = 'good' | 'failed' | 'unreachable' | 'misplaced' | 'none';
 
+/** Whether servers take work, by what they say of themselves. */
+export type AvailabilityView = Pick<AvailabilityGate, 'availableInMs' | 'isAvailable' | 'retain'>;
+
+const alwaysAvailable: AvailabilityView = {
+	isAvailable: () => true,
+	availableInMs: () => 0,
+	retain() {
+		// Nothing is remembered
+	},
+};
+
 /** Holds the newest server list and the statistics of this instance's own calls. */
 export class FleetView {
 	readonly #statsById = new Map<BackendId, ServerStats>();
@@ -36,7 +48,7 @@
 	#byService = new Map<ServiceName, readonly ListedServer[]>();
 	#hasList = false;
 
-	constructor(private readonly clock: Clock) {}
+	constructor(private readonly clock: Clock, private readonly availability: AvailabilityView = alwaysAvailable) {}
 
 	/** Whether a list has been read since the start. */
 	get hasList(): boolean {
@@ -73,11 +85,27 @@
 
 		this.#servers = servers;
 		this.#byService = byService;
+		this.availability.retain(new Set(servers.map(({id}) => id)));
 	}
 
 	/** The servers of a service that may get new work. */
 	usable(service: ServiceName): readonly ListedServer[] {
-		return (this.#byService.get(service) ?? []).filter(({leaving}) => !leaving);
+		return (this.#byService.get(service) ?? []).filter(server => this.#isUsable(server));
+	}
+
+	/** The entry of a server that may get new work; undefined when it is not listed, leaves or asked for time. */
+	findUsable(id: BackendId): ListedServer | undefined {
+		const server = this.get(id);
+		return server !== undefined && this.#isUsable(server) ? server : undefined;
+	}
+
+	/**
+	 * Time until a server of a service gets new work, in milliseconds, where all those listed, of one role if given, say that they leave
+	 * or ask for time; 0 otherwise.
+	 */
+	unavailableForMs(service: ServiceName, role?: EngineRole): number {
+		const servers = (this.#byService.get(service) ?? []).filter(server => !server.leaving && (role === undefined || server.role === role));
+		return servers.length === 0 ? 0 : this.availability.availableInMs(servers.map(({id}) => id));
 	}
 
 	get(id: BackendId): ListedServer | undefined {
@@ -116,6 +144,10 @@
 		};
 	}
 
+	#isUsable({id, leaving}: ListedServer): boolean {
+		return !leaving && this.availability.isAvailable(id);
+	}
+
 	#recordResult(id: BackendId, stats: ServerStats, result: CallResult, startedAt: number): void {
 		const now = this.clock.now();
 		if (result === 'none') {
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -6,6 +6,7 @@
 } from 'prom-client';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
+import type {GateEvent} from './availability-gate.js';
 
 const log = createLog('metrics');
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 5, 15];
@@ -25,6 +26,10 @@
 		name: 'baobabpier_refusals_total', help: 'Calls answered with an error of the closed table', labelNames: ['error'], registers: [this.registry],
 	});
 
+	readonly #notices = new Counter({
+		name: 'baobabpier_server_availability_total', help: 'Servers that leave or ask for time, requests not sent for it, and requests sent although work is not, by kind of call', labelNames: ['event', 'kind'], registers: [this.registry],
+	});
+
 	/** Records a completed call. */
 	observeCall(kind: string, outcome: string, ms: number): void {
 		this.#calls.inc({kind, outcome});
@@ -35,6 +40,11 @@
 		this.#refusals.inc({error});
 	}
 
+	/** Counts what the availability gate did for a call. */
+	countAvailability(event: GateEvent, kind: string): void {
+		this.#notices.inc({event, kind});
+	}
+
 	/** Registers a gauge whose value is read on each scrape. */
 	registerGauge(name: string, help: string, read: () => number): void {
 		this.registry.registerMetric(new Gauge({
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import {PlacementClient} from '../pools/placement-client.js';
 import {PoolHost} from '../pools/pool-host.js';
 import {Peers} from '../rpc/peers.js';
+import {AvailabilityGate} from './availability-gate.js';
 import {CallerListener} from './caller-listener.js';
 import {ControlWatch, isListStale} from './control-watch.js';
 import {CrashGuard} from './crash-guard.js';
@@ -109,8 +110,21 @@
 	const clock = monotonicClock;
 	const random = createSeededRandom(hashText(`${initialSettings.id}/${Date.now()}`));
 	const peers = new Peers([], initialSettings.secret, id => id);
-	const fleet = new FleetView(clock);
 	const metrics = new GatewayMetrics();
+	const availability = new AvailabilityGate({
+		clock,
+		dialect: dialect.server,
+		count(event, kind) {
+			metrics.countAvailability(event, kind);
+		},
+		onChange() {
+			localPool.setLeaving(unavailableEngines());
+			places.handleAvailabilityChange();
+		},
+	});
+	const fleet = new FleetView(clock, availability);
+	/** Engines that leave by the list or their own word, and those that asked for time. */
+	const unavailableEngines = (): ReadonlySet<EngineId> => new Set([...leavingEngines(fleet.servers), ...[...availability.unavailable].map(id => toId<EngineId>(id))]);
 	const gate = new StartupGate(clock);
 	const connectionLimit = (address: string): number => {
 		const service = table?.services.get(fleet.servers.find(server => server.address === address)?.service ?? toId<ServiceName>(''));
@@ -134,7 +148,7 @@
 		const models = createModelServices(table, fleet.servers);
 		services = new Map(models.map(service => [service.name, service]));
 		localPool.applyCatalogue(createPoolCatalogue(models, table.version));
-		localPool.setLeaving(leavingEngines(fleet.servers));
+		localPool.setLeaving(unavailableEngines());
 	};
 
 	const openGateIfReady = (): void => {
@@ -193,7 +207,7 @@
 		holds: () => false,
 	};
 	const client = new PlacementClient({
-		self: initialSettings.id, dataCentre: poolDataCentre, shares, peers, clock, leaving: () => new Set([...leavingEngines(fleet.servers), ...fleet.servers.filter(({id}) => fleet.isUnreachable(id)).map(({id}) => toId<EngineId>(id))]),
+		self: initialSettings.id, dataCentre: poolDataCentre, shares, peers, clock, leaving: () => new Set([...unavailableEngines(), ...fleet.servers.filter(({id}) => fleet.isUnreachable(id)).map(({id}) => toId<EngineId>(id))]),
 	});
 	const places: StreamPlacements = new StreamPlacements({
 		self: initialSettings.id,
@@ -205,6 +219,7 @@
 		modelService: name => services.get(name),
 		outputPart: initialSettings.estimates.calls.outputPart,
 		tokensPerEvent: name => table?.services.get(name)?.engines?.tokensPerEvent,
+		unavailableForMs: service => fleet.unavailableForMs(service, 'decode'),
 		usableEngines: service => new Set(fleet.usable(service).filter(({id}) => !fleet.isUnreachable(id)).map(({id}) => toId<EngineId>(id))),
 	});
 	const guard: CrashGuard = new CrashGuard({
@@ -229,6 +244,8 @@
 	metrics.registerGauge('calls_in_progress', 'Calls in progress', () => callerListener.inProgress);
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => table?.version ?? 0);
 	metrics.registerGauge('list_age_seconds', 'Age of the list of servers', () => controlWatch.listAgeMs / 1000);
+	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
+	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => guard.quarantined);
 	metrics.registerGauge('quarantine_refusals', 'Calls refused for quarantined segments', () => guard.counts.refused);
 	metrics.registerGauge('quarantine_trials', 'Calls that tried suspected segments', () => guard.counts.trials);
@@ -253,6 +270,7 @@
 		localPool.stop();
 		controlWatch.stop();
 		listPoller.stop();
+		availability.stop();
 		readinessServer.closeAllConnections();
 		readinessServer.close();
 		metricsServer.closeAllConnections();
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -1,5 +1,5 @@
 /** Serves calls to plain services: sends each call to one server, and to further servers where the call may be retried. */
-import {chooseServer, routerError} from '@baobabpier/core';
+import {chooseServer, routerError, spreadRetryDelay} from '@baobabpier/core';
 import type {
 	BackendId, Clock, DataCentreId, ListedServer, RandomSource, ServerLoad, ServiceName,
 } from '@baobabpier/core';
@@ -52,7 +52,7 @@
 		retryBudgets.recordCall(service);
 		const tried = new Set<BackendId>();
 		let attempts = 0;
-		let lastReply: Reply = errorReply(routerError('noBackend', `no server of ${service} can be reached`, this.#retryAfterMs()));
+		let lastReply: Reply = errorReply(routerError('noBackend', `no server of ${service} can be reached`, this.#retryAfterMs(service)));
 		while (scope.reason === undefined) {
 			const load = chooseServer(fleet.loads(service), dataCentre, tried, clock.now(), random.next());
 			const server = load === undefined ? undefined : fleet.get(load.id);
@@ -70,7 +70,7 @@
 				requestId: call.requestId, server: server.id, attempt: attempts, outcome: attempt.kind, status: attempt.kind === 'answer' ? attempt.head.status : undefined,
 				detail: 'detail' in attempt ? attempt.detail : undefined, inFlight: load.inFlight, failing: Number(load.failing.toFixed(2)), leftMs: Math.round(scope.remainingMs()),
 			});
-			lastReply = this.#replyTo(attempt, scope);
+			lastReply = this.#replyTo(attempt, service, scope);
 			if (isFinal(call, attempt)) {
 				return lastReply;
 			}
@@ -80,18 +80,18 @@
 	}
 
 	/** The reply to the caller when this attempt is the last. */
-	#replyTo(attempt: Attempt, scope: CallScope): Reply {
+	#replyTo(attempt: Attempt, service: ServiceName, scope: CallScope): Reply {
 		switch (attempt.kind) {
 			case 'answer': {
 				return {kind: 'relay', head: attempt.head, body: attempt.body};
 			}
 
 			case 'notRun': {
-				return errorReply(routerError('overloaded', 'the servers are full', this.#retryAfterMs()));
+				return errorReply(routerError('overloaded', 'the servers are full', this.#retryAfterMs(service)));
 			}
 
 			case 'unsent': {
-				return errorReply(routerError('noBackend', attempt.detail, this.#retryAfterMs()));
+				return errorReply(routerError('noBackend', attempt.detail, this.#retryAfterMs(service)));
 			}
 
 			case 'broken': {
@@ -133,8 +133,11 @@
 		return head.isNotExecuted ? {kind: 'notRun', isMisdirected: head.isMisdirected} : {kind: 'answer', head, body};
 	}
 
-	#retryAfterMs(): number {
-		return minRetryAfterMs + (this.parts.random.next() * retryAfterJitterMs);
+	/** Retry delay suggested to a refused caller, in milliseconds: not before a server of the service takes calls again. */
+	#retryAfterMs(service: ServiceName): number {
+		const unavailableForMs = this.parts.fleet.unavailableForMs(service);
+		const draw = this.parts.random.next();
+		return unavailableForMs > 0 ? spreadRetryDelay(unavailableForMs, draw) : minRetryAfterMs + (draw * retryAfterJitterMs);
 	}
 }
 
--- a/packages/daemon/src/gateway/stream-placements.ts
+++ b/packages/daemon/src/gateway/stream-placements.ts
@@ -3,7 +3,7 @@
 	countPieces, POOL_RENEW, routerError, toId,
 } from '@baobabpier/core';
 import type {
-	AttemptNumber, Clock, EngineAddress, EngineHold, EngineId, HeldPlacement, InstanceId, ModelService, PlaceResponse, Placement, PlaceParams, RouterError, ServiceName,
+	AttemptNumber, Clock, EngineAddress, EngineHold, EngineId, HeldPlacement, Instant, InstanceId, ModelService, PlaceResponse, Placement, PlaceParams, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {PlacementClient, PoolAddress, ReleaseDetails} from '../pools/placement-client.js';
@@ -25,6 +25,8 @@
 const waitFraction = 0.75;
 /** Callers' timeout for a silent stream, in multiples of the first event's target latency; the platform's clients use this factor. */
 const callerTimeoutTargets = 4;
+/** Why a call is refused whose service has engines, none of which takes work. */
+const allUnavailable = 'every engine leaves or asks for time';
 /** Attempt numbers of placements that the owner did not grant start after this one, far above the rounds of a call. */
 const localAttemptBase = 1000;
 
@@ -71,6 +73,8 @@
 	/** Fraction of the maximum output tokens that running streams are expected to hold in memory. */
 	readonly outputPart: number;
 	readonly usableEngines: (service: ServiceName) => ReadonlySet<EngineId>;
+	/** Time until a decode engine of a service gets new work, in milliseconds; 0 unless all of them leave or ask for time. */
+	readonly unavailableForMs: (service: ServiceName) => number;
 };
 
 /** A stream's request for a placement. */
@@ -85,11 +89,18 @@
 	readonly scope: CallScope;
 };
 
+/** A placement request that waits for its response. */
+type PendingRequest = {
+	readonly service: ServiceName;
+	readonly since: Instant;
+	readonly isAtOwner: boolean;
+};
+
 type PlacementRequestParams = Omit<PlaceParams, 'dataCentre' | 'holder' | 'service'>;
 
 /** Requests, records and releases placements on behalf of streams. */
 export class StreamPlacements {
-	readonly #pending = new Map<AbortController, number>();
+	readonly #pending = new Map<AbortController, PendingRequest>();
 	#timer: NodeJS.Timeout | undefined;
 	#backoffUntil = 0;
 	#isPinging = false;
@@ -107,6 +118,15 @@
 		void this.parts.client.renew();
 	}
 
+	/** Ends the waits for a placement on services whose engines all leave or ask for time: their callers are refused at once. */
+	handleAvailabilityChange(): void {
+		for (const [abort, {service}] of this.#pending) {
+			if (this.parts.unavailableForMs(service) > 0) {
+				abort.abort();
+			}
+		}
+	}
+
 	/** Time for which a call that has had no event may wait for a placement, in milliseconds. */
 	maxWaitMs(call: Call, scope: CallScope): number {
 		return Math.max(0, Math.min(scope.remainingMs(), (call.route.targetLatencyMs * callerTimeoutTargets * waitFraction) - (this.parts.clock.now() - call.arrivedAt)));
@@ -162,9 +182,36 @@
 			return {kind: 'refused', error: routerError('noBackend', `no engine of ${name} is listed`)};
 		}
 
+		const refusal = this.#findRefusal(name);
+		if (refusal !== undefined) {
+			return refusal;
+		}
+
 		const isOwnerUnavailable = this.parts.owner() === undefined || this.parts.clock.now() < this.#backoffUntil;
 		const outcome = isOwnerUnavailable ? undefined : await this.#placeAtOwner(service, params, scope);
-		return outcome ?? this.#placeLocally(service, params, scope);
+		return outcome ?? this.#findRefusal(name) ?? this.#placeLocally(service, params, scope);
+	}
+
+	/** The refusal of a placement where every decode engine leaves or asks for time; undefined otherwise. */
+	#findRefusal(service: ServiceName): Extract<PlacementOutcome, {kind: 'refused'}> | undefined {
+		return this.parts.unavailableForMs(service) > 0 ? {kind: 'refused', error: routerError('noBackend', allUnavailable)} : undefined;
+	}
+
+	/** Runs a request that ends when its call ends, or when every engine of its service leaves or asks for time. */
+	async #withAbort<Result>(pending: PendingRequest, scope: CallScope, send: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
+		const abort = new AbortController();
+		const end = (): void => {
+			abort.abort();
+		};
+
+		scope.signal.addEventListener('abort', end, {once: true});
+		this.#pending.set(abort, pending);
+		try {
+			return await send(abort.signal);
+		} finally {
+			this.#pending.delete(abort);
+			scope.signal.removeEventListener('abort', end);
+		}
 	}
 
 	/** The engines to avoid; none where no other decode engine would be left. */
@@ -201,17 +248,10 @@
 
 	/** Requests a placement from the owner; undefined when the owner does not respond or has no suitable engine. */
 	async #placeAtOwner(service: ModelService, params: PlacementRequestParams, scope: CallScope): Promise<PlacementOutcome | undefined> {
-		const abort = new AbortController();
-		const end = (): void => {
-			abort.abort();
-		};
-
-		scope.signal.addEventListener('abort', end, {once: true});
-		this.#pending.set(abort, this.parts.clock.now());
-		this.#scheduleOwnerCheck();
-		const {response: answer, pool} = await this.parts.client.place(service, params, abort.signal);
-		this.#pending.delete(abort);
-		scope.signal.removeEventListener('abort', end);
+		const {response: answer, pool} = await this.#withAbort({service: service.name, since: this.parts.clock.now(), isAtOwner: true}, scope, async signal => {
+			this.#scheduleOwnerCheck();
+			return this.parts.client.place(service, params, signal);
+		});
 		if (answer.kind === 'placed') {
 			return {kind: 'placed', placement: this.#createOwnerPlacement(answer, pool!, params)};
 		}
@@ -241,9 +281,9 @@
 		const usable = this.parts.usableEngines(service.name);
 		const excluded = [...params.excluded, ...service.engines.map(({id}) => id).filter(id => !usable.has(id))];
 		const hold = {requestId: params.requestId, attempt: this.#nextLocalAttempt()};
-		const answer = await localPool.place({
+		const answer = await this.#withAbort({service: service.name, since: this.parts.clock.now(), isAtOwner: false}, scope, async signal => localPool.place({
 			...params, ...hold, ...pool, excluded, holder: self,
-		}, scope.signal);
+		}, signal));
 		log('A place was sought without the pool\'s owner.', {requestId: params.requestId, outcome: answer.kind});
 		if (answer.kind === 'refused') {
 			return answer;
@@ -302,17 +342,22 @@
 		this.#timer ??= setTimeout(() => {
 			this.#timer = undefined;
 			void this.#checkOwner();
-			if (this.#pending.size > 0) {
+			if (this.#pendingAtOwner().length > 0) {
 				this.#scheduleOwnerCheck();
 			}
 		}, pingAfterMs);
 	}
 
+	#pendingAtOwner(): ReadonlyArray<readonly [AbortController, PendingRequest]> {
+		return [...this.#pending].filter(([, {isAtOwner}]) => isAtOwner);
+	}
+
 	/** Aborts the pending requests when the owner does not respond to a ping. */
 	async #checkOwner(): Promise<void> {
 		const {clock, peers} = this.parts;
 		const owner = this.parts.owner();
-		const oldest = Math.min(...this.#pending.values());
+		const pending = this.#pendingAtOwner();
+		const oldest = Math.min(...pending.map(([, {since}]) => since));
 		if (this.#isPinging || owner === undefined || clock.now() - oldest < pingAfterMs) {
 			return;
 		}
@@ -325,8 +370,8 @@
 			}, pingTimeoutMs);
 		} catch (error) {
 			this.#backoffUntil = clock.now() + ownerBackoffMs;
-			log('The pool\'s owner does not answer.', {owner, detail: (error as Error).message, waiting: this.#pending.size});
-			for (const abort of this.#pending.keys()) {
+			log('The pool\'s owner does not answer.', {owner, detail: (error as Error).message, waiting: pending.length});
+			for (const [abort] of this.#pendingAtOwner()) {
 				abort.abort();
 			}
 		} finally {
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -1,7 +1,7 @@
 /** Serves streams of model services: placement, prefill, KV cache transfer, event relay, and resumption at another engine. */
-import {routerError, toId} from '@baobabpier/core';
+import {routerError, spreadRetryDelay, toId} from '@baobabpier/core';
 import type {
-	Clock, EngineAddress, EngineId, RandomSource, BackendId, RouterError, ServiceName,
+	Clock, EngineAddress, EngineId, ErrorKind, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {CallScope} from './call-scope.js';
@@ -31,6 +31,9 @@
 /** Minimum retry delay after a full pool and the width of its jitter, in multiples of the first event's target latency: a burst passes in a few seconds. */
 const retryDelayTargets = 1.5;
 
+/** Errors of calls that found no engine with capacity. */
+const capacityErrors: ReadonlySet<ErrorKind> = new Set(['noBackend', 'overloaded', 'queueTimeout']);
+
 /** Dependencies of a stream route. */
 export type StreamRouteParts = {
 	readonly fleet: FleetView;
@@ -69,12 +72,20 @@
 		};
 		const unregister = this.parts.guard.register(call, scope);
 		try {
-			return await this.#runRounds(progress);
+			return this.#withRetryDelay(await this.#runRounds(progress), service);
 		} finally {
 			unregister();
 		}
 	}
 
+	/** Tells a refused caller when an engine takes work again, if all of them leave or ask for time. */
+	#withRetryDelay(reply: Reply, service: ServiceName): Reply {
+		const unavailableForMs = this.parts.fleet.unavailableForMs(service, 'decode');
+		return reply.kind === 'error' && unavailableForMs > 0 && capacityErrors.has(reply.error.kind)
+			? errorReply({...reply.error, retryAfterMs: spreadRetryDelay(unavailableForMs, this.parts.random.next())})
+			: reply;
+	}
+
 	async #runRounds(progress: StreamProgress): Promise<Reply> {
 		const {scope} = progress;
 		let reply: Reply = errorReply(routerError('noBackend', undefined, rejectedRetryAfterMs));
@@ -177,7 +188,7 @@
 		const placedServer = this.#leases.findListed(placement.decode);
 		const lease = placement.isFromOwner || placedServer === undefined ? undefined : await this.#leases.acquire(progress, placedServer);
 		if (placedServer === undefined) {
-			progress.excluded.add(placement.decode.id);
+			declinePlacement(progress, placement);
 		}
 
 		if (placedServer === undefined || (!placement.isFromOwner && lease === undefined)) {
@@ -285,7 +296,7 @@
 		const {placement} = placementOutcome;
 		return this.#withPlacement(progress, placement, async () => {
 			if (server === undefined) {
-				progress.excluded.add(placement.decode.id);
+				declinePlacement(progress, placement);
 			}
 
 			const lease = placement.isFromOwner || server === undefined ? undefined : await this.#leases.acquire(progress, server);
@@ -347,6 +358,13 @@
 	}
 }
 
+/** Declines a placement on an engine that leaves or asked for time since the request, and lets the pool's owner know that the engine takes no streams. */
+const declinePlacement = ({call, excluded, rejectedBy}: StreamProgress, {decode}: StreamPlacement): void => {
+	log('A placement is declined: its engine takes no work.', {requestId: call.requestId, engine: decode.id});
+	excluded.add(decode.id);
+	rejectedBy.push(decode.id);
+};
+
 /** The error of a quarantined prompt: not run, or of unknown outcome where an engine may have begun with it. */
 const quarantineError = (sent: number): RouterError => sent > 0 ? routerError('answerLost', 'the prompt has quarantined segments') : routerError('quarantined');
 
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -48,6 +48,14 @@
 	readonly handle: string;
 };
 
+/** What a server says of itself in the head of a response. */
+export type ServerNotice = {
+	/** Whether the server leaves and wants no more work. */
+	readonly isLeaving: boolean;
+	/** Time for which a server that refuses a request wants no further ones, in milliseconds; undefined when it states none, NaN when the time can't be read. */
+	readonly retryAfterMs: number | undefined;
+};
+
 /** Status and headers of a backend server's response. */
 export type ResponseHead = {
 	readonly status: number;
@@ -74,8 +82,13 @@
 	errorHeaders(requestId: string | undefined, retryAfterMs: number | undefined): Record<string, string>;
 };
 
+/** Translates what servers say of themselves. */
+export type NoticeDialect = {
+	readNotice(rawHeaders: readonly string[]): ServerNotice;
+};
+
 /** Translates requests to backend servers and their responses. */
-export type ServerDialect = {
+export type ServerDialect = NoticeDialect & {
 	/** Alternating header names and values of a request to a server that must complete within `remainingMs`. */
 	sendHeaders(call: Call, server: ListedServer, purpose: SendPurpose, remainingMs: number): string[];
 	readHead(status: number, rawHeaders: readonly string[]): ResponseHead;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -33,7 +33,7 @@
 export type {Gateway, GatewaySettings} from './gateway/gateway.js';
 export {headerValue, forwardableHeaders} from './gateway/raw-headers.js';
 export type {
-	ResponseHead, Call, CallerDialect, CallMetadata, GatewayDialect, KvSource, ListDialect, ListPage, RoutingCodec, SendPurpose, ServerDialect,
+	ResponseHead, Call, CallerDialect, CallMetadata, GatewayDialect, KvSource, ListDialect, ListPage, NoticeDialect, RoutingCodec, SendPurpose, ServerDialect, ServerNotice,
 } from './gateway/types.js';
 export {listenOn} from './listen.js';
 export {createLog} from './log.js';
