--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -41,6 +41,16 @@
 	},
 };
 
+/** The result that a request which was not sent means for its server. */
+export const resultOfUnsent = ({isUnreachable = false, isHeldBack = false}: {readonly isUnreachable?: boolean; readonly isHeldBack?: boolean}): CallResult => {
+	if (isUnreachable) {
+		return 'unreachable';
+	}
+
+	// A server whose connections are all in use for too long is slow
+	return isHeldBack ? 'none' : 'failed';
+};
+
 /** Holds the newest server list and the statistics of this instance's own calls. */
 export class FleetView {
 	readonly #statsById = new Map<BackendId, ServerStats>();
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -30,6 +30,10 @@
 		name: 'baobabpier_server_availability_total', help: 'Servers that leave or ask for time, requests not sent for it, and requests sent although work is not, by kind of call', labelNames: ['event', 'kind'], registers: [this.registry],
 	});
 
+	readonly #foreignResponses = new Counter({
+		name: 'baobabpier_foreign_responses_total', help: 'Responses of servers that belong to no request or to another one, by kind of call', labelNames: ['kind', 'moment'], registers: [this.registry],
+	});
+
 	/** Records a completed call. */
 	observeCall(kind: string, outcome: string, ms: number): void {
 		this.#calls.inc({kind, outcome});
@@ -45,6 +49,10 @@
 		this.#notices.inc({event, kind});
 	}
 
+	countForeignResponse(kind: string, moment: string): void {
+		this.#foreignResponses.inc({kind, moment});
+	}
+
 	/** Registers a gauge whose value is read on each scrape. */
 	registerGauge(name: string, help: string, read: () => number): void {
 		this.registry.registerMetric(new Gauge({
