--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -6,6 +6,7 @@
 	DataCentreId, EngineId, FencingToken, Instant, InstanceId, ListedServer, RoutingDocument, RoutingTable, RoutingReplaceResult, ShareMap,
 } from '@baobabpier/core';
 import {ReplicatedControlLog} from '../control/replicated-control-log.js';
+import {AvailabilityGate} from '../gateway/availability-gate.js';
 import {GatewayMetrics, serveMetrics} from '../gateway/gateway-metrics.js';
 import {forecastOptions, placementLeaseTimings} from '../gateway/gateway.js';
 import {ServerListPoller} from '../gateway/server-list-poller.js';
@@ -162,11 +163,21 @@
 		reopenMs: reopenDelayMs,
 	});
 	const shares = new LeaderShares(first.id, control);
+	const availability = new AvailabilityGate({
+		clock,
+		dialect: dialect.orders,
+		count(event, kind) {
+			metrics.countAvailability(event, kind);
+		},
+		onChange() {
+			applyPools();
+		},
+	});
 	const transport = new ServerTransport({
 		// Engines and the platform's list return no id with these calls
 		maxConnectionsTo: () => serverConnections, readResponseId: () => undefined, onForeignResponse(kind, moment) {
 			metrics.countForeignResponse(kind, moment);
-		},
+		}, gate: availability,
 	});
 	const reports = new EngineReports({clock, transport, dialect: dialect.orders});
 	const pools = new PoolHost({
@@ -184,6 +195,7 @@
 	const list = new ServerListPoller({
 		address: first.list, dialect: dialect.list, transport, clock, intervalMs: listIntervalMs, shouldPoll: () => true, onList(read) {
 			servers = read;
+			availability.retain(new Set(read.map(({id}) => id)));
 			reports.retain(new Set(read.map(({id}) => toId<EngineId>(id))));
 			liveness.retain(new Set(read.map(({id}) => toId<EngineId>(id))));
 			watchServer.setList(read);
@@ -241,7 +253,7 @@
 		const table = tableInForce();
 		if (table !== undefined) {
 			pools.applyCatalogue(createPoolCatalogue(createModelServices(table, servers), table.version));
-			pools.setLeaving(new Set([...leavingEngines(servers), ...roles.changing]));
+			pools.setLeaving(new Set([...leavingEngines(servers), ...roles.changing, ...[...availability.unavailable].map(id => toId<EngineId>(id))]));
 		}
 	};
 
@@ -251,6 +263,8 @@
 	metrics.registerGauge('control_term', 'Term of the control log', () => control.status.term ?? 0);
 	metrics.registerGauge('control_leads', 'Whether this instance leads the control log', () => control.status.role === 'leader' ? 1 : 0);
 	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => watchServer.entries);
+	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
+	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => control.state.quarantine.entries.length);
 	metrics.registerGauge('suspected_sets', 'Prompt segment sets under suspicion at the leader', () => quarantine.suspects?.sets.length ?? 0);
 	metrics.registerGauge('trials_waiting', 'Requests that wait for a trial of suspected segments', () => quarantine.waiting);
@@ -286,6 +300,7 @@
 		roles.stop();
 		recorder.stop();
 		quarantine.stop();
+		availability.stop();
 		list.stop();
 		watchServer.stop();
 		peerPort.closeAllConnections();
--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -34,6 +34,10 @@
 		const answer = await transport.sendRequest({
 			kind: 'report', binding: {kind: 'interchangeable', lane: 'report'}, server: toId<BackendId>(engine.id), address: engine.address, ...dialect.statusCall(toId<BackendId>(engine.id)), signal: AbortSignal.timeout(reportTimeoutMs),
 		});
+		if (answer.kind === 'unsent' && answer.isHeldBack === true) {
+			return undefined;
+		}
+
 		const body = answer.kind === 'head' ? await transport.readBody(answer) : answer;
 		if (answer.kind !== 'head' || 'kind' in body) {
 			transport.discardConnections(engine.address);
--- a/packages/daemon/src/gateway/availability-gate.ts
+++ b/packages/daemon/src/gateway/availability-gate.ts
@@ -2,11 +2,12 @@
 import {ServerAvailability} from '@baobabpier/core';
 import type {BackendId, Clock, SendEffect} from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {CallKind, ServerGate} from '../transport/types.js';
 import type {NoticeDialect} from './types.js';
 
 const log = createLog('availability');
 /** What the kinds of calls mean for their servers; all others are work. */
-const effects: ReadonlyMap<string, SendEffect> = new Map<string, SendEffect>([['release', 'release'], ['free', 'release'], ['report', 'probe'], ['liveness', 'probe']]);
+const effects: ReadonlyMap<CallKind, SendEffect> = new Map<CallKind, SendEffect>([['release', 'release'], ['free', 'release'], ['report', 'probe'], ['liveness', 'probe']]);
 /** Status with which servers refuse requests that they have no capacity for. */
 const refusedStatus = 503;
 /** Servers whose unusable times are remembered as logged, at most. */
@@ -19,7 +20,7 @@
 export type AvailabilityGateParts = {
 	readonly clock: Clock;
 	readonly dialect: NoticeDialect;
-	readonly count: (event: GateEvent, kind: string) => void;
+	readonly count: (event: GateEvent, kind: CallKind) => void;
 	/** Called when a server begins or ceases to leave or to be held back. */
 	readonly onChange: () => void;
 };
@@ -32,7 +33,7 @@
  * gate.recordResponse(server.id, 'run', response.status, response.rawHeaders);
  * if (gate.maySend(server.id, 'run')) send();
  */
-export class AvailabilityGate {
+export class AvailabilityGate implements ServerGate {
 	readonly #availability = new ServerAvailability();
 	readonly #loggedTimes = new Set<BackendId>();
 	#timer: NodeJS.Timeout | undefined;
@@ -69,7 +70,7 @@
 	}
 
 	/** Whether a request may be sent now; asked right before its first byte is written. */
-	maySend(server: BackendId, kind: string): boolean {
+	maySend(server: BackendId, kind: CallKind): boolean {
 		const block = this.#availability.findBlock(server, effectOf(kind), this.parts.clock.now());
 		if (block !== undefined) {
 			this.parts.count('held_back', kind);
@@ -79,7 +80,7 @@
 	}
 
 	/** Counts a request that is sent now. */
-	recordSend(server: BackendId, kind: string): void {
+	recordSend(server: BackendId, kind: CallKind): void {
 		const now = this.parts.clock.now();
 		const block = this.#availability.findBlock(server, 'work', now);
 		this.#availability.recordSend(server, effectOf(kind), now);
@@ -89,7 +90,7 @@
 	}
 
 	/** Takes note of what a server says of itself in the head of a response. */
-	recordResponse(server: BackendId, kind: string, status: number, rawHeaders: readonly string[]): void {
+	recordResponse(server: BackendId, kind: CallKind, status: number, rawHeaders: readonly string[]): void {
 		const {isLeaving, retryAfterMs} = this.parts.dialect.readNotice(rawHeaders);
 		const now = this.parts.clock.now();
 		let isChanged = false;
@@ -125,7 +126,7 @@
 		}
 	}
 
-	#holdBack(server: BackendId, kind: string, retryAfterMs: number): boolean {
+	#holdBack(server: BackendId, kind: CallKind, retryAfterMs: number): boolean {
 		const now = this.parts.clock.now();
 		const wasHeldBack = this.#availability.heldBack(now).includes(server);
 		const {ms, isBounded} = this.#availability.recordHoldBack(server, retryAfterMs, now);
@@ -171,4 +172,4 @@
 	}
 }
 
-const effectOf = (kind: string): SendEffect => effects.get(kind) ?? 'work';
+const effectOf = (kind: CallKind): SendEffect => effects.get(kind) ?? 'work';
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -134,7 +134,7 @@
 	const transport = new ServerTransport({
 		maxConnectionsTo: connectionLimit, readResponseId: headers => dialect.server.readResponseId(headers), onForeignResponse(kind, moment) {
 			metrics.countForeignResponse(kind, moment);
-		},
+		}, gate: availability,
 	});
 	const localPool = new PoolHost({
 		self: initialSettings.id,
--- a/packages/daemon/src/gateway/prefill-client.ts
+++ b/packages/daemon/src/gateway/prefill-client.ts
@@ -1,7 +1,7 @@
 /** Runs prefills on prefill engines. */
 import {Buffer} from 'node:buffer';
 import {routerError} from '@baobabpier/core';
-import type {Clock, RouterError} from '@baobabpier/core';
+import type {BackendId, Clock, RouterError} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {OpenResponse, TransportFailure} from '../transport/types.js';
@@ -31,12 +31,17 @@
 	readonly clock: Clock;
 };
 
+/** A prefill's result at the engine that computed it. */
+export type PrefillResult = KvSource & {
+	readonly server: BackendId;
+};
+
 /** Requests prefills and frees unused results. */
 export class PrefillClient {
 	constructor(private readonly parts: PrefillClientParts) {}
 
 	/** Runs the prefill of a call's prompt on the placed engine. */
-	async prefill(progress: StreamProgress, placement: StreamPlacement): Promise<KvSource | {readonly error: RouterError}> {
+	async prefill(progress: StreamProgress, placement: StreamPlacement): Promise<PrefillResult | {readonly error: RouterError}> {
 		const {call, service, scope} = progress;
 		const server = this.parts.leases.findListed(placement.prefill);
 		if (server === undefined) {
@@ -68,14 +73,14 @@
 			requestId: call.requestId, engine: server.id, tokens: call.promptTokens, ms: Math.round(this.parts.clock.now() - startedAt), isRead: handle !== undefined,
 			status: response.kind === 'head' ? response.status : undefined, detail: 'detail' in response ? response.detail : undefined,
 		});
-		return handle === undefined ? {error: routerError('overloaded', 'the prefill failed', rejectedRetryAfterMs)} : {address: server.address, handle};
+		return handle === undefined ? {error: routerError('overloaded', 'the prefill failed', rejectedRetryAfterMs)} : {server: server.id, address: server.address, handle};
 	}
 
 	/** Frees an unused prefill result. */
-	async free({address, handle}: KvSource): Promise<void> {
+	async free({server, address, handle}: PrefillResult): Promise<void> {
 		const {transport, dialect} = this.parts;
 		const response = await transport.sendRequest({
-			kind: 'free', binding: {kind: 'ownConnection'}, address, method: 'DELETE', target: dialect.freePath(handle), headers: [], body: undefined, signal: AbortSignal.timeout(freeTimeoutMs),
+			kind: 'free', binding: {kind: 'ownConnection'}, server, address, method: 'DELETE', target: dialect.freePath(handle), headers: [], body: undefined, signal: AbortSignal.timeout(freeTimeoutMs),
 		});
 		if (response.kind === 'head') {
 			response.body.resume();
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -12,6 +12,7 @@
 import type {FleetView} from './fleet-view.js';
 import type {StreamPlacement, StreamPlacements} from './stream-placements.js';
 import {PrefillClient} from './prefill-client.js';
+import type {PrefillResult} from './prefill-client.js';
 import {errorReply} from './reply.js';
 import type {Reply} from './reply.js';
 import type {RetryBudgets} from './retry-budgets.js';
@@ -20,7 +21,7 @@
 	DecodeOutcome, ReservedEngine, StreamProgress, StreamOutput,
 } from './stream-progress.js';
 import type {
-	Call, KvSource, SendPurpose, ServerDialect,
+	Call, SendPurpose, ServerDialect,
 } from './types.js';
 
 const log = createLog('stream');
@@ -210,7 +211,7 @@
 	}
 
 	/** Decodes from a prefill's result at the placed engine, or at another one if that engine is unavailable. */
-	async #decode(progress: StreamProgress, placement: StreamPlacement, source: KvSource, lease: string | undefined): Promise<RoundResult> {
+	async #decode(progress: StreamProgress, placement: StreamPlacement, source: PrefillResult, lease: string | undefined): Promise<RoundResult> {
 		const prefilledAt = this.parts.clock.now();
 		const placedServer = this.#leases.findListed(placement.decode);
 		let engine = placement.decode.id;
