--- a/packages/cli/src/__tests__/unit/explain-request.test.ts
+++ b/packages/cli/src/__tests__/unit/explain-request.test.ts
@@ -28,6 +28,17 @@
 			log: logOf(rejected, {event: 'A call is refused.', part: 'callers', kind: 'overloaded'}),
 			verdict: 'Refused after every engine that it was sent to rejected it: i-1 notRun (status 503, 9 requests there). It has not run.',
 		},
+		{
+			name: 'a refusal while every server asks for time',
+			log: logOf(
+				rejected,
+				{
+					event: 'Every server of a service leaves or asks for time.', part: 'fleet', service: 'lm', availableInMs: 2500,
+				},
+				{event: 'A call is refused.', part: 'callers', kind: 'overloaded'},
+			),
+			verdict: 'Refused since every server of lm leaves or asked for time; the first takes calls again 2500 ms later. Before: i-1 notRun (status 503, 9 requests there). It has not run.',
+		},
 		{
 			name: 'a prompt with quarantined segments',
 			log: [
--- a/packages/cli/src/explain/explain-request.ts
+++ b/packages/cli/src/explain/explain-request.ts
@@ -19,6 +19,7 @@
 const ended = 'A call ended.';
 const refused = 'A call is refused.';
 const engineOutcome = 'A stream got an outcome at an engine.';
+const unavailable = 'Every server of a service leaves or asks for time.';
 const serverOutcome = 'A call got an outcome at a server.';
 
 /** A field's value in words; undefined where the line has none. */
@@ -40,6 +41,9 @@
 
 const attemptsOf = (lines: readonly LogLine[]): string => lines.map(line => attemptOf(line)).join('; ');
 
+/** Errors of calls that found no server with capacity. */
+const capacityErrors: ReadonlySet<string> = new Set(['noBackend', 'overloaded', 'queueTimeout']);
+
 /** Why a call was refused or failed, by error kind. */
 const refusalVerdicts: Readonly<Record<string, (lines: readonly LogLine[], attempts: readonly LogLine[]) => string>> = {
 	overloaded: (lines, attempts) => attempts.length === 0
@@ -75,6 +79,11 @@
 	}
 
 	const kind = refusal === undefined ? undefined : field(refusal, 'kind');
+	const finding = find(lines, unavailable);
+	if (finding !== undefined && kind !== undefined && capacityErrors.has(kind)) {
+		return `Refused since every server of ${field(finding, 'service')} leaves or asked for time; the first takes calls again ${field(finding, 'availableInMs')} ms later${attempts.length === 0 ? '' : `. Before: ${attemptsOf(attempts)}`}. It has not run.`;
+	}
+
 	if (kind !== undefined) {
 		return refusalVerdicts[kind]?.(lines, attempts) ?? `Refused: ${kind}, ${field(refusal, 'detail')}.`;
 	}
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -1,6 +1,6 @@
 /** The servers that this instance may call, with statistics of its own calls to them. */
 import type {
-	BackendId, Clock, EngineRole, ListedServer, ServerLoad, ServiceName,
+	BackendId, Clock, EngineRole, ListedServer, RequestId, ServerLoad, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {AvailabilityGate} from './availability-gate.js';
@@ -154,6 +154,14 @@
 		};
 	}
 
+	/** Logs that a call finds every server of its service leaving or asking for time, if that is so. */
+	logUnavailable(requestId: RequestId, service: ServiceName, role?: EngineRole): void {
+		const availableInMs = this.unavailableForMs(service, role);
+		if (availableInMs > 0) {
+			log('Every server of a service leaves or asks for time.', {requestId, service, availableInMs: Math.round(availableInMs)});
+		}
+	}
+
 	#isUsable({id, leaving}: ListedServer): boolean {
 		return !leaving && this.availability.isAvailable(id);
 	}
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -54,12 +54,16 @@
 		retryBudgets.recordCall(service);
 		const tried = new Set<BackendId>();
 		let attempts = 0;
-		let lastReply: Reply = errorReply(routerError('noBackend', `no server of ${service} can be reached`, this.#retryAfterMs(service)));
+		let lastReply: Reply | undefined;
 		while (scope.reason === undefined) {
 			const load = chooseServer(fleet.loads(service), dataCentre, tried, clock.now(), random.next());
 			const server = load === undefined ? undefined : fleet.get(load.id);
+			if (load === undefined) {
+				fleet.logUnavailable(call.requestId, service);
+			}
+
 			if (load === undefined || server === undefined || attempts >= call.route.maxAttempts || (attempts > 0 && !retryBudgets.tryAcquire(service))) {
-				return lastReply;
+				break;
 			}
 
 			tried.add(server.id);
@@ -78,7 +82,7 @@
 			}
 		}
 
-		return scope.reason === 'callerGone' ? {kind: 'streamed'} : lastReply;
+		return scope.reason === 'callerGone' ? {kind: 'streamed'} : lastReply ?? errorReply(routerError('noBackend', `no server of ${service} can be reached`, this.#retryAfterMs(service)));
 	}
 
 	/** The reply to the caller when this attempt is the last. */
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -73,18 +73,22 @@
 		};
 		const unregister = this.parts.guard.register(call, scope);
 		try {
-			return this.#withRetryDelay(await this.#runRounds(progress), service);
+			return this.#withRetryDelay(await this.#runRounds(progress), progress);
 		} finally {
 			unregister();
 		}
 	}
 
 	/** Tells a refused caller when an engine takes work again, if all of them leave or ask for time. */
-	#withRetryDelay(reply: Reply, service: ServiceName): Reply {
-		const unavailableForMs = this.parts.fleet.unavailableForMs(service, 'decode');
-		return reply.kind === 'error' && unavailableForMs > 0 && capacityErrors.has(reply.error.kind)
-			? errorReply({...reply.error, retryAfterMs: spreadRetryDelay(unavailableForMs, this.parts.random.next())})
-			: reply;
+	#withRetryDelay(reply: Reply, {call, service}: StreamProgress): Reply {
+		const {fleet, random} = this.parts;
+		const unavailableForMs = reply.kind === 'error' && capacityErrors.has(reply.error.kind) ? fleet.unavailableForMs(service, 'decode') : 0;
+		if (reply.kind !== 'error' || unavailableForMs === 0) {
+			return reply;
+		}
+
+		fleet.logUnavailable(call.requestId, service, 'decode');
+		return errorReply({...reply.error, retryAfterMs: spreadRetryDelay(unavailableForMs, random.next())});
 	}
 
 	async #runRounds(progress: StreamProgress): Promise<Reply> {
--- a/packages/daemon/src/pools/placement-client.ts
+++ b/packages/daemon/src/pools/placement-client.ts
@@ -213,7 +213,8 @@
 
 	/** Returns the leaving engines of a service. Requests exclude them, since this instance may learn of them before the pool's owner does. */
 	#leavingEngines(service: ModelService): readonly EngineId[] {
-		return service.engines.map(({id}) => id).filter(id => this.parts.leaving().has(id));
+		const leaving = this.parts.leaving();
+		return service.engines.map(({id}) => id).filter(id => leaving.has(id));
 	}
 
 	#findOwner(pool: PoolAddress): InstanceId | undefined {
