--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -31,8 +31,6 @@
 import {WatchServer} from './watch-server.js';
 
 const log = createLog('control-node');
-/** Delay before a failed disk is opened again, in milliseconds. */
-const reopenDelayMs = 1000;
 /** Interval between reads of the server list, in milliseconds: a leaving server must be known within seconds, and the platform charges for reads. */
 const listIntervalMs = 700;
 /** Number of connections to the platform's list, and to each engine for reports and orders. */
@@ -160,7 +158,6 @@
 		founders: first.isFirstStart ? first.seeds : [],
 		discovered: () => settings.seeds,
 		voters: first.voters,
-		reopenMs: reopenDelayMs,
 	});
 	const shares = new LeaderShares(first.id, control);
 	const availability = new AvailabilityGate({
@@ -262,6 +259,8 @@
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => control.state.routing.current?.version ?? 0);
 	metrics.registerGauge('control_term', 'Term of the control log', () => control.status.term ?? 0);
 	metrics.registerGauge('control_leads', 'Whether this instance leads the control log', () => control.status.role === 'leader' ? 1 : 0);
+	metrics.registerGauge('storage_failed_seconds', 'How long the storage of the replica has been failed; 0 while it runs', () => (control.status.failedForMs ?? 0) / 1000);
+	metrics.registerGauge('storage_reopenings', 'How often a failed storage was opened again', () => control.status.reopenings);
 	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => watchServer.entries);
 	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
 	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -24,12 +24,13 @@
 import {EngineClients} from './engine/engine-clients.js';
 import {EntryApp} from './entry/entry-app.js';
 import {listChanges} from './entry/list-changes.js';
-import {openPort} from './listen.js';
+import {openConnections, openPort} from './listen.js';
 import {createLog} from './log.js';
 import {monotonicClock} from './monotonic-clock.js';
 import {ClaimCleaner} from './fleet/claim-cleaner.js';
 import {DrainablePort} from './fleet/drainable-port.js';
 import {Fleet} from './fleet/fleet.js';
+import type {GaugeSources} from './observability/gauge-sampler.js';
 import {noMetrics, StatsdMetrics} from './observability/metrics.js';
 import {TracedLedger} from './observability/traced-ledger.js';
 import {startTracing} from './observability/tracing.js';
@@ -44,6 +45,7 @@
 import {Peers} from './rpc/peers.js';
 import {RpcServer} from './rpc/rpc-server.js';
 import type {Settings} from './settings/parse-settings.js';
+import type {ForeignResponseListener} from './transport/types.js';
 
 const log = createLog('daemon');
 
@@ -62,6 +64,13 @@
 	});
 };
 
+const storageGauges = (control: ReplicatedControlLog): GaugeSources => ({
+	/* eslint-disable @typescript-eslint/naming-convention */
+	'control.storage_failed': () => control.status.failedForMs ?? 0,
+	'control.storage_reopenings': () => control.status.reopenings,
+	/* eslint-enable @typescript-eslint/naming-convention */
+});
+
 /**
  * Starts an instance with checked settings.
  *
@@ -82,14 +91,18 @@
 
 	const stopTracing = settings.tracing && startTracing(settings.tracing.endpoint, self);
 	const metrics = settings.metrics ? new StatsdMetrics(settings.metrics, {instance: self, dataCentre}) : noMetrics;
-	const peers = new Peers(settings.instances, secret);
+	const onForeignResponse: ForeignResponseListener = (kind, moment) => {
+		metrics.count('responses.foreign', 1, {kind, moment});
+	};
+
+	const peers = new Peers(settings.instances, secret, undefined, onForeignResponse);
 	const rpc = new RpcServer(secret);
 	const control = new ReplicatedControlLog({
 		self: settings.instances.find(({id}) => id === self)!, instances: settings.instances, folder: settings.storage?.folder, peers, clock, random,
 	});
 	const catalogue = new ReplicatedCatalogueStore(control);
 	const ledger = new TracedLedger(new ReplicatedClaimLedger(control));
-	const clients = new EngineClients();
+	const clients = new EngineClients(onForeignResponse);
 	const canceller = new EngineCanceller(clients, clock);
 	const fleet = new Fleet({
 		self: {id: self, dataCentre}, incarnation, instances: settings.instances, clock, random, peers, list: settings.platform?.list, onLeaving() {
@@ -98,6 +111,7 @@
 		onDead(id) {
 			void claims.clean(id);
 		},
+		onForeignResponse,
 	});
 	const claims = new ClaimCleaner({
 		self, instances: settings.instances.map(({id}) => id), control, fleet,
@@ -152,7 +166,7 @@
 		self, dataCentre, shares, peers, clock, leaving: () => unavailable() as ReadonlySet<EngineId>,
 	});
 	const plain: PlainCaller = new PlainCaller({
-		self, life, clock, dataCentre, ledger, random, isLeaving: (id: BackendId) => fleet.leaving.has(id) || stops.stopped.has(id),
+		self, life, clock, dataCentre, ledger, random, isLeaving: (id: BackendId) => fleet.leaving.has(id) || stops.stopped.has(id), onForeignResponse,
 	});
 	const limits = new LimitTask({
 		self: {id: self, dataCentre}, incarnation, instances: settings.instances, clock, random, shares, peers, catalogue,
@@ -169,6 +183,7 @@
 		isStopping: () => hasOwnStop || ownStop.isStopping || !fleet.informed || !limits.isInitialized,
 		limits: settings.entry,
 		metrics,
+		gauges: settings.storage && storageGauges(control),
 	});
 
 	catalogue.registerListener(snapshot => {
@@ -197,7 +212,7 @@
 	rpc.registerMethod(CATALOGUE_HISTORY, ({revision}) => listChanges(control.state.catalogue.changes, revision));
 	rpc.registerMethod(CATALOGUE_APPLY, async proposal => catalogue.propose(proposal));
 	rpc.registerMethod(LEDGER_LOOKUP, async ({key}) => ({record: await ledger.lookup(key)}));
-	const callerPort = new DrainablePort(await openPort(entry.app, settings.listen.callers, settings.entry));
+	const callerPort = new DrainablePort(await openConnections(entry.app, settings.listen.callers, settings.entry));
 	void abandonFormerClaims(control, self, life, closingClaims.signal);
 	host.start(rpc);
 	places.start();
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -6,6 +6,7 @@
 } from 'prom-client';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
+import {ServerConnections} from '../server-connections.js';
 import type {GateEvent} from './availability-gate.js';
 
 const log = createLog('metrics');
@@ -84,7 +85,7 @@
 		}
 	};
 
-	const server = createServer((_req, res) => {
+	const {server} = new ServerConnections(createServer(), (_req, res) => {
 		void respond(res);
 	});
 	await listenOn(server, address);
--- a/packages/daemon/src/transport/server-connection.ts
+++ b/packages/daemon/src/transport/server-connection.ts
@@ -3,6 +3,7 @@
 import {Client} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {ResponseVerdict} from '@baobabpier/core';
+import {splitAddress} from '../listen.js';
 import {createTimedConnect} from '../timed-connect.js';
 import type {Exchange} from './exchange.js';
 import type {ForeignMoment} from './types.js';
@@ -13,6 +14,8 @@
 const keepAliveMarginMs = 1000;
 /** How long a new connection may wait for its first request, in milliseconds. */
 const firstUseTimeoutMs = 1000;
+/** Code with which the client ends a connection on which bytes follow a complete response. */
+const surplusCode = 'UND_ERR_SOCKET';
 /**
  * Maximum bytes between a request and the end of its response head: room for interim responses and a head of 16 KiB, which
  * is the HTTP parser's limit for header fields. The parser limits neither the status line nor the number of interim responses.
@@ -52,17 +55,18 @@
 	#last: Exchange | undefined;
 	#wasReset = false;
 	#isClosed = false;
+	/** Whether this side closed the connection. */
+	#isDestroyed = false;
 	/** Bytes that had been read when the last response was complete. */
 	#bytesRead = 0;
 	/** Whether the response head is still to come. */
 	#isHeadDue = false;
-	#openedAt = 0;
 
 	constructor(private readonly address: string, connectTimeoutMs: number, private readonly listener: ConnectionListener) {
-		const separator = address.lastIndexOf(':');
+		const {host, port} = splitAddress(address);
 		createTimedConnect(connectTimeoutMs, () => {
 			this.#wasReset = true;
-		})({hostname: address.slice(0, separator), port: address.slice(separator + 1), protocol: 'http:'}, (...[error, socket]) => {
+		})({hostname: host, port: String(port), protocol: 'http:'}, (...[error, socket]) => {
 			if (error !== null) {
 				this.#close(error);
 				return;
@@ -106,6 +110,10 @@
 			wasReset: () => this.#wasReset,
 		});
 		if (!this.#isUsable()) {
+			if (this.#socket!.bytesRead > this.#bytesRead) {
+				this.listener.onForeign('idle', this.#last, undefined);
+			}
+
 			this.destroy();
 			return;
 		}
@@ -119,6 +127,7 @@
 
 	/** Closes the connection at once. */
 	destroy(): void {
+		this.#isDestroyed = true;
 		// Without an error the client takes the end of the connection for the end of a response without a length
 		this.#socket?.destroy(new Error('the connection was closed by this side'));
 		this.#close(undefined);
@@ -155,8 +164,7 @@
 	/** Whether nothing has arrived since the last response, and the server has not closed the connection. */
 	#isUsable(): boolean {
 		const socket = this.#socket!;
-		const isStale = this.#client === undefined && performance.now() - this.#openedAt > firstUseTimeoutMs;
-		return !this.#isClosed && !socket.destroyed && socket.writable && !socket.readableEnded && !isStale && socket.bytesRead === this.#bytesRead;
+		return !this.#isClosed && !socket.destroyed && socket.writable && !socket.readableEnded && socket.bytesRead === this.#bytesRead;
 	}
 
 	#open(socket: Socket): void {
@@ -166,7 +174,12 @@
 			return;
 		}
 
-		this.#openedAt = performance.now();
+		// The client closes idle connections, but gets this one with the first request only
+		setTimeout(() => {
+			if (this.#client === undefined) {
+				this.destroy();
+			}
+		}, firstUseTimeoutMs).unref();
 		socket.on('readable', () => {
 			this.#handleReadable(socket);
 		});
@@ -178,7 +191,7 @@
 
 	#createClient(socket: Socket): Client {
 		let isTaken = false;
-		return new Client(`http://${this.address}`, {
+		const client = new Client(`http://${this.address}`, {
 			pipelining: 1,
 			connect(_options, callback) {
 				if (isTaken || socket.destroyed) {
@@ -198,6 +211,12 @@
 			keepAliveMaxTimeout: 2 * keepAliveTimeoutMs,
 			keepAliveTimeoutThreshold: keepAliveMarginMs,
 		});
+		client.on('disconnect', (_origin, _targets, error) => {
+			if (error.code === surplusCode && this.#exchange?.isOver !== false && !socket.readableEnded && !this.#isDestroyed) {
+				this.listener.onForeign('idle', this.#last, undefined);
+			}
+		});
+		return client;
 	}
 
 	#handleReadable(socket: Socket): void {
@@ -245,7 +264,10 @@
 			this.listener.onUnwritten();
 		}
 
-		void this.#client?.destroy(error ?? new Error('the connection was closed'));
 		this.listener.onClosed(error);
+		// The client tells the reason of the end after the socket's own event
+		setImmediate(() => {
+			void this.#client?.destroy(new Error('the connection was closed'));
+		});
 	}
 }
