--- a/packages/daemon/src/transport/address-pool.ts
+++ b/packages/daemon/src/transport/address-pool.ts
@@ -75,7 +75,8 @@
 	}
 
 	#run(steps: ReadonlyArray<PlanStep<Exchange>>): void {
-		for (const step of steps) {
+		const pending = [...steps];
+		for (const step of pending) {
 			switch (step.kind) {
 				case 'open': {
 					this.#open(step.connection);
@@ -83,7 +84,13 @@
 				}
 
 				case 'send': {
-					this.#connections.get(step.connection)!.send(step.request);
+					// A request that is withdrawn here leaves its connection to the next one
+					if (step.request.withdrawIfHeldBack()) {
+						pending.push(...this.#plan.handleHeldBack(step.connection));
+					} else {
+						this.#connections.get(step.connection)!.send(step.request);
+					}
+
 					break;
 				}
 
--- a/packages/daemon/src/transport/exchange.ts
+++ b/packages/daemon/src/transport/exchange.ts
@@ -113,17 +113,25 @@
 		}
 	}
 
-	onRequestStart(controller: Dispatcher.DispatchController): void {
+	/** Ends a request that may not be written now as unsent; returns whether it has done so. */
+	withdrawIfHeldBack(): boolean {
 		const {kind, server, maySend} = this.request;
-		const {gate} = this.options;
+		const isHeldBack = maySend?.() === false || (server !== undefined && this.options.gate?.maySend(server, kind) === false);
+		if (isHeldBack) {
+			this.fail({kind: 'unsent', detail: 'the request was withdrawn before it was written', isHeldBack: true});
+		}
+
+		return isHeldBack;
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this.#controller = controller;
 		if (this.#isWritten) {
 			controller.abort(new Error('the connection closed before a response'));
 			return;
 		}
 
-		if (maySend?.() === false || (server !== undefined && gate?.maySend(server, kind) === false)) {
-			this.fail({kind: 'unsent', detail: 'the request was withdrawn before it was written', isHeldBack: true});
+		if (this.withdrawIfHeldBack()) {
 			controller.abort(new Error('the request was withdrawn'));
 			this.#listener?.onFailed();
 			return;
@@ -131,8 +139,9 @@
 
 		this.#isWritten = true;
 		this.#listener?.onWrite();
+		const {kind, server} = this.request;
 		if (server !== undefined) {
-			gate?.recordSend(server, kind);
+			this.options.gate?.recordSend(server, kind);
 		}
 	}
 
--- a/packages/daemon/src/transport/server-transport.ts
+++ b/packages/daemon/src/transport/server-transport.ts
@@ -49,6 +49,10 @@
 					signal.removeEventListener('abort', abort);
 				},
 			});
+			if (exchange.withdrawIfHeldBack()) {
+				return;
+			}
+
 			signal.addEventListener('abort', abort, {once: true});
 			pool.send(exchange);
 		});
