--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -4,6 +4,7 @@
 	BackendId, Clock, EngineId, EngineRole, EngineStart, FencingToken, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, ExpectedMix,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {NoticeDialect} from '../gateway/types.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 
 const log = createLog('roles');
@@ -42,7 +43,7 @@
 };
 
 /** Translates orders to engines. */
-export type OrderDialect = {
+export type OrderDialect = NoticeDialect & {
 	/** Creates the request for an engine's report; another engine at its address refuses it. */
 	statusCall(engine: BackendId): EngineCall;
 	readStatus(body: Uint8Array): EngineStatus | undefined;
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -7,6 +7,7 @@
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
 import {ServerConnections} from '../server-connections.js';
+import type {GateEvent} from './availability-gate.js';
 
 const log = createLog('metrics');
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 5, 15];
@@ -26,6 +27,10 @@
 		name: 'baobabpier_refusals_total', help: 'Calls answered with an error of the closed table', labelNames: ['error'], registers: [this.registry],
 	});
 
+	readonly #notices = new Counter({
+		name: 'baobabpier_server_availability_total', help: 'Servers that leave or ask for time, requests not sent for it, and requests sent although work is not, by kind of call', labelNames: ['event', 'kind'], registers: [this.registry],
+	});
+
 	readonly #foreignResponses = new Counter({
 		name: 'baobabpier_foreign_responses_total', help: 'Responses of servers that belong to no request or to another one, by kind of call', labelNames: ['kind', 'moment'], registers: [this.registry],
 	});
@@ -40,6 +45,11 @@
 		this.#refusals.inc({error});
 	}
 
+	/** Counts what the availability gate did for a call. */
+	countAvailability(event: GateEvent, kind: string): void {
+		this.#notices.inc({event, kind});
+	}
+
 	countForeignResponse(kind: string, moment: string): void {
 		this.#foreignResponses.inc({kind, moment});
 	}
