--- a/packages/daemon/src/__tests__/unit/server-connections.test.ts
+++ b/packages/daemon/src/__tests__/unit/server-connections.test.ts
@@ -353,6 +353,24 @@
 	expect(parseResponses(connection.text)).toMatchObject([...(before === '' ? [] : [{status: 200, isComplete: true}]), {status: 413, isComplete: true}]);
 });
 
+test.each(['', '/stream/1'])('refuses a body with a malformed chunk behind "%s"', async before => {
+	subject = await startCallerListener();
+	const connection = await Connection.open();
+	if (before !== '') {
+		connection.socket.write(get(before));
+		await until('the request is served', () => subject.served.length === 1);
+	}
+
+	connection.socket.write('POST /safe/2 HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n');
+	await sleep(20);
+	connection.socket.write('no chunk\r\n');
+	await sleep(20);
+	subject.finish(before);
+	await until('the refusal', () => connection.isClosed);
+	expect(parseResponses(connection.text)).toMatchObject([...(before === '' ? [] : [{status: 200, isComplete: true}]), {status: 400, isComplete: true}]);
+	expect(subject.served).not.toContain('/safe/2');
+});
+
 test('resets the connection of a broken stream whose end has no other mark', async () => {
 	subject = await startCallerListener();
 	const connection = await Connection.open();
--- a/packages/daemon/src/gateway/call-body-reader.ts
+++ b/packages/daemon/src/gateway/call-body-reader.ts
@@ -4,6 +4,7 @@
 import {routerError} from '@baobabpier/core';
 import type {RouterError} from '@baobabpier/core';
 import {createLog} from '../log.js';
+import {MalformedBodyError} from '../server-connections.js';
 
 const log = createLog('callers');
 /** Maximum bytes of request bodies that are buffered at a time; a quarter of the smallest instance's memory. */
@@ -37,6 +38,10 @@
 				chunks.push(chunk);
 			}
 		} catch (error) {
+			if (error instanceof MalformedBodyError) {
+				return routerError('malformedRequest', error.message);
+			}
+
 			log('A caller disconnected before its call was read.', {detail: (error as Error).message, bytes});
 			return 'gone';
 		} finally {
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -17,6 +17,11 @@
 /** Idle timeout, while the server is closing, of a connection whose last response did not announce that, in milliseconds. */
 const closingIdleTimeoutMs = 500;
 
+/** Thrown into the body of a request whose further bytes are no part of a request. */
+export class MalformedBodyError extends Error {
+	override readonly name = 'MalformedBodyError';
+}
+
 /** Handles a request that waited for `waitedMs` milliseconds for the responses before it on its connection. */
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse, waitedMs: number) => void;
 
@@ -276,11 +281,27 @@
 		socket.once('end', () => {
 			socket.destroy();
 		});
+		this.#breakOffBody(connection, detail);
 		if (!isAnswering) {
 			this.#end(socket, toRawResponse(connection.refusal));
 		}
 	}
 
+	/** Ends the body of the last request, of which the parser reads no more; a request that has not reached the handler is refused instead. */
+	#breakOffBody({exchanges}: Connection, detail: string): void {
+		const req = exchanges.at(-1)?.req;
+		if (req === undefined || req.complete) {
+			return;
+		}
+
+		if (exchanges.length > 1) {
+			exchanges.pop();
+			this.#count(-1);
+		} else if (req.listenerCount('error') > 0) {
+			req.emit('error', new MalformedBodyError(detail));
+		}
+	}
+
 	/** Writes the last bytes to a connection; a caller that does not end its side is disconnected. */
 	#end(socket: Socket, text: string): void {
 		const timer = setTimeout(() => {
