--- a/packages/daemon/src/__tests__/unit/unframed-answers.test.ts
+++ b/packages/daemon/src/__tests__/unit/unframed-answers.test.ts
@@ -50,11 +50,13 @@
 	},
 };
 
-test.each(cases)('an answer on a connection $name reads as $expected', async ({end, expected}) => {
+const fieldLines = ['', 'transfer-encoding: identity\r\n'];
+
+test.each(fieldLines.flatMap(fields => cases.map(item => ({...item, fields}))))('an answer with "$fields" on a connection $name reads as $expected', async ({end, expected, fields}) => {
 	server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
-			socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => {
+			socket.write(`HTTP/1.1 200 OK\r\n${fields}\r\npart`, () => {
 				end(socket);
 			});
 		});
--- a/packages/daemon/src/requests/answer-body.ts
+++ b/packages/daemon/src/requests/answer-body.ts
@@ -1,7 +1,7 @@
 /** The body of an answer on its way to the caller. */
 import {pipeline, Transform} from 'node:stream';
 import type {Readable} from 'node:stream';
-import {headerValue} from '../gateway/raw-headers.js';
+import {isFramed} from '../transport/response-head.js';
 import type {OpenResponse} from '../transport/types.js';
 
 /**
@@ -11,7 +11,7 @@
  * const body = answerBody(response);
  */
 export const answerBody = ({body, rawHeaders, mayBeTruncated}: OpenResponse): Readable => {
-	if (headerValue(rawHeaders, 'content-length') !== undefined || headerValue(rawHeaders, 'transfer-encoding') !== undefined) {
+	if (isFramed(rawHeaders)) {
 		return body;
 	}
 
--- a/packages/daemon/src/transport/exchange.ts
+++ b/packages/daemon/src/transport/exchange.ts
@@ -3,6 +3,7 @@
 import type {Dispatcher} from 'undici';
 import {EmbeddedHeadScanner} from './embedded-head-scanner.js';
 import {ResponseBody} from './response-body.js';
+import {isFramed} from './response-head.js';
 import {ForeignResponseError} from './types.js';
 import type {
 	ForeignMoment, OpenResponse, OutgoingRequest, ServerTransportOptions, TransportFailure,
@@ -154,9 +155,9 @@
 			gate?.recordResponse(server, kind, status, rawHeaders);
 		}
 
-		const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+		const hasFraming = isFramed(rawHeaders);
 		const listener = this.#listener;
-		this.#scanner = new EmbeddedHeadScanner({rawHeaders, isFramed, readResponseId});
+		this.#scanner = new EmbeddedHeadScanner({rawHeaders, isFramed: hasFraming, readResponseId});
 		this.#body = new ResponseBody({
 			resume() {
 				controller.resume();
@@ -167,7 +168,7 @@
 		});
 		this.#isSettled = true;
 		this.caller.settle({
-			kind: 'head', status, rawHeaders, body: this.#body, mayBeTruncated: () => !isFramed && listener?.wasReset() === true,
+			kind: 'head', status, rawHeaders, body: this.#body, mayBeTruncated: () => !hasFraming && listener?.wasReset() === true,
 		});
 	}
 
--- a/packages/daemon/src/transport/response-head.ts
+++ b/packages/daemon/src/transport/response-head.ts
@@ -1,4 +1,5 @@
-/** Recognizes the head of an HTTP/1 response in text. */
+/** Recognizes the head of an HTTP/1 response in text, and what ends the body behind it. */
+import {headerValue} from '../gateway/raw-headers.js';
 
 /** What every response begins with. */
 export const protocolPrefix = 'HTTP/1.';
@@ -55,3 +56,15 @@
 		}),
 	};
 };
+
+/**
+ * Whether a response has a length or chunks; otherwise its body ends with the connection.
+ *
+ * @see RFC 9112, section 6.3.
+ * @example
+ * isFramed(['transfer-encoding', 'identity']); // False
+ */
+export const isFramed = (rawHeaders: readonly string[]): boolean => {
+	const codings = rawHeaders.filter((_, index) => index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === 'transfer-encoding');
+	return codings.length === 0 ? headerValue(rawHeaders, 'content-length') !== undefined : /(?:^|[\s,])chunked\s*$/iv.test(codings.at(-1)!);
+};
