--- a/packages/daemon/src/transport/server-connection.ts
+++ b/packages/daemon/src/transport/server-connection.ts
@@ -244,6 +244,9 @@
 			this.#bytesRead = bytesRead;
 			if (this.#socket!.bytesRead > bytesRead) {
 				this.#handleReadable(this.#socket!);
+			} else if (this.#socket!.writableLength > 0) {
+				// A further request would wait until the server has read the rest of this one's body
+				this.destroy();
 			} else if (!this.#socket!.destroyed) {
 				this.listener.onEnd();
 			}
