--- a/packages/daemon/src/transport/embedded-head-scanner.ts
+++ b/packages/daemon/src/transport/embedded-head-scanner.ts
@@ -1,10 +1,13 @@
 /** Finds the head of another response within a response's body. */
 import {Buffer} from 'node:buffer';
 import {matchResponseHead, maxResponseHeadBytes, protocolPrefix} from './response-head.js';
+import type {ResponseHeadMatch} from './response-head.js';
 import {ForeignResponseError} from './types.js';
 
 const protocol = Buffer.from(protocolPrefix);
 const firstByte = protocol[0]!;
+/** Most text that is no head is told from one within these bytes; a match of the maximum size costs far more. */
+const firstLookBytes = 128;
 
 const namesOf = (rawHeaders: readonly string[]): string => rawHeaders.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase()).toSorted((a, b) => a.localeCompare(b)).join(',');
 
@@ -36,7 +39,7 @@
 		const bytes = this.#pending.length === 0 ? Buffer.from(chunk.buffer as ArrayBuffer, chunk.byteOffset, chunk.length) : Buffer.concat([this.#pending, chunk]);
 		let start = candidateAt(bytes, 0);
 		while (start !== -1) {
-			const match = matchResponseHead(bytes.toString('latin1', start, start + maxResponseHeadBytes));
+			const match = matchHeadAt(bytes, start);
 			if (match.kind === 'head' && this.#isForeign(match.rawHeaders)) {
 				throw new ForeignResponseError(this.options.readResponseId(match.rawHeaders));
 			}
@@ -70,6 +73,11 @@
 	}
 }
 
+const matchHeadAt = (bytes: ReturnType<typeof Buffer.alloc>, start: number): ResponseHeadMatch => {
+	const match = matchResponseHead(bytes.toString('latin1', start, start + firstLookBytes));
+	return match.kind === 'partial' && bytes.length - start > firstLookBytes ? matchResponseHead(bytes.toString('latin1', start, start + maxResponseHeadBytes)) : match;
+};
+
 /** Index at or after `from` at which the name of the protocol begins, or a part of it that the next bytes may complete; -1 for none. */
 const candidateAt = (bytes: ReturnType<typeof Buffer.alloc>, from: number): number => {
 	const whole = bytes.indexOf(protocol, from);
