--- a/packages/core/src/__tests__/unit/connection-plan.test.ts
+++ b/packages/core/src/__tests__/unit/connection-plan.test.ts
@@ -41,3 +41,30 @@
 	plan.handleOpened(first!);
 	expect(namesOf(plan.handleUnwritten(first!))).toEqual(['close 1', 'fail a']);
 });
+
+test.each([
+	{
+		phase: 'waits', opened: 0, ended: 0, steps: ['open 2'],
+	},
+	{
+		phase: 'is in use', opened: 1, ended: 0, steps: ['open 2'],
+	},
+	{
+		phase: 'was the newest of an idle connection', opened: 1, ended: 1, steps: ['close 1', 'open 2'],
+	},
+])('a request gets a connection of its own where another one with its id $phase', ({opened, ended, steps}) => {
+	const plan = new ConnectionPlan<Request>(() => 1);
+	const binding: ResponseBinding = {kind: 'echoed', requestId: 'r'};
+	plan.add({name: 'a', binding});
+	if (opened > 0) {
+		plan.handleOpened(first!);
+	}
+
+	if (ended > 0) {
+		plan.judge(first!, 'r');
+		plan.handleEnd(first!);
+	}
+
+	expect(namesOf(plan.add({name: 'b', binding}))).toEqual(steps);
+	expect(namesOf(plan.handleOpened(second!))).toEqual(['send 2 b']);
+});
--- a/packages/core/src/transport/connection-plan.ts
+++ b/packages/core/src/transport/connection-plan.ts
@@ -32,6 +32,8 @@
 	/** The request for which it is opened. */
 	opener: Request | undefined;
 	request: Request | undefined;
+	/** Id of the newest request whose response must name it. */
+	requestId: string | undefined;
 	isFirst: boolean;
 	/** Whether it was open for a time without a request: its server may have closed it meanwhile. */
 	wasIdle: boolean;
@@ -41,6 +43,8 @@
 /** Lane of the requests whose responses name them. */
 const identifiedLane = 'identified';
 
+const echoedId = ({binding}: PlannedRequest): string | undefined => binding.kind === 'echoed' ? binding.requestId : undefined;
+
 const laneOf = ({binding, isRepeat}: PlannedRequest): string | undefined => {
 	if (isRepeat === true || binding.kind === 'ownConnection') {
 		return undefined;
@@ -78,7 +82,8 @@
 
 	/** Adds a request. */
 	add(request: Request): ReadonlyArray<PlanStep<Request>> {
-		const lane = laneOf(request);
+		// The id of another request here, which may be repeated in its response, identifies nothing
+		const lane = this.#isIdKnown(echoedId(request)) ? undefined : laneOf(request);
 		if (lane === undefined) {
 			return [...this.#makeRoom(), this.#open(undefined, request)];
 		}
@@ -256,7 +261,7 @@
 	#open(lane: string | undefined, opener: Request): PlanStep<Request> {
 		const id = toId<ConnectionId>(this.#nextId++);
 		this.#connections.set(id, {
-			id, lane, phase: 'opening', opener, request: undefined, isFirst: true, wasIdle: false, mustClose: false,
+			id, lane, phase: 'opening', opener, request: undefined, requestId: undefined, isFirst: true, wasIdle: false, mustClose: false,
 		});
 		return {kind: 'open', connection: id};
 	}
@@ -265,6 +270,7 @@
 		invariant(connection.phase === 'idle', 'CONNECTION_BUSY', 'a request is sent on a connection that is in use or out of step');
 		connection.phase = 'inUse';
 		connection.request = request;
+		connection.requestId = echoedId(request);
 		return {kind: 'send', connection: connection.id, request};
 	}
 
@@ -289,6 +295,14 @@
 		return undefined;
 	}
 
+	/** Whether a waiting request, or the newest one of a connection, has an id. */
+	#isIdKnown(requestId: string | undefined): boolean {
+		return requestId !== undefined && (
+			this.#waiting.some(request => echoedId(request) === requestId)
+			|| [...this.#connections.values()].some(connection => connection.requestId === requestId)
+		);
+	}
+
 	#count(lane: string): number {
 		let count = 0;
 		for (const connection of this.#connections.values()) {
