--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -1,7 +1,7 @@
 /** Serves streams of model services: placement, prefill, KV cache transfer, event relay, and resumption at another engine. */
-import {routerError, toId} from '@baobabpier/core';
+import {routerError, spreadRetryDelay, toId} from '@baobabpier/core';
 import type {
-	Clock, EngineAddress, EngineId, RandomSource, BackendId, RouterError, ServiceName,
+	Clock, EngineAddress, EngineId, ErrorKind, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../transport/server-transport.js';
@@ -12,6 +12,7 @@
 import type {FleetView} from './fleet-view.js';
 import type {StreamPlacement, StreamPlacements} from './stream-placements.js';
 import {PrefillClient} from './prefill-client.js';
+import type {PrefillResult} from './prefill-client.js';
 import {errorReply} from './reply.js';
 import type {Reply} from './reply.js';
 import type {RetryBudgets} from './retry-budgets.js';
@@ -20,7 +21,7 @@
 	DecodeOutcome, ReservedEngine, StreamProgress, StreamOutput,
 } from './stream-progress.js';
 import type {
-	Call, KvSource, SendPurpose, ServerDialect,
+	Call, SendPurpose, ServerDialect,
 } from './types.js';
 
 const log = createLog('stream');
@@ -31,6 +32,9 @@
 /** Minimum retry delay after a full pool and the width of its jitter, in multiples of the first event's target latency: a burst passes in a few seconds. */
 const retryDelayTargets = 1.5;
 
+/** Errors of calls that found no engine with capacity. */
+const capacityErrors: ReadonlySet<ErrorKind> = new Set(['noBackend', 'overloaded', 'queueTimeout']);
+
 /** Dependencies of a stream route. */
 export type StreamRouteParts = {
 	readonly fleet: FleetView;
@@ -69,12 +73,24 @@
 		};
 		const unregister = this.parts.guard.register(call, scope);
 		try {
-			return await this.#runRounds(progress);
+			return this.#withRetryDelay(await this.#runRounds(progress), progress);
 		} finally {
 			unregister();
 		}
 	}
 
+	/** Tells a refused caller when an engine takes work again, if all of them leave or ask for time. */
+	#withRetryDelay(reply: Reply, {call, service}: StreamProgress): Reply {
+		const {fleet, random} = this.parts;
+		const unavailableForMs = reply.kind === 'error' && capacityErrors.has(reply.error.kind) ? fleet.unavailableForMs(service, 'decode') : 0;
+		if (reply.kind !== 'error' || unavailableForMs === 0) {
+			return reply;
+		}
+
+		fleet.logUnavailable(call.requestId, service, 'decode');
+		return errorReply({...reply.error, retryAfterMs: spreadRetryDelay(unavailableForMs, random.next())});
+	}
+
 	async #runRounds(progress: StreamProgress): Promise<Reply> {
 		const {scope} = progress;
 		let reply: Reply = errorReply(routerError('noBackend', undefined, rejectedRetryAfterMs));
@@ -177,7 +193,7 @@
 		const placedServer = this.#leases.findListed(placement.decode);
 		const lease = placement.isFromOwner || placedServer === undefined ? undefined : await this.#leases.acquire(progress, placedServer);
 		if (placedServer === undefined) {
-			progress.excluded.add(placement.decode.id);
+			declinePlacement(progress, placement);
 		}
 
 		if (placedServer === undefined || (!placement.isFromOwner && lease === undefined)) {
@@ -199,7 +215,7 @@
 	}
 
 	/** Decodes from a prefill's result at the placed engine, or at another one if that engine is unavailable. */
-	async #decode(progress: StreamProgress, placement: StreamPlacement, source: KvSource, lease: string | undefined): Promise<RoundResult> {
+	async #decode(progress: StreamProgress, placement: StreamPlacement, source: PrefillResult, lease: string | undefined): Promise<RoundResult> {
 		const prefilledAt = this.parts.clock.now();
 		const placedServer = this.#leases.findListed(placement.decode);
 		let engine = placement.decode.id;
@@ -285,7 +301,7 @@
 		const {placement} = placementOutcome;
 		return this.#withPlacement(progress, placement, async () => {
 			if (server === undefined) {
-				progress.excluded.add(placement.decode.id);
+				declinePlacement(progress, placement);
 			}
 
 			const lease = placement.isFromOwner || server === undefined ? undefined : await this.#leases.acquire(progress, server);
@@ -347,6 +363,13 @@
 	}
 }
 
+/** Declines a placement on an engine that leaves or asked for time since the request, and lets the pool's owner know that the engine takes no streams. */
+const declinePlacement = ({call, excluded, rejectedBy}: StreamProgress, {decode}: StreamPlacement): void => {
+	log('A placement is declined: its engine takes no work.', {requestId: call.requestId, engine: decode.id});
+	excluded.add(decode.id);
+	rejectedBy.push(decode.id);
+};
+
 /** The error of a quarantined prompt: not run, or of unknown outcome where an engine may have begun with it. */
 const quarantineError = (sent: number): RouterError => sent > 0 ? routerError('answerLost', 'the prompt has quarantined segments') : routerError('quarantined');
 
