--- a/packages/core/src/transport/connection-plan.ts
+++ b/packages/core/src/transport/connection-plan.ts
@@ -2,6 +2,7 @@
 import type {Branded} from '../ids.js';
 import {toId} from '../ids.js';
 import {invariant} from '../invariant.js';
+import {LaneQueue} from './lane-queue.js';
 import {judgeResponse} from './response-binding.js';
 import type {ResponseBinding, ResponseVerdict} from './response-binding.js';
 
@@ -64,7 +65,9 @@
  */
 export class ConnectionPlan<Request extends PlannedRequest> {
 	readonly #connections = new Map<ConnectionId, Connection<Request>>();
-	readonly #waiting: Request[] = [];
+	readonly #waiting = new Map<string, LaneQueue<Request>>();
+	/** Number of waiting requests by the id that their responses name. */
+	readonly #waitingIds = new Map<string, number>();
 	#nextId = 1;
 
 	/** `maxConnections` returns the maximum number of kept connections of a lane; it may change. */
@@ -72,7 +75,7 @@
 
 	/** Whether there is no connection and no waiting request. */
 	get isEmpty(): boolean {
-		return this.#connections.size === 0 && this.#waiting.length === 0;
+		return this.#connections.size === 0 && this.#waiting.size === 0;
 	}
 
 	/** Whether a connection carries nothing and may be used. */
@@ -89,20 +92,18 @@
 		}
 
 		// The usual case: nothing waits and a connection is idle
-		const idle = this.#waiting.length === 0 ? this.#findIdle(lane) : undefined;
+		const idle = this.#waiting.has(lane) ? undefined : this.#findIdle(lane);
 		if (idle !== undefined) {
 			return [this.#send(idle, request)];
 		}
 
-		this.#waiting.push(request);
+		this.#enqueue(lane, request);
 		return this.#pump(lane);
 	}
 
 	/** Withdraws a request; returns undefined when it has been sent already. */
 	cancel(request: Request): ReadonlyArray<PlanStep<Request>> | undefined {
-		const index = this.#waiting.indexOf(request);
-		if (index !== -1) {
-			this.#waiting.splice(index, 1);
+		if (this.#withdraw(request)) {
 			return [];
 		}
 
@@ -174,7 +175,8 @@
 		if (request !== undefined && !wasIdle) {
 			steps.push({kind: 'fail', request});
 		} else if (request !== undefined) {
-			this.#waiting.unshift(request);
+			// A connection of its own has never idled
+			this.#enqueue(lane!, request, true);
 		}
 
 		return [...steps, ...this.#pump(lane)];
@@ -197,15 +199,8 @@
 		this.#connections.delete(id);
 		const {lane, opener, phase} = connection;
 		const steps: Array<PlanStep<Request>> = [];
-		if (phase === 'opening' && opener !== undefined) {
-			const index = this.#waiting.indexOf(opener);
-			if (index !== -1) {
-				this.#waiting.splice(index, 1);
-			}
-
-			if (index !== -1 || lane === undefined) {
-				steps.push({kind: 'fail', request: opener});
-			}
+		if (phase === 'opening' && opener !== undefined && (this.#withdraw(opener) || lane === undefined)) {
+			steps.push({kind: 'fail', request: opener});
 		}
 
 		return [...steps, ...this.#pump(lane)];
@@ -234,28 +229,96 @@
 	/** Sends what waits in a lane, and opens connections for the rest within the maximum. */
 	#pump(lane: string | undefined): Array<PlanStep<Request>> {
 		const steps: Array<PlanStep<Request>> = [];
-		if (lane === undefined || this.#waiting.length === 0) {
+		const queue = lane === undefined ? undefined : this.#waiting.get(lane);
+		if (lane === undefined || queue === undefined) {
 			return steps;
 		}
 
-		const ofLane = [...this.#connections.values()].filter(connection => connection.lane === lane);
-		const waiting = this.#waiting.filter(request => laneOf(request) === lane);
-		for (const connection of ofLane.filter(({phase}) => phase === 'idle').slice(0, waiting.length)) {
-			const request = waiting.shift()!;
-			this.#waiting.splice(this.#waiting.indexOf(request), 1);
-			steps.push(this.#send(connection, request));
+		let kept = 0;
+		const openers = new Set<Request | undefined>();
+		for (const connection of this.#connections.values()) {
+			if (connection.lane !== lane) {
+				continue;
+			}
+
+			kept += 1;
+			if (connection.phase === 'opening') {
+				openers.add(connection.opener);
+			} else if (connection.phase === 'idle' && queue.size > 0) {
+				steps.push(this.#send(connection, this.#dequeue(lane, queue)));
+			}
 		}
 
-		const opening = ofLane.filter(({phase}) => phase === 'opening');
-		const openers = new Set(opening.map(({opener}) => opener));
-		const unserved = waiting.filter(request => !openers.has(request));
-		const missing = waiting.length - opening.length;
-		if (missing <= 0) {
-			return steps;
+		const missing = Math.min(queue.size - openers.size, Math.max(1, this.maxConnections()) - kept);
+		return missing <= 0 ? steps : [...steps, ...this.#openFor(lane, queue, openers, missing)];
+	}
+
+	/** Opens connections for the first requests for which none is being opened. */
+	#openFor(lane: string, queue: LaneQueue<Request>, openers: ReadonlySet<Request | undefined>, count: number): Array<PlanStep<Request>> {
+		const steps: Array<PlanStep<Request>> = [];
+		for (const request of queue.values()) {
+			if (steps.length === count) {
+				break;
+			}
+
+			if (!openers.has(request)) {
+				steps.push(this.#open(lane, request));
+			}
 		}
 
-		const free = Math.max(1, this.maxConnections()) - ofLane.length;
-		return [...steps, ...unserved.slice(0, Math.max(0, Math.min(missing, free))).map(request => this.#open(lane, request))];
+		return steps;
+	}
+
+	#enqueue(lane: string, request: Request, isFirst = false): void {
+		const queue = this.#waiting.get(lane) ?? new LaneQueue<Request>();
+		this.#waiting.set(lane, queue);
+		if (isFirst) {
+			queue.putBack(request);
+		} else {
+			queue.add(request);
+		}
+
+		this.#countId(request, 1);
+	}
+
+	#dequeue(lane: string, queue: LaneQueue<Request>): Request {
+		const request = queue.shift();
+		invariant(request !== undefined, 'QUEUE_EMPTY', 'a request is taken from an empty queue');
+		this.#handleDequeued(lane, queue, request);
+		return request;
+	}
+
+	/** Removes a waiting request; returns whether it waited. */
+	#withdraw(request: Request): boolean {
+		const lane = laneOf(request);
+		const queue = lane === undefined ? undefined : this.#waiting.get(lane);
+		if (lane === undefined || queue?.delete(request) !== true) {
+			return false;
+		}
+
+		this.#handleDequeued(lane, queue, request);
+		return true;
+	}
+
+	#handleDequeued(lane: string, queue: LaneQueue<Request>, request: Request): void {
+		this.#countId(request, -1);
+		if (queue.size === 0) {
+			this.#waiting.delete(lane);
+		}
+	}
+
+	#countId(request: Request, change: 1 | -1): void {
+		const requestId = echoedId(request);
+		if (requestId === undefined) {
+			return;
+		}
+
+		const count = (this.#waitingIds.get(requestId) ?? 0) + change;
+		if (count === 0) {
+			this.#waitingIds.delete(requestId);
+		} else {
+			this.#waitingIds.set(requestId, count);
+		}
 	}
 
 	#open(lane: string | undefined, opener: Request): PlanStep<Request> {
@@ -298,7 +361,7 @@
 	/** Whether a waiting request, or the newest one of a connection, has an id. */
 	#isIdKnown(requestId: string | undefined): boolean {
 		return requestId !== undefined && (
-			this.#waiting.some(request => echoedId(request) === requestId)
+			this.#waitingIds.has(requestId)
 			|| [...this.#connections.values()].some(connection => connection.requestId === requestId)
 		);
 	}
