--- a/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
+++ b/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
@@ -263,3 +263,23 @@
 		expect([length, text.endsWith('0\r\n\r\n')]).toEqual([length, isWhole(length)]);
 	}
 });
+
+test.each([
+	{first: 'a connection that breaks', respond: (socket: Socket) => socket.destroy(), status: '502'},
+	{first: 'a response of another request', respond: (socket: Socket) => socket.write(answer('r0')), status: '502'},
+	{first: 'an error of the server', respond: (socket: Socket, id: string) => socket.write(`${head(id, 'content-length: 4\r\n', '500 Failed')}oops`), status: '500'},
+])('a safe call that may have run is not refused as not run: $first, then a refusal', async ({respond, status}) => {
+	let requests = 0;
+	const refuseSecond: Respond = (socket, id) => {
+		requests += 1;
+		if (requests === 1) {
+			respond(socket, id);
+		} else {
+			socket.write(refusal(id));
+		}
+	};
+
+	const listener = await startGateway([await startEngine('e1', refuseSecond), await startEngine('e2', refuseSecond)]);
+	expect(await exchange(listener, '/safe/1')).toMatch(new RegExp(`^HTTP/1\\.1 ${status} `, 'v'));
+	expect(requests).toBe(2);
+});
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -55,6 +55,8 @@
 		const tried = new Set<BackendId>();
 		let attempts = 0;
 		let lastReply: Reply | undefined;
+		/** Whether an attempt may have been executed: a later refusal then says nothing about the call. */
+		let mayHaveRun = false;
 		while (scope.reason === undefined) {
 			const load = chooseServer(fleet.loads(service), dataCentre, tried, clock.now(), random.next());
 			const server = load === undefined ? undefined : fleet.get(load.id);
@@ -76,9 +78,11 @@
 				requestId: call.requestId, server: server.id, attempt: attempts, outcome: attempt.kind, status: attempt.kind === 'answer' ? attempt.head.status : undefined,
 				detail: 'detail' in attempt ? attempt.detail : undefined, inFlight: load.inFlight, failing: Number(load.failing.toFixed(2)), leftMs: Math.round(scope.remainingMs()),
 			});
-			lastReply = this.#replyTo(attempt, service, scope);
+			const isCertainlyNotRun = attempt.kind === 'unsent' || attempt.kind === 'notRun';
+			lastReply = mayHaveRun && isCertainlyNotRun ? lastReply : this.#replyTo(attempt, service, scope);
+			mayHaveRun ||= !isCertainlyNotRun;
 			if (isFinal(call, attempt)) {
-				return lastReply;
+				break;
 			}
 		}
 
