--- a/packages/core/src/__tests__/unit/connection-plan.test.ts
+++ b/packages/core/src/__tests__/unit/connection-plan.test.ts
@@ -68,3 +68,20 @@
 	expect(namesOf(plan.add({name: 'b', binding}))).toEqual(steps);
 	expect(namesOf(plan.handleOpened(second!))).toEqual(['send 2 b']);
 });
+
+test.each([
+	{maximum: 1, opened: 2},
+	{maximum: 8, opened: 2},
+	{maximum: 20, opened: 5},
+])('requests that get a connection each open $opened at a time where $maximum are kept', ({maximum, opened}) => {
+	const plan = new ConnectionPlan<Request>(() => maximum);
+	const requests = Array.from({length: 12}, (_, index): Request => ({name: String(index), binding: {kind: 'ownConnection'}}));
+	expect(requests.flatMap(request => namesOf(plan.add(request)))).toEqual(Array.from({length: opened}, (_, index) => `open ${index + 1}`));
+
+	expect(plan.cancel(requests[opened]!)).toEqual([]);
+	expect(namesOf(plan.handleOpened(first!))).toEqual(['send 1 0']);
+	plan.judge(first!, undefined);
+	expect(namesOf(plan.handleEnd(first!))).toEqual(['close 1', `open ${opened + 1}`]);
+	expect(namesOf(plan.handleClosed(second!))).toEqual(['fail 1', `open ${opened + 2}`]);
+	expect(namesOf(plan.handleOpened((opened + 2) as ConnectionId))).toEqual([`send ${opened + 2} ${opened + 2}`]);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -311,6 +311,7 @@
 export {PipelinedQueueModel} from './placement/pipelined-queue-model.js';
 export {planMembershipChange} from './consensus/replica-membership.js';
 export {ConnectionPlan} from './transport/connection-plan.js';
-export type {ConnectionId, PlannedRequest, PlanStep} from './transport/connection-plan.js';
+export type {ConnectionId, PlanStep} from './transport/connection-plan.js';
+export type {PlannedRequest} from './transport/planned-request.js';
 export {judgeResponse} from './transport/response-binding.js';
 export type {ResponseBinding, ResponseVerdict} from './transport/response-binding.js';
--- a/packages/core/src/transport/connection-plan.ts
+++ b/packages/core/src/transport/connection-plan.ts
@@ -3,19 +3,14 @@
 import {toId} from '../ids.js';
 import {invariant} from '../invariant.js';
 import {LaneQueue} from './lane-queue.js';
+import {echoedId, laneOf} from './planned-request.js';
+import type {PlannedRequest} from './planned-request.js';
 import {judgeResponse} from './response-binding.js';
-import type {ResponseBinding, ResponseVerdict} from './response-binding.js';
+import type {ResponseVerdict} from './response-binding.js';
 
 /** A connection, numbered within its plan. */
 export type ConnectionId = Branded<number, 'ConnectionId'>;
 
-/** What the plan needs to know of a request. */
-export type PlannedRequest = {
-	readonly binding: ResponseBinding;
-	/** Whether the same request was sent to the address before; it gets a connection of its own. */
-	readonly isRepeat?: boolean;
-};
-
 /** What the owner of the sockets is to do next, in order. */
 export type PlanStep<Request extends PlannedRequest> =
 	| {readonly kind: 'open'; readonly connection: ConnectionId}
@@ -41,18 +36,12 @@
 	mustClose: boolean;
 };
 
-/** Lane of the requests whose responses name them. */
-const identifiedLane = 'identified';
-
-const echoedId = ({binding}: PlannedRequest): string | undefined => binding.kind === 'echoed' ? binding.requestId : undefined;
-
-const laneOf = ({binding, isRepeat}: PlannedRequest): string | undefined => {
-	if (isRepeat === true || binding.kind === 'ownConnection') {
-		return undefined;
-	}
-
-	return binding.kind === 'interchangeable' ? `interchangeable/${binding.lane}` : identifiedLane;
-};
+/** Lane in which requests wait that get a connection each. */
+const singleUseLane = 'singleUse';
+/** Connections of a single request that an address may always have. */
+const minSingleUseConnections = 2;
+/** Further ones, as a part of the maximum of kept connections. */
+const singleUseShare = 0.25;
 
 /**
  * Plans the connections to one address. Requests of a lane are sent in order of arrival, each on a connection that carries no
@@ -88,7 +77,8 @@
 		// The id of another request here, which may be repeated in its response, identifies nothing
 		const lane = this.#isIdKnown(echoedId(request)) ? undefined : laneOf(request);
 		if (lane === undefined) {
-			return [...this.#makeRoom(), this.#open(undefined, request)];
+			this.#enqueue(singleUseLane, request);
+			return this.#pump(undefined);
 		}
 
 		// The usual case: nothing waits and a connection is idle
@@ -108,7 +98,7 @@
 		}
 
 		const connection = [...this.#connections.values()].find(({phase, lane, opener}) => phase === 'opening' && lane === undefined && opener === request);
-		return connection === undefined ? undefined : [this.#close(connection)];
+		return connection === undefined ? undefined : [this.#close(connection), ...this.#pump(undefined)];
 	}
 
 	/** Records that a connection was established. */
@@ -160,7 +150,7 @@
 		const connection = this.#get(id);
 		connection.request = undefined;
 		if (connection.lane === undefined) {
-			return [this.#close(connection)];
+			return [this.#close(connection), ...this.#pump(undefined)];
 		}
 
 		connection.phase = 'idle';
@@ -228,9 +218,13 @@
 
 	/** Sends what waits in a lane, and opens connections for the rest within the maximum. */
 	#pump(lane: string | undefined): Array<PlanStep<Request>> {
+		if (lane === undefined) {
+			return this.#pumpSingleUse();
+		}
+
 		const steps: Array<PlanStep<Request>> = [];
-		const queue = lane === undefined ? undefined : this.#waiting.get(lane);
-		if (lane === undefined || queue === undefined) {
+		const queue = this.#waiting.get(lane);
+		if (queue === undefined) {
 			return steps;
 		}
 
@@ -253,6 +247,22 @@
 		return missing <= 0 ? steps : [...steps, ...this.#openFor(lane, queue, openers, missing)];
 	}
 
+	/** Opens connections for the requests that get one each, within their own maximum. */
+	#pumpSingleUse(): Array<PlanStep<Request>> {
+		const queue = this.#waiting.get(singleUseLane);
+		if (queue === undefined) {
+			return [];
+		}
+
+		const steps: Array<PlanStep<Request>> = [];
+		const limit = Math.max(minSingleUseConnections, Math.floor(this.maxConnections() * singleUseShare));
+		for (let free = limit - this.#count(undefined); free > 0 && queue.size > 0; free--) {
+			steps.push(...this.#makeRoom(), this.#open(undefined, this.#dequeue(singleUseLane, queue)));
+		}
+
+		return steps;
+	}
+
 	/** Opens connections for the first requests for which none is being opened. */
 	#openFor(lane: string, queue: LaneQueue<Request>, openers: ReadonlySet<Request | undefined>, count: number): Array<PlanStep<Request>> {
 		const steps: Array<PlanStep<Request>> = [];
@@ -290,14 +300,15 @@
 
 	/** Removes a waiting request; returns whether it waited. */
 	#withdraw(request: Request): boolean {
-		const lane = laneOf(request);
-		const queue = lane === undefined ? undefined : this.#waiting.get(lane);
-		if (lane === undefined || queue?.delete(request) !== true) {
-			return false;
+		for (const lane of new Set([laneOf(request) ?? singleUseLane, singleUseLane])) {
+			const queue = this.#waiting.get(lane);
+			if (queue?.delete(request) === true) {
+				this.#handleDequeued(lane, queue, request);
+				return true;
+			}
 		}
 
-		this.#handleDequeued(lane, queue, request);
-		return true;
+		return false;
 	}
 
 	#handleDequeued(lane: string, queue: LaneQueue<Request>, request: Request): void {
@@ -366,7 +377,7 @@
 		);
 	}
 
-	#count(lane: string): number {
+	#count(lane: string | undefined): number {
 		let count = 0;
 		for (const connection of this.#connections.values()) {
 			count += connection.lane === lane ? 1 : 0;
