Log and count the limits that servers name

The logs couldn't tell an instance that was never told from one that keeps the limit alone. Nothing acts on it yet.

--- a/packages/daemon/src/__tests__/unit/availability-gate.test.ts
+++ b/packages/daemon/src/__tests__/unit/availability-gate.test.ts
@@ -11,7 +11,7 @@
 const x = toId<BackendId>('x');
 const y = toId<BackendId>('y');
 const service = toId<ServiceName>('lm');
-const nothing: ServerNotice = {isLeaving: false, retryAfterMs: undefined};
+const nothing: ServerNotice = {isLeaving: false, retryAfterMs: undefined, requestsPerSecond: undefined};
 const leaves: ServerNotice = {...nothing, isLeaving: true};
 const asks = (retryAfterMs: number): ServerNotice => ({...nothing, retryAfterMs});
 const workKinds = ['run', 'prefill', 'lease', 'order'] as const;
@@ -78,7 +78,7 @@
 			name: 'names a time without a refusal', notice: asks(2000), status: 429, sent: kinds,
 		},
 		{
-			name: 'leaves and asks for time', notice: {isLeaving: true, retryAfterMs: 2000}, status: 503, sent: ['release', 'free'],
+			name: 'leaves and asks for time', notice: {...nothing, isLeaving: true, retryAfterMs: 2000}, status: 503, sent: ['release', 'free'],
 		},
 	])('a server that $name gets $sent', ({notice, status, sent}) => {
 		answer(notice, status);
--- a/packages/daemon/src/gateway/availability-gate.ts
+++ b/packages/daemon/src/gateway/availability-gate.ts
@@ -13,8 +13,8 @@
 /** Servers whose unusable times are remembered as logged, at most. */
 const maxLoggedServers = 10_000;
 
-/** What the gate counts: servers that leave, times asked for, requests that were not sent, and requests that were sent although work is not. */
-export type GateEvent = 'marked' | 'asked' | 'held_back' | 'sent_anyway';
+/** What the gate counts: servers that leave, times asked for, limits that begin, change or end, requests that were not sent, and requests that were sent although work is not. */
+export type GateEvent = 'marked' | 'asked' | 'limit_changed' | 'held_back' | 'sent_anyway';
 
 /** Dependencies of an availability gate. */
 export type AvailabilityGateParts = {
@@ -36,6 +36,8 @@
 export class AvailabilityGate implements ServerGate {
 	readonly #availability = new ServerAvailability();
 	readonly #loggedTimes = new Set<BackendId>();
+	/** Limits that servers named in their latest responses, in requests a second. */
+	readonly #limits = new Map<BackendId, number>();
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
 
@@ -91,7 +93,7 @@
 
 	/** Takes note of what a server says of itself in the head of a response. */
 	recordResponse(server: BackendId, kind: CallKind, status: number, rawHeaders: readonly string[]): void {
-		const {isLeaving, retryAfterMs} = this.parts.dialect.readNotice(rawHeaders);
+		const {isLeaving, retryAfterMs, requestsPerSecond} = this.parts.dialect.readNotice(rawHeaders);
 		const now = this.parts.clock.now();
 		let isChanged = false;
 		if (isLeaving && this.#availability.recordLeaving(server, now)) {
@@ -104,6 +106,7 @@
 			isChanged = this.#holdBack(server, kind, retryAfterMs) || isChanged;
 		}
 
+		this.#recordLimit(server, kind, requestsPerSecond);
 		if (isChanged) {
 			this.#applyChange();
 		}
@@ -119,13 +122,32 @@
 			}
 		}
 
-		for (const server of this.#loggedTimes) {
+		for (const server of [...this.#loggedTimes, ...this.#limits.keys()]) {
 			if (!listed.has(server)) {
 				this.#loggedTimes.delete(server);
+				this.#limits.delete(server);
 			}
 		}
 	}
 
+	#recordLimit(server: BackendId, kind: CallKind, requestsPerSecond: number | undefined): void {
+		const before = this.#limits.get(server);
+		if (Object.is(requestsPerSecond, before)) {
+			return;
+		}
+
+		if (requestsPerSecond === undefined) {
+			this.#limits.delete(server);
+		} else if (this.#limits.size < maxLoggedServers) {
+			this.#limits.set(server, requestsPerSecond);
+		}
+
+		this.parts.count('limit_changed', kind);
+		log('A server names another limit of requests.', {
+			server, kind, requestsPerSecond: String(requestsPerSecond ?? 'none'), before: String(before ?? 'none'),
+		});
+	}
+
 	#holdBack(server: BackendId, kind: CallKind, retryAfterMs: number): boolean {
 		const now = this.parts.clock.now();
 		const wasHeldBack = this.#availability.heldBack(now).includes(server);
--- a/packages/daemon/src/gateway/raw-headers.ts
+++ b/packages/daemon/src/gateway/raw-headers.ts
@@ -14,6 +14,10 @@
 	return undefined;
 };
 
+/** All values of a header, in order; `name` is given in lower case. */
+export const headerValues = (rawHeaders: readonly string[], name: string): readonly string[] =>
+	rawHeaders.filter((_, index) => index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === name);
+
 /**
  * The headers that may be forwarded: all but hop-by-hop headers, those that `Connection` names, and those in `excluded` (in lower case).
  *
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -54,6 +54,8 @@
 	readonly isLeaving: boolean;
 	/** Time for which a server that refuses a request wants no further ones, in milliseconds; undefined when it states none, NaN when the time can't be read. */
 	readonly retryAfterMs: number | undefined;
+	/** Requests a second that the server takes from all instances together; undefined when it names no limit, NaN when the limit can't be read. */
+	readonly requestsPerSecond: number | undefined;
 };
 
 /** Status and headers of a backend server's response. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -31,7 +31,7 @@
 export type {EngineCall, OrderDialect, EngineStatus} from './control-node/role-task.js';
 export {startGateway} from './gateway/gateway.js';
 export type {Gateway, GatewaySettings} from './gateway/gateway.js';
-export {headerValue, forwardableHeaders} from './gateway/raw-headers.js';
+export {headerValue, headerValues, forwardableHeaders} from './gateway/raw-headers.js';
 export type {
 	ResponseHead, Call, CallerDialect, CallMetadata, GatewayDialect, KvSource, ListDialect, ListPage, NoticeDialect, RoutingCodec, SendPurpose, ServerDialect, ServerNotice,
 } from './gateway/types.js';
