Keep the limits that servers name by permits of the leader

Cause: nothing read the notice. Class: a server's word about itself that is decoded nowhere, and a bound over all instances that none of them can keep alone.

Why it works: every request to a limited server, whatever its kind, takes a permit from one bucket at the leader, before it enters a connection and again right before its first byte. A bucket starts empty, also in each new term, so no number of instances and no change of leader adds to 2 + 4.5 x limit in 4 s. Instances avoid a server until their next turn, placements reserve permits at their engines, reports thin out to an eighth of the rate.

--- a/packages/cli/src/__tests__/unit/explain-request.test.ts
+++ b/packages/cli/src/__tests__/unit/explain-request.test.ts
@@ -33,11 +33,11 @@
 			log: logOf(
 				rejected,
 				{
-					event: 'Every server of a service leaves or asks for time.', part: 'fleet', service: 'lm', availableInMs: 2500,
+					event: 'Every server of a service leaves, asks for time or has used up its limit.', part: 'fleet', service: 'lm', availableInMs: 2500,
 				},
 				{event: 'A call is refused.', part: 'callers', kind: 'overloaded'},
 			),
-			verdict: 'Refused since every server of lm leaves or asked for time; the first takes calls again 2500 ms later. Before: i-1 notRun (status 503, 9 requests there). It has not run.',
+			verdict: 'Refused since every server of lm leaves, asked for time or has used up its limit; the first takes calls again 2500 ms later. Before: i-1 notRun (status 503, 9 requests there). It has not run.',
 		},
 		{
 			name: 'a prompt with quarantined segments',
--- a/packages/cli/src/explain/explain-request.ts
+++ b/packages/cli/src/explain/explain-request.ts
@@ -19,7 +19,7 @@
 const ended = 'A call ended.';
 const refused = 'A call is refused.';
 const engineOutcome = 'A stream got an outcome at an engine.';
-const unavailable = 'Every server of a service leaves or asks for time.';
+const unavailable = 'Every server of a service leaves, asks for time or has used up its limit.';
 const serverOutcome = 'A call got an outcome at a server.';
 
 /** A field's value in words; undefined where the line has none. */
@@ -81,7 +81,7 @@
 	const kind = refusal === undefined ? undefined : field(refusal, 'kind');
 	const finding = find(lines, unavailable);
 	if (finding !== undefined && kind !== undefined && capacityErrors.has(kind)) {
-		return `Refused since every server of ${field(finding, 'service')} leaves or asked for time; the first takes calls again ${field(finding, 'availableInMs')} ms later${attempts.length === 0 ? '' : `. Before: ${attemptsOf(attempts)}`}. It has not run.`;
+		return `Refused since every server of ${field(finding, 'service')} leaves, asked for time or has used up its limit; the first takes calls again ${field(finding, 'availableInMs')} ms later${attempts.length === 0 ? '' : `. Before: ${attemptsOf(attempts)}`}. It has not run.`;
 	}
 
 	if (kind !== undefined) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -83,7 +83,7 @@
 export type {ClaimTableLimits, ClaimTableSnapshot} from './ledger/claim-table.js';
 export type {AdmissionDecision, Limiter} from './limits/limiter.js';
 export {EnginePool, toHold} from './placement/engine-pool.js';
-export type {PoolEffect, PoolEvent} from './placement/engine-pool.js';
+export type {EngineAdmission, PoolEffect, PoolEvent} from './placement/engine-pool.js';
 export {EngineStarts} from './placement/engine-starts.js';
 export type {EngineStart} from './placement/engine-starts.js';
 export {RejectionBackoff} from './placement/rejection-backoff.js';
@@ -288,6 +288,15 @@
 export {boundHoldBack, ServerAvailability, spreadRetryDelay} from './routing/server-availability.js';
 export type {HoldBack, SendBlock, SendEffect} from './routing/server-availability.js';
 export type {ServerLoad} from './routing/choose-server.js';
+export {KnownServerLimits} from './server-limits/known-server-limits.js';
+export {ServerLimitTable} from './server-limits/server-limit-table.js';
+export type {
+	LimitChange, LimitObservation, LimitRevision, PermitClass, PermitDecision, PermitRequest, ServerLimit, ServerLimitsSnapshot,
+} from './server-limits/types.js';
+export {SERVER_LIMIT_LIST, SERVER_LIMIT_REPORT, SERVER_PERMIT} from './rpc/server-limit-methods.js';
+export type {
+	ReportedLimit, ServerLimitReport, ServerLimitStatus, ServerPermitParams, ServerPermitResponse,
+} from './rpc/server-limit-methods.js';
 export type {
 	CallerLimits,
 	EngineCapabilities,
--- a/packages/core/src/placement/engine-index.ts
+++ b/packages/core/src/placement/engine-index.ts
@@ -70,16 +70,17 @@
 		return this.#largestPieces;
 	}
 
-	/** Adds or updates an engine; removes it when it is leaving. */
+	/** Adds or updates an engine; removes it when it is leaving or closed. */
 	set(view: EngineView): void {
 		const existing = this.#entries.get(view.id);
-		if (existing?.level === loadLevelOf(view) && existing.view.role === view.role && !view.leaving) {
+		const takesWork = !view.leaving && view.isClosed !== true;
+		if (existing?.level === loadLevelOf(view) && existing.view.role === view.role && takesWork) {
 			existing.view = view;
 			return;
 		}
 
 		this.delete(view.id);
-		if (view.leaving) {
+		if (!takesWork) {
 			return;
 		}
 
--- a/packages/core/src/placement/engine-pool.ts
+++ b/packages/core/src/placement/engine-pool.ts
@@ -43,6 +43,31 @@
 	/** Cancel a hold without a live holder on its engine, and send `freed` to the pool once the engine confirms. */
 	| {readonly kind: 'cancel'; readonly engine: EngineAddress; readonly hold: EngineHold};
 
+/**
+ * Engines that take a limited number of requests.
+ *
+ * @example
+ * const admission: EngineAdmission = {isOpen: engine => !exhausted.has(engine), reserve: () => undefined, release: () => undefined};
+ */
+export type EngineAdmission = {
+	/** Whether a request may be placed on an engine now. */
+	isOpen(engine: EngineId): boolean;
+	/** Reserves the engine's next request for one that is placed on it. */
+	reserve(engine: EngineId, requestId: RequestId): void;
+	/** Returns what a request has reserved and not used. */
+	release(requestId: RequestId): void;
+};
+
+const unlimitedAdmission: EngineAdmission = {
+	isOpen: () => true,
+	reserve() {
+		// Nothing is counted
+	},
+	release() {
+		// Nothing is counted
+	},
+};
+
 type TrackedEngine = {
 	readonly entry: EngineEntry;
 	readonly leaving: boolean;
@@ -59,7 +84,7 @@
 	readonly #engines = new Map<EngineId, TrackedEngine>();
 	readonly #holds: HoldTable;
 	readonly #views = new Map<EngineId, EngineView>();
-	/** Engines on which nothing may be granted yet; checked again on every refresh. */
+	/** Engines on which nothing may be granted now; checked again on every refresh. */
 	readonly #nonGrantable = new Set<EngineId>();
 	readonly #index = new BucketedEngineIndex();
 	readonly #queue = new PlacementQueue();
@@ -69,6 +94,7 @@
 		private readonly policy: PlacementPolicy,
 		private readonly limits: Pick<ServiceLimits, 'queue'>,
 		timings: PoolTimings,
+		private readonly admission: EngineAdmission = unlimitedAdmission,
 	) {
 		this.#holds = new HoldTable(timings);
 	}
@@ -204,8 +230,9 @@
 			incarnation,
 			maxStreams: this.policy.maxStreams?.(id) ?? Number.POSITIVE_INFINITY,
 			leaving,
+			isClosed: !this.admission.isOpen(id),
 		};
-		if (grantable) {
+		if (grantable && view.isClosed !== true) {
 			this.#nonGrantable.delete(id);
 		} else {
 			this.#nonGrantable.add(id);
@@ -316,6 +343,10 @@
 			promptTokens: req.promptTokens,
 		};
 		this.#holds.grant(grant, now);
+		for (const id of new Set([decode.id, prefill.id])) {
+			this.admission.reserve(id, req.requestId);
+		}
+
 		this.policy.observe?.({
 			kind: 'granted', req, decode: decode.id, prefill: prefill.id, waiting: this.#queue.length,
 		}, now);
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -62,6 +62,8 @@
 	readonly incarnation: EngineIncarnation | undefined;
 	/** Whether the engine is leaving and gets no new work. */
 	readonly leaving: boolean;
+	/** Whether the engine takes no further request now, by a limit of its own. */
+	readonly isClosed?: boolean;
 };
 
 /** An engine and its network address. */
--- a/packages/core/src/rpc/watch-method.ts
+++ b/packages/core/src/rpc/watch-method.ts
@@ -2,6 +2,7 @@
 import type {RoutingDocument} from '../control/routing-state.js';
 import type {ListedServer} from '../server-list.js';
 import type {DataCentreId, InstanceId, RoutingVersion} from '../ids.js';
+import type {ServerLimitsSnapshot} from '../server-limits/types.js';
 import type {SegmentSet} from '../quarantine/types.js';
 import type {SuspectsSnapshot} from './quarantine-methods.js';
 import {defineRpcMethod} from './rpc-methods.js';
@@ -18,6 +19,8 @@
 	readonly quarantineRevision?: number | undefined;
 	/** Version of the suspects that the watcher has. */
 	readonly suspectsVersion?: string | undefined;
+	/** Version of the servers' limits that the watcher has. */
+	readonly limitsVersion?: string | undefined;
 	/** Whether changes include their content; otherwise only versions are returned. */
 	readonly withContent: boolean;
 	/** Whether the routing version must be confirmed by a majority. */
@@ -44,6 +47,8 @@
 	readonly quarantine?: {readonly revision: number; readonly sets: readonly SegmentSet[]} | undefined;
 	/** Present at the leader when it is not the watcher's. */
 	readonly suspects?: SuspectsSnapshot | undefined;
+	/** Present at the leader when they are not the watcher's. */
+	readonly limits?: ServerLimitsSnapshot | undefined;
 	/** All known control instances. */
 	readonly controls: readonly InstanceId[];
 	/** Number of entry instances that watch. */
--- a/packages/daemon/src/__tests__/unit/availability-gate.test.ts
+++ b/packages/daemon/src/__tests__/unit/availability-gate.test.ts
@@ -7,6 +7,7 @@
 import {FleetView} from '../../gateway/fleet-view.js';
 import type {ServerNotice} from '../../gateway/types.js';
 import {registerLogSink} from '../../log.js';
+import {noLimits} from './open-gate.js';
 
 const x = toId<BackendId>('x');
 const y = toId<BackendId>('y');
@@ -35,6 +36,7 @@
 	});
 	gate = new AvailabilityGate({
 		clock,
+		limits: noLimits,
 		dialect: {readNotice: ([notice]) => JSON.parse(notice!, (_key, value: unknown) => value === 'NaN' ? Number.NaN : value) as ServerNotice},
 		count(event, kind) {
 			const key = `${event} ${kind}`;
@@ -55,7 +57,7 @@
 
 /** Has a server answer with a notice. */
 const answer = (notice: ServerNotice, status = 200, server = x): void => {
-	gate.recordResponse(server, 'run', status, [JSON.stringify(notice, (_key, value: unknown) => Number.isNaN(value) ? 'NaN' : value)]);
+	gate.recordResponse(server, 'run', {status, rawHeaders: [JSON.stringify(notice, (_key, value: unknown) => Number.isNaN(value) ? 'NaN' : value)]}, gate.recordSend(server, 'run'));
 };
 
 const advance = (ms: number): void => {
--- a/packages/daemon/src/__tests__/unit/stream-placements.test.ts
+++ b/packages/daemon/src/__tests__/unit/stream-placements.test.ts
@@ -65,7 +65,7 @@
 	await expect.poll(() => asked).toEqual(waits);
 	makeUnavailable();
 	expect(await waiting).toMatchObject({kind: 'refused', error: {kind: 'noBackend'}});
-	expect(await placements.place(request)).toMatchObject({kind: 'refused', error: {kind: 'noBackend', detail: 'every engine leaves or asks for time'}});
+	expect(await placements.place(request)).toMatchObject({kind: 'refused', error: {kind: 'noBackend', detail: 'every engine leaves, asks for time or has used up its limit'}});
 	expect(asked).toEqual(waits);
 	expect(scope.remainingMs()).toBeGreaterThan(0);
 	placements.stop();
--- a/packages/daemon/src/__tests__/unit/transport-connections.test.ts
+++ b/packages/daemon/src/__tests__/unit/transport-connections.test.ts
@@ -14,6 +14,7 @@
 import type {
 	OpenResponse, OutgoingRequest, ServerTransportOptions, TransportFailure,
 } from '../../transport/types.js';
+import {openGate} from './open-gate.js';
 
 type Received = {readonly socket: Socket; readonly text: string; readonly id: string; readonly connection: number};
 
@@ -183,9 +184,10 @@
 test.each([
 	{name: 'the caller', options: {maySend: () => false}, gate: undefined},
 	{
-		name: 'the gate', options: {server: toId<BackendId>('s1')}, gate: {
-			maySend: () => false, recordSend: () => undefined, recordResponse: () => undefined,
-		},
+		name: 'the gate', options: {server: toId<BackendId>('s1')}, gate: {...openGate, maySend: () => false},
+	},
+	{
+		name: 'the gate for want of a permit', options: {server: toId<BackendId>('s1')}, gate: {...openGate, needsPermit: () => true},
 	},
 ])('nothing is written of a request that $name withdraws', async ({options, gate}) => {
 	transport = createTransport(gate === undefined ? {} : {gate});
@@ -200,11 +202,12 @@
 	const id = toId<BackendId>('s1');
 	transport = createTransport({
 		gate: {
-			maySend: () => true,
-			recordSend(backend, kind) {
+			...openGate,
+			recordSend(backend, kind, permit) {
 				events.push(`${backend} ${kind}`);
+				return openGate.recordSend(backend, kind, permit);
 			},
-			recordResponse(backend, kind, status, rawHeaders) {
+			recordResponse(backend, kind, {status, rawHeaders}) {
 				events.push(`${backend} ${kind} ${status} ${headerValue(rawHeaders, 'x-id')}`);
 			},
 		},
--- a/packages/daemon/src/__tests__/unit/transport-gate.test.ts
+++ b/packages/daemon/src/__tests__/unit/transport-gate.test.ts
@@ -9,6 +9,7 @@
 import type {BackendId} from '@baobabpier/core';
 import {ServerTransport} from '../../transport/server-transport.js';
 import type {OutgoingRequest} from '../../transport/types.js';
+import {openGate} from './open-gate.js';
 
 const server = toId<BackendId>('s1');
 let backend: Server;
@@ -32,7 +33,7 @@
 	transport = new ServerTransport({
 		maxConnectionsTo: () => 1,
 		readResponseId: headers => headers[headers.indexOf('x-request-id') + 1],
-		gate: {maySend: () => isOpen, recordSend: () => undefined, recordResponse: () => undefined},
+		gate: {...openGate, maySend: () => isOpen},
 	});
 });
 
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -22,6 +22,7 @@
 import {Peers} from '../rpc/peers.js';
 import {RpcServer} from '../rpc/rpc-server.js';
 import type {EngineEstimates} from '../settings/engine-estimates.js';
+import {LeaderServerLimits} from '../server-limits/leader-server-limits.js';
 import {EngineReports} from './engine-reports.js';
 import {EngineLiveness} from './engine-liveness.js';
 import {LearnedEstimatesRecorder} from './learned-estimates-recorder.js';
@@ -160,9 +161,17 @@
 		voters: first.voters,
 	});
 	const shares = new LeaderShares(first.id, control);
+	const limits: LeaderServerLimits = new LeaderServerLimits({
+		self: first.id, clock, leadingTerm: () => isCertainToLead() ? control.status.term : undefined, onChange() {
+			watchServer.wake();
+		}, countPermit(result, permitClass) {
+			metrics.countPermit(result, permitClass);
+		},
+	});
 	const availability = new AvailabilityGate({
 		clock,
 		dialect: dialect.orders,
+		limits,
 		count(event, kind) {
 			metrics.countAvailability(event, kind);
 		},
@@ -183,6 +192,7 @@
 		shares,
 		createPolicy: (targets, service) => new ForecastPolicy(targets, {...forecastOptions(first.estimates), learned: control.state.learnedEstimates(service)}),
 		engines: reports,
+		admission: limits,
 		mayGrant: () => shares.isSettled(clock.now()) || control.status.role !== 'leader',
 		onPlaced(service, promptTokens) {
 			roles.recordGrant(service, promptTokens);
@@ -234,7 +244,7 @@
 		},
 	});
 	const watchServer: WatchServer = new WatchServer({
-		dataCentre: first.dataCentre, control, clock, listAgeMs: () => list.ageMs, suspects: () => quarantine.suspects,
+		dataCentre: first.dataCentre, control, clock, listAgeMs: () => list.ageMs, suspects: () => quarantine.suspects, limits: () => limits.snapshot,
 	});
 	const tableInForce = (): RoutingTable | undefined => {
 		const {current} = control.state.routing;
@@ -264,6 +274,7 @@
 	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => watchServer.entries);
 	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
 	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
+	metrics.registerServerGauge('server_limit', 'Limits that servers name, in requests a second; only while this instance leads', () => limits.inForce.map(({server, requestsPerSecond}) => ({server, value: requestsPerSecond})));
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => control.state.quarantine.entries.length);
 	metrics.registerGauge('suspected_sets', 'Prompt segment sets under suspicion at the leader', () => quarantine.suspects?.sets.length ?? 0);
 	metrics.registerGauge('trials_waiting', 'Requests that wait for a trial of suspected segments', () => quarantine.waiting);
@@ -273,6 +284,7 @@
 
 	watchServer.start(rpc);
 	quarantine.start(rpc);
+	limits.start(rpc);
 	pools.start(rpc);
 	list.start();
 	roles.start();
--- a/packages/daemon/src/control-node/watch-server.ts
+++ b/packages/daemon/src/control-node/watch-server.ts
@@ -1,7 +1,7 @@
 /** Serves the long polls of the entry instances that watch this control instance. */
 import {CONTROL_WATCH, digestServerList} from '@baobabpier/core';
 import type {
-	Clock, DataCentreId, InstanceId, ListedServer, RoutingVersion, SuspectsSnapshot, WatchResponse, WatchParams,
+	Clock, DataCentreId, InstanceId, ListedServer, RoutingVersion, ServerLimitsSnapshot, SuspectsSnapshot, WatchResponse, WatchParams,
 } from '@baobabpier/core';
 import type {ReplicatedControlLog} from '../control/replicated-control-log.js';
 import {createLog} from '../log.js';
@@ -23,6 +23,8 @@
 	readonly listAgeMs: () => number | undefined;
 	/** The suspected segment sets; undefined unless this instance leads. */
 	readonly suspects: () => SuspectsSnapshot | undefined;
+	/** The limits that servers name; undefined unless this instance leads. */
+	readonly limits: () => ServerLimitsSnapshot | undefined;
 };
 
 type Waiting = {
@@ -108,11 +110,12 @@
 	}
 
 	#compose({
-		routingVersion, listDigest, withContent, quarantineRevision, suspectsVersion,
+		routingVersion, listDigest, withContent, quarantineRevision, suspectsVersion, limitsVersion,
 	}: WatchParams, confirmed: boolean): WatchResponse {
 		const {control, dataCentre} = this.parts;
 		const {revision, entries} = control.state.quarantine;
 		const suspects = this.parts.suspects();
+		const limits = this.parts.limits();
 		const {current} = control.state.routing;
 		const {leader, hearsQuorum} = control.position;
 		const isNewer = current !== undefined && (routingVersion === undefined || current.version > routingVersion);
@@ -128,16 +131,18 @@
 			leader,
 			quarantine: quarantineRevision === undefined || revision > quarantineRevision ? {revision, sets: entries.map(({segments}) => segments)} : undefined,
 			suspects: suspects?.version === suspectsVersion ? undefined : suspects,
+			limits: limits?.version === limitsVersion ? undefined : limits,
 			controls: control.replicas,
 			entries: this.entries,
 		};
 	}
 
 	#hasNews({
-		routingVersion, listDigest, leader, withContent, quarantineRevision, suspectsVersion,
+		routingVersion, listDigest, leader, withContent, quarantineRevision, suspectsVersion, limitsVersion,
 	}: WatchParams): boolean {
 		const {control} = this.parts;
 		const suspects = this.parts.suspects();
+		const limits = this.parts.limits();
 		const version = control.state.routing.current?.version;
 		const known: RoutingVersion | undefined = routingVersion;
 		const now = control.position;
@@ -145,6 +150,7 @@
 			|| (withContent && this.#listDigest !== undefined && listDigest !== this.#listDigest)
 			|| (quarantineRevision !== undefined && control.state.quarantine.revision > quarantineRevision)
 			|| (suspects !== undefined && suspects.version !== suspectsVersion)
+			|| (limits !== undefined && limits.version !== limitsVersion)
 			|| (now.hearsQuorum && now.leader !== undefined && now.leader !== leader);
 	}
 
--- a/packages/daemon/src/gateway/control-watch.ts
+++ b/packages/daemon/src/gateway/control-watch.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {CONTROL_WATCH} from '@baobabpier/core';
 import type {
-	Clock, DataCentreId, InstanceId, ListedServer, RoutingDocument, RoutingVersion, WatchParams, WatchResponse,
+	Clock, DataCentreId, InstanceId, ListedServer, RoutingDocument, RoutingVersion, ServerLimitsSnapshot, WatchParams, WatchResponse,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
@@ -35,9 +35,10 @@
 	readonly clock: Clock;
 	readonly onRouting: (document: RoutingDocument) => boolean;
 	readonly onList: (servers: readonly ListedServer[]) => void;
-	/** Versions of the quarantine and of the suspects that are applied. */
-	readonly quarantine: () => Pick<WatchParams, 'quarantineRevision' | 'suspectsVersion'>;
+	/** Versions of the quarantine, the suspects and the servers' limits that are applied. */
+	readonly versions: () => Pick<WatchParams, 'limitsVersion' | 'quarantineRevision' | 'suspectsVersion'>;
 	readonly onQuarantine: (response: Pick<WatchResponse, 'quarantine' | 'suspects'>) => void;
+	readonly onLimits: (limits: ServerLimitsSnapshot) => void;
 	/** Called after the leader of the control log changed. */
 	readonly onLeader: () => void;
 };
@@ -177,7 +178,7 @@
 		const {self, peers, clock} = this.parts;
 		try {
 			const response = await peers.get(source.id).call(CONTROL_WATCH, {
-				instance: self, routingVersion: this.#version, listDigest: this.#listDigest, leader: this.#leader, waitMs: pollTimeoutMs, withContent, confirmed: this.#version === undefined, ...this.parts.quarantine(),
+				instance: self, routingVersion: this.#version, listDigest: this.#listDigest, leader: this.#leader, waitMs: pollTimeoutMs, withContent, confirmed: this.#version === undefined, ...this.parts.versions(),
 			}, pollTimeoutMs + responseGraceMs + (this.#version === undefined ? watchTimeoutMs : 0));
 			if (!this.#isHealthy(source)) {
 				log('A control instance answers.', {
@@ -212,6 +213,10 @@
 
 		// Before the first routing configuration, so that no call is served without the quarantine
 		this.parts.onQuarantine({quarantine: response.quarantine, suspects: source.id === this.#leader ? response.suspects : undefined});
+		if (source.id === this.#leader && response.limits !== undefined) {
+			this.parts.onLimits(response.limits);
+		}
+
 		this.#applyRouting(source, response, withContent);
 		this.#applyList(response);
 	}
--- a/packages/daemon/src/gateway/engine-leases.ts
+++ b/packages/daemon/src/gateway/engine-leases.ts
@@ -7,6 +7,7 @@
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {FleetView} from './fleet-view.js';
+import {isUrgent} from './plain-route.js';
 import type {ReservedEngine, StreamProgress} from './stream-progress.js';
 import type {Call, ServerDialect} from './types.js';
 
@@ -71,7 +72,7 @@
 		const limit = scope.createTimeout(Math.min(leaseTimeoutMs, scope.remainingMs()));
 		const endCall = fleet.begin(server.id);
 		const response = await transport.sendRequest({
-			kind: 'lease', binding: {kind: 'ownConnection'}, server: server.id, address: server.address, ...dialect.leaseCall(this.parts.expectedTokens(service, call), leaseDurationMs), signal: limit.signal,
+			kind: 'lease', binding: {kind: 'ownConnection'}, server: server.id, address: server.address, ...dialect.leaseCall(this.parts.expectedTokens(service, call), leaseDurationMs), signal: limit.signal, isUrgent: isUrgent(call),
 		});
 		const body = response.kind === 'head' ? await transport.readBody(response) : response;
 		limit.release();
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -99,23 +99,23 @@
 	}
 
 	/** The servers of a service that may get new work. */
-	usable(service: ServiceName): readonly ListedServer[] {
-		return (this.#byService.get(service) ?? []).filter(server => this.#isUsable(server));
+	usable(service: ServiceName, isUrgent = true): readonly ListedServer[] {
+		return (this.#byService.get(service) ?? []).filter(server => this.#isUsable(server, isUrgent));
 	}
 
-	/** The entry of a server that may get new work; undefined when it is not listed, leaves or asked for time. */
+	/** The entry of a server that may get new work; undefined when it is not listed, leaves, asked for time or has used up its limit. */
 	findUsable(id: BackendId): ListedServer | undefined {
 		const server = this.get(id);
 		return server !== undefined && this.#isUsable(server) ? server : undefined;
 	}
 
 	/**
-	 * Time until a server of a service gets new work, in milliseconds, where all those listed, of one role if given, say that they leave
-	 * or ask for time; 0 otherwise.
+	 * Time until a server of a service gets new work, in milliseconds, where all those listed, of one role if given, say that they leave,
+	 * ask for time or have used up their limit; 0 otherwise.
 	 */
-	unavailableForMs(service: ServiceName, role?: EngineRole): number {
+	unavailableForMs(service: ServiceName, role?: EngineRole, isUrgent = true): number {
 		const servers = (this.#byService.get(service) ?? []).filter(server => !server.leaving && (role === undefined || server.role === role));
-		return servers.length === 0 ? 0 : this.availability.availableInMs(servers.map(({id}) => id));
+		return servers.length === 0 ? 0 : this.availability.availableInMs(servers.map(({id}) => id), isUrgent);
 	}
 
 	get(id: BackendId): ListedServer | undefined {
@@ -128,8 +128,8 @@
 	}
 
 	/** Loads of a service's usable servers: the reachable ones, or all when none is reachable. */
-	loads(service: ServiceName): readonly ServerLoad[] {
-		const servers = this.usable(service);
+	loads(service: ServiceName, isUrgent = true): readonly ServerLoad[] {
+		const servers = this.usable(service, isUrgent);
 		const reachable = servers.filter(({id}) => !this.isUnreachable(id));
 		return (reachable.length > 0 ? reachable : servers).map(server => this.#loadOf(server));
 	}
@@ -155,15 +155,15 @@
 	}
 
 	/** Logs that a call finds every server of its service leaving or asking for time, if that is so. */
-	logUnavailable(requestId: RequestId, service: ServiceName, role?: EngineRole): void {
-		const availableInMs = this.unavailableForMs(service, role);
+	logUnavailable(requestId: RequestId, service: ServiceName, role?: EngineRole, isUrgent = true): void {
+		const availableInMs = this.unavailableForMs(service, role, isUrgent);
 		if (availableInMs > 0) {
-			log('Every server of a service leaves or asks for time.', {requestId, service, availableInMs: Math.round(availableInMs)});
+			log('Every server of a service leaves, asks for time or has used up its limit.', {requestId, service, availableInMs: Math.round(availableInMs)});
 		}
 	}
 
-	#isUsable({id, leaving}: ListedServer): boolean {
-		return !leaving && this.availability.isAvailable(id);
+	#isUsable({id, leaving}: ListedServer, isUrgent = true): boolean {
+		return !leaving && this.availability.isAvailable(id, isUrgent);
 	}
 
 	#recordResult(id: BackendId, stats: ServerStats, result: CallResult, startedAt: number): void {
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -31,6 +31,10 @@
 		name: 'baobabpier_server_availability_total', help: 'Servers that leave or ask for time, requests not sent for it, and requests sent although work is not, by kind of call', labelNames: ['event', 'kind'], registers: [this.registry],
 	});
 
+	readonly #permits = new Counter({
+		name: 'baobabpier_server_permits_total', help: 'Requests to servers with a limit, by whether they got a permit, and class', labelNames: ['result', 'class'], registers: [this.registry],
+	});
+
 	readonly #foreignResponses = new Counter({
 		name: 'baobabpier_foreign_responses_total', help: 'Responses of servers that belong to no request or to another one, by kind of call', labelNames: ['kind', 'moment'], registers: [this.registry],
 	});
@@ -50,6 +54,26 @@
 		this.#notices.inc({event, kind});
 	}
 
+	countPermit(result: string, permitClass: string): void {
+		this.#permits.inc({result, class: permitClass});
+	}
+
+	/** Registers a gauge with one value a server, which are read on each scrape. */
+	registerServerGauge(name: string, help: string, read: () => ReadonlyArray<{readonly server: string; readonly value: number}>): void {
+		this.registry.registerMetric(new Gauge({
+			name: `baobabpier_${name}`,
+			help,
+			labelNames: ['server'],
+			registers: [],
+			collect() {
+				this.reset();
+				for (const {server, value} of read()) {
+					this.set({server}, value);
+				}
+			},
+		}));
+	}
+
 	countForeignResponse(kind: string, moment: string): void {
 		this.#foreignResponses.inc({kind, moment});
 	}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import {ServerTransport} from '../transport/server-transport.js';
 import {Peers} from '../rpc/peers.js';
 import {ServerConnections} from '../server-connections.js';
+import {RemoteServerLimits} from '../server-limits/remote-server-limits.js';
 import {AvailabilityGate} from './availability-gate.js';
 import {CallerListener} from './caller-listener.js';
 import {ControlWatch, isListStale} from './control-watch.js';
@@ -116,20 +117,39 @@
 	const random = createSeededRandom(hashText(`${initialSettings.id}/${Date.now()}`));
 	const peers = new Peers([], initialSettings.secret, id => id);
 	const metrics = new GatewayMetrics();
-	const availability = new AvailabilityGate({
+	const limits: RemoteServerLimits = new RemoteServerLimits({
+		self: initialSettings.id, clock, peers, leader: () => controlWatch.leader, onChange() {
+			availability.handleLimitChange();
+		}, countPermit(result, permitClass) {
+			metrics.countPermit(result, permitClass);
+		},
+	});
+	const availability: AvailabilityGate = new AvailabilityGate({
 		clock,
 		dialect: dialect.server,
+		limits,
 		count(event, kind) {
 			metrics.countAvailability(event, kind);
 		},
 		onChange() {
-			localPool.setLeaving(unavailableEngines());
+			applyUnavailable();
 			places.handleAvailabilityChange();
 		},
 	});
 	const fleet = new FleetView(clock, availability);
-	/** Engines that leave by the list or their own word, and those that asked for time. */
-	const unavailableEngines = (): ReadonlySet<EngineId> => new Set([...leavingEngines(fleet.servers), ...[...availability.unavailable].map(id => toId<EngineId>(id))]);
+	/** Engines that leave by the list or their own word, those that asked for time, and those that have used up their limit. */
+	const unavailableEngines = (): ReadonlySet<EngineId> => new Set([...leavingEngines(fleet.servers), ...[...availability.unavailable].filter(id => fleet.get(id)?.role !== undefined).map(id => toId<EngineId>(id))]);
+	let appliedUnavailable = '';
+	/** Plain servers change often while they have limits, and concern no pool. */
+	const applyUnavailable = (): void => {
+		const unavailable = unavailableEngines();
+		const key = [...unavailable].toSorted().join(' ');
+		if (key !== appliedUnavailable) {
+			appliedUnavailable = key;
+			localPool.setLeaving(unavailable);
+		}
+	};
+
 	const gate = new StartupGate(clock);
 	const connectionLimit = (address: string): number => {
 		const service = table?.services.get(fleet.servers.find(server => server.address === address)?.service ?? toId<ServiceName>(''));
@@ -190,7 +210,10 @@
 		self: initialSettings.id, dataCentre: initialSettings.dataCentre, seeds: () => settings.seeds, peers, clock, onRouting: applyRouting, onList: applyServerList, onLeader() {
 			places.handleOwnerChange();
 		},
-		quarantine: () => ({quarantineRevision: guard.quarantineRevision, suspectsVersion: guard.suspectsVersion}),
+		versions: () => ({quarantineRevision: guard.quarantineRevision, suspectsVersion: guard.suspectsVersion, limitsVersion: limits.version}),
+		onLimits(snapshot) {
+			limits.apply(snapshot);
+		},
 		onQuarantine({quarantine, suspects}) {
 			if (quarantine !== undefined) {
 				guard.applyQuarantine(quarantine);
@@ -255,6 +278,7 @@
 	metrics.registerGauge('list_age_seconds', 'Age of the list of servers', () => controlWatch.listAgeMs / 1000);
 	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
 	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
+	metrics.registerServerGauge('server_limit', 'Limits that servers name, in requests a second', () => limits.inForce);
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => guard.quarantined);
 	metrics.registerGauge('quarantine_refusals', 'Calls refused for quarantined segments', () => guard.counts.refused);
 	metrics.registerGauge('quarantine_trials', 'Calls that tried suspected segments', () => guard.counts.trials);
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -58,10 +58,10 @@
 		/** Whether an attempt may have been executed: a later refusal then says nothing about the call. */
 		let mayHaveRun = false;
 		while (scope.reason === undefined) {
-			const load = chooseServer(fleet.loads(service), dataCentre, tried, clock.now(), random.next());
+			const load = chooseServer(fleet.loads(service, isUrgent(call)), dataCentre, tried, clock.now(), random.next());
 			const server = load === undefined ? undefined : fleet.get(load.id);
 			if (load === undefined) {
-				fleet.logUnavailable(call.requestId, service);
+				fleet.logUnavailable(call.requestId, service, undefined, isUrgent(call));
 			}
 
 			if (load === undefined || server === undefined || attempts >= call.route.maxAttempts || (attempts > 0 && !retryBudgets.tryAcquire(service))) {
@@ -79,29 +79,29 @@
 				detail: 'detail' in attempt ? attempt.detail : undefined, inFlight: load.inFlight, failing: Number(load.failing.toFixed(2)), leftMs: Math.round(scope.remainingMs()),
 			});
 			const isCertainlyNotRun = attempt.kind === 'unsent' || attempt.kind === 'notRun';
-			lastReply = mayHaveRun && isCertainlyNotRun ? lastReply : this.#replyTo(attempt, service, scope);
+			lastReply = mayHaveRun && isCertainlyNotRun ? lastReply : this.#replyTo(attempt, call, service, scope);
 			mayHaveRun ||= !isCertainlyNotRun;
 			if (isFinal(call, attempt)) {
 				break;
 			}
 		}
 
-		return scope.reason === 'callerGone' ? {kind: 'streamed'} : lastReply ?? errorReply(routerError('noBackend', `no server of ${service} can be reached`, this.#retryAfterMs(service)));
+		return scope.reason === 'callerGone' ? {kind: 'streamed'} : lastReply ?? errorReply(routerError('noBackend', `no server of ${service} can be reached`, this.#retryAfterMs(call, service)));
 	}
 
 	/** The reply to the caller when this attempt is the last. */
-	#replyTo(attempt: Attempt, service: ServiceName, scope: CallScope): Reply {
+	#replyTo(attempt: Attempt, call: Call, service: ServiceName, scope: CallScope): Reply {
 		switch (attempt.kind) {
 			case 'answer': {
 				return {kind: 'relay', head: attempt.head, body: attempt.body};
 			}
 
 			case 'notRun': {
-				return errorReply(routerError('overloaded', 'the servers are full', this.#retryAfterMs(service)));
+				return errorReply(routerError('overloaded', 'the servers are full', this.#retryAfterMs(call, service)));
 			}
 
 			case 'unsent': {
-				return errorReply(scope.reason === 'deadline' ? routerError('timeout') : routerError('noBackend', attempt.detail, this.#retryAfterMs(service)));
+				return errorReply(scope.reason === 'deadline' ? routerError('timeout') : routerError('noBackend', attempt.detail, this.#retryAfterMs(call, service)));
 			}
 
 			case 'foreign':
@@ -117,7 +117,7 @@
 		const timeout = scope.createTimeout(Math.min(timeoutMs, scope.remainingMs()));
 		const endCall = fleet.begin(server.id);
 		const response = await transport.sendRequest({
-			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'run'}, scope.remainingMs()), body: call.body, signal: timeout.signal,
+			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'run'}, scope.remainingMs()), body: call.body, signal: timeout.signal, isUrgent: isUrgent(call),
 		});
 		if (response.kind !== 'head') {
 			timeout.release();
@@ -144,13 +144,16 @@
 	}
 
 	/** Retry delay suggested to a refused caller, in milliseconds: not before a server of the service takes calls again. */
-	#retryAfterMs(service: ServiceName): number {
-		const unavailableForMs = this.parts.fleet.unavailableForMs(service);
+	#retryAfterMs(call: Call, service: ServiceName): number {
+		const unavailableForMs = this.parts.fleet.unavailableForMs(service, undefined, isUrgent(call));
 		const draw = this.parts.random.next();
 		return unavailableForMs > 0 ? spreadRetryDelay(unavailableForMs, draw) : minRetryAfterMs + (draw * retryAfterJitterMs);
 	}
 }
 
+/** Whether a call goes before others where not all can be served. */
+export const isUrgent = ({route}: Call): boolean => route.priority === 0;
+
 /** Why a response can't be passed on as the server's; undefined when it can. */
 export const findResponseFault = (head: ResponseHead): string | undefined => {
 	if (head.isEncoded) {
--- a/packages/daemon/src/gateway/prefill-client.ts
+++ b/packages/daemon/src/gateway/prefill-client.ts
@@ -9,6 +9,7 @@
 import type {EngineLeases} from './engine-leases.js';
 import {resultOfUnsent} from './fleet-view.js';
 import type {CallResult, FleetView} from './fleet-view.js';
+import {isUrgent} from './plain-route.js';
 import type {StreamPlacement} from './stream-placements.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import {recordResult, rejectedRetryAfterMs} from './stream-progress.js';
@@ -57,7 +58,7 @@
 		const endCall = fleet.begin(server.id);
 		const startedAt = this.parts.clock.now();
 		const response = await transport.sendRequest({
-			kind: 'prefill', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'prefill'}, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
+			kind: 'prefill', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'prefill'}, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address), isUrgent: isUrgent(call),
 		});
 		progress.sentTo.add(server.address);
 		progress.prefills += response.kind === 'unsent' ? 0 : 1;
--- a/packages/daemon/src/gateway/stream-placements.ts
+++ b/packages/daemon/src/gateway/stream-placements.ts
@@ -26,7 +26,7 @@
 /** Callers' timeout for a silent stream, in multiples of the first event's target latency; the platform's clients use this factor. */
 const callerTimeoutTargets = 4;
 /** Why a call is refused whose service has engines, none of which takes work. */
-const allUnavailable = 'every engine leaves or asks for time';
+const allUnavailable = 'every engine leaves, asks for time or has used up its limit';
 /** Attempt numbers of placements that the owner did not grant start after this one, far above the rounds of a call. */
 const localAttemptBase = 1000;
 
@@ -73,7 +73,7 @@
 	/** Fraction of the maximum output tokens that running streams are expected to hold in memory. */
 	readonly outputPart: number;
 	readonly usableEngines: (service: ServiceName) => ReadonlySet<EngineId>;
-	/** Time until a decode engine of a service gets new work, in milliseconds; 0 unless all of them leave or ask for time. */
+	/** Time until a decode engine of a service gets new work, in milliseconds; 0 unless all of them leave, ask for time or have used up their limit. */
 	readonly unavailableForMs: (service: ServiceName) => number;
 };
 
@@ -118,7 +118,7 @@
 		void this.parts.client.renew();
 	}
 
-	/** Ends the waits for a placement on services whose engines all leave or ask for time: their callers are refused at once. */
+	/** Ends the waits for a placement on services whose engines all leave, ask for time or have used up their limit: their callers are refused at once. */
 	handleAvailabilityChange(): void {
 		for (const [abort, {service}] of this.#pending) {
 			if (this.parts.unavailableForMs(service) > 0) {
@@ -192,12 +192,12 @@
 		return outcome ?? this.#findRefusal(name) ?? this.#placeLocally(service, params, scope);
 	}
 
-	/** The refusal of a placement where every decode engine leaves or asks for time; undefined otherwise. */
+	/** The refusal of a placement where every decode engine leaves, asks for time or has used up its limit; undefined otherwise. */
 	#findRefusal(service: ServiceName): Extract<PlacementOutcome, {kind: 'refused'}> | undefined {
 		return this.parts.unavailableForMs(service) > 0 ? {kind: 'refused', error: routerError('noBackend', allUnavailable)} : undefined;
 	}
 
-	/** Runs a request that ends when its call ends, or when every engine of its service leaves or asks for time. */
+	/** Runs a request that ends when its call ends, or when every engine of its service leaves, asks for time or has used up its limit. */
 	async #withAbort<Result>(pending: PendingRequest, scope: CallScope, send: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
 		const abort = new AbortController();
 		const end = (): void => {
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -79,7 +79,7 @@
 		}
 	}
 
-	/** Tells a refused caller when an engine takes work again, if all of them leave or ask for time. */
+	/** Tells a refused caller when an engine takes work again, if all of them leave, ask for time or have used up their limit. */
 	#withRetryDelay(reply: Reply, {call, service}: StreamProgress): Reply {
 		const {fleet, random} = this.parts;
 		const unavailableForMs = reply.kind === 'error' && capacityErrors.has(reply.error.kind) ? fleet.unavailableForMs(service, 'decode') : 0;
@@ -363,7 +363,7 @@
 	}
 }
 
-/** Declines a placement on an engine that leaves or asked for time since the request, and lets the pool's owner know that the engine takes no streams. */
+/** Declines a placement on an engine that leaves, asked for time or has used up its limit since the request, and lets the pool's owner know that the engine takes no streams. */
 const declinePlacement = ({call, excluded, rejectedBy}: StreamProgress, {decode}: StreamPlacement): void => {
 	log('A placement is declined: its engine takes no work.', {requestId: call.requestId, engine: decode.id});
 	excluded.add(decode.id);
--- a/packages/daemon/src/gateway/stream-runner.ts
+++ b/packages/daemon/src/gateway/stream-runner.ts
@@ -15,7 +15,7 @@
 import type {StreamEvent} from './event-splitter.js';
 import {resultOfUnsent} from './fleet-view.js';
 import type {CallResult, FleetView} from './fleet-view.js';
-import {findResponseFault} from './plain-route.js';
+import {findResponseFault, isUrgent} from './plain-route.js';
 import {recordResult} from './stream-progress.js';
 import type {DecodeOutcome, StreamProgress} from './stream-progress.js';
 import type {ResponseHead, SendPurpose, ServerDialect} from './types.js';
@@ -58,7 +58,7 @@
 		const endCall = fleet.begin(server.id);
 		const startedAt = clock.now();
 		const response = await transport.sendRequest({
-			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address),
+			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, scope.remainingMs()), body: call.body, signal: limit.signal, isRepeat: progress.sentTo.has(server.address), isUrgent: isUrgent(call),
 		});
 		progress.sentTo.add(server.address);
 		progress.sent += response.kind === 'unsent' ? 0 : 1;
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -8,6 +8,7 @@
 	Clock,
 	DataCentreId,
 	EngineAddress,
+	EngineAdmission,
 	EngineEntry,
 	EngineHold,
 	EngineId,
@@ -70,6 +71,8 @@
 	readonly createPolicy: (targets: LatencyTargets, service: ServiceName) => PlacementPolicy;
 	/** Undefined for pools that track only the load of their own instance: engines aren't polled and leases don't expire. */
 	readonly engines: PoolEngineClient | undefined;
+	/** Engines that take a limited number of requests; all take any number without it. */
+	readonly admission?: EngineAdmission;
 	/** Whether placements may be granted; a new owner first waits until holders have renewed the placements of its predecessor. */
 	readonly mayGrant?: () => boolean;
 	/** Called for each granted placement. */
@@ -112,6 +115,7 @@
 		server?.registerMethod(POOL_RELEASE, params => {
 			this.#suspects.markUnreachable(params.unreachable ?? []);
 			this.#recordCallResults(params);
+			this.parts.admission?.release(params.requestId);
 			return this.#dispatchEvent(params.service, params.dataCentre, {
 				kind: 'release', hold: params, pace: params.pace, outputTokens: params.outputTokens, rejectedBy: params.rejectedBy,
 			});
@@ -321,7 +325,7 @@
 			dataCentre,
 			fencing,
 			current,
-			pool: new EnginePool(this.parts.self, policy, limits, this.parts.timings ?? {leaseMs, orphanTimeoutMs, adoptionGraceMs: leaseMs}),
+			pool: new EnginePool(this.parts.self, policy, limits, this.parts.timings ?? {leaseMs, orphanTimeoutMs, adoptionGraceMs: leaseMs}, this.parts.admission),
 			engines: [],
 			pending: new Map(),
 			poller: this.#createPoller(poolKey(service.name, dataCentre)),
--- a/packages/daemon/src/transport/exchange.ts
+++ b/packages/daemon/src/transport/exchange.ts
@@ -6,7 +6,7 @@
 import {isFramed} from './response-head.js';
 import {ForeignResponseError} from './types.js';
 import type {
-	ForeignMoment, OpenResponse, OutgoingRequest, ServerTransportOptions, TransportFailure,
+	ForeignMoment, OpenResponse, OutgoingRequest, SendPermit, SendRecord, ServerTransportOptions, TransportFailure,
 } from './types.js';
 
 /** Lower status codes are interim responses. */
@@ -58,11 +58,13 @@
 	#isSettled = false;
 	#isOver = false;
 	#failure: Error | undefined;
+	#sendRecord: SendRecord | undefined;
 
 	constructor(
 		readonly request: OutgoingRequest,
 		private readonly options: ServerTransportOptions,
 		private readonly caller: ExchangeCaller,
+		private readonly permit?: SendPermit,
 	) {}
 
 	get binding(): OutgoingRequest['binding'] {
@@ -117,7 +119,7 @@
 	/** Ends a request that may not be written now as unsent; returns whether it has done so. */
 	withdrawIfHeldBack(): boolean {
 		const {kind, server, maySend} = this.request;
-		const isHeldBack = maySend?.() === false || (server !== undefined && this.options.gate?.maySend(server, kind) === false);
+		const isHeldBack = maySend?.() === false || (server !== undefined && this.options.gate?.maySend(server, kind, this.permit) === false);
 		if (isHeldBack) {
 			this.fail({kind: 'unsent', detail: 'the request was withdrawn before it was written', isHeldBack: true});
 		}
@@ -142,7 +144,7 @@
 		this.#listener?.onWrite();
 		const {kind, server} = this.request;
 		if (server !== undefined) {
-			this.options.gate?.recordSend(server, kind);
+			this.#sendRecord = this.options.gate?.recordSend(server, kind, this.permit);
 		}
 	}
 
@@ -160,8 +162,8 @@
 			return;
 		}
 
-		if (server !== undefined) {
-			gate?.recordResponse(server, kind, status, rawHeaders);
+		if (server !== undefined && this.#sendRecord !== undefined) {
+			gate?.recordResponse(server, kind, {status, rawHeaders}, this.#sendRecord);
 		}
 
 		const hasFraming = isFramed(rawHeaders);
--- a/packages/daemon/src/transport/server-transport.ts
+++ b/packages/daemon/src/transport/server-transport.ts
@@ -3,7 +3,7 @@
 import {AddressPool} from './address-pool.js';
 import {Exchange, failureOf} from './exchange.js';
 import type {
-	OpenResponse, OutgoingRequest, ServerTransportOptions, TransportFailure,
+	OpenResponse, OutgoingRequest, SendPermit, ServerTransportOptions, TransportFailure,
 } from './types.js';
 
 /** Maximum size of a buffered response body, in bytes. */
@@ -38,6 +38,17 @@
 			return {kind: 'unsent', detail: this.#isClosed ? 'the transport is closed' : (signal.reason as Error).message};
 		}
 
+		const {gate} = this.options;
+		let permit: SendPermit | undefined;
+		if (request.server !== undefined && gate?.needsPermit(request.server) === true) {
+			permit = await gate.acquirePermit({
+				server: request.server, kind: request.kind, requestId: 'requestId' in request.binding ? request.binding.requestId : undefined, isUrgent: request.isUrgent ?? false,
+			}, signal);
+			if (permit === undefined || signal.aborted) {
+				return {kind: 'unsent', detail: 'the server takes no more requests now', isHeldBack: true};
+			}
+		}
+
 		const pool = this.#getOrCreatePool(address);
 		return new Promise(resolve => {
 			const abort = (): void => {
@@ -48,7 +59,7 @@
 				settle: resolve, release() {
 					signal.removeEventListener('abort', abort);
 				},
-			});
+			}, permit);
 			if (exchange.withdrawIfHeldBack()) {
 				return;
 			}
--- a/packages/daemon/src/transport/types.ts
+++ b/packages/daemon/src/transport/types.ts
@@ -1,6 +1,8 @@
 /** Types of the transport: requests to other processes and what becomes of them. */
 import type {Readable} from 'node:stream';
-import type {BackendId, ResponseBinding} from '@baobabpier/core';
+import type {
+	BackendId, Instant, LimitRevision, ResponseBinding,
+} from '@baobabpier/core';
 
 /** What a request is for, as metrics and logs name it. */
 export type CallKind = 'run' | 'prefill' | 'lease' | 'release' | 'free' | 'order' | 'report' | 'liveness' | 'list' | 'rpc' | 'engine' | 'plain';
@@ -33,6 +35,8 @@
 	readonly binding: ResponseBinding;
 	/** The listed server that is addressed, if it is one. */
 	readonly server?: BackendId;
+	/** Whether a limited server takes it before others; requests without a caller are not urgent. */
+	readonly isUrgent?: boolean;
 	/** Whether the same request was sent to this address before: it gets a connection of its own. */
 	readonly isRepeat?: boolean;
 	/** Asked right before the first byte is written, after the wait for a connection; false withdraws the request. */
@@ -68,19 +72,45 @@
 	readonly mayBeTruncated: () => boolean;
 };
 
+/** Permission to send one request to a server that names a limit. */
+export type SendPermit = {
+	/** When it expires. */
+	readonly until: Instant;
+};
+
+/** What was known when a request was sent. */
+export type SendRecord = {
+	readonly sentAt: Instant;
+	readonly isPermitted: boolean;
+	/** What was recorded of the server's limit; undefined while nothing was. */
+	readonly limitRevision: LimitRevision | undefined;
+};
+
+/** A request that asks for a permit. */
+export type PermitSeeker = {
+	readonly server: BackendId;
+	readonly kind: CallKind;
+	readonly requestId: string | undefined;
+	readonly isUrgent: boolean;
+};
+
 /**
  * Asked before each request to a listed server, and told of each response from one.
  *
  * @example
- * const gate: ServerGate = {maySend: server => !leaving.has(server), recordSend: () => undefined, recordResponse: () => undefined};
+ * const response = gate.needsPermit(server) ? await sendWith(await gate.acquirePermit(seeker, signal)) : await send();
  */
 export type ServerGate = {
+	/** Whether a request to a server needs a permit, since the server names a limit. */
+	needsPermit(server: BackendId): boolean;
+	/** Resolves with a permit, or with undefined when there is none now. */
+	acquirePermit(seeker: PermitSeeker, signal: AbortSignal): Promise<SendPermit | undefined>;
 	/** Whether a request may be written; false ends it as unsent. */
-	maySend(server: BackendId, kind: CallKind): boolean;
+	maySend(server: BackendId, kind: CallKind, permit: SendPermit | undefined): boolean;
 	/** Called right when a request is written. */
-	recordSend(server: BackendId, kind: CallKind): void;
+	recordSend(server: BackendId, kind: CallKind, permit: SendPermit | undefined): SendRecord;
 	/** Called when the head of a response that belongs to its request has arrived. */
-	recordResponse(server: BackendId, kind: CallKind, status: number, rawHeaders: readonly string[]): void;
+	recordResponse(server: BackendId, kind: CallKind, response: {readonly status: number; readonly rawHeaders: readonly string[]}, record: SendRecord): void;
 };
 
 /** The settings and listeners of a transport. */
