--- a/packages/daemon/src/__tests__/unit/engine-leases.test.ts
+++ b/packages/daemon/src/__tests__/unit/engine-leases.test.ts
@@ -68,7 +68,9 @@
 	fleet.replace([server]);
 	const scope = new CallScope(monotonicClock, addMs(monotonicClock.now(), 5000));
 	const progress = {
-		call: {requestId: 'r1', promptTokens: 5000, maxTokens: 6500, route: {priority: 0}}, service, scope, excluded: new Set(), rejectedBy: [],
+		call: {
+			requestId: 'r1', promptTokens: 5000, maxTokens: 6500, route: {priority: 0},
+		}, service, scope, excluded: new Set(), rejectedBy: [],
 	} as unknown as StreamProgress;
 	const leases = new EngineLeases({
 		fleet, transport, dialect: dialect as EngineLeasesParts['dialect'], expectedTokens: () => expectedTokens,
