Quarantine plain calls that crash the servers that run them

Cause: the crash guard knew segments of prompts only, and let calls without any pass at once. Class: evidence of crashes is collected for one kind of request, while a repeat of any kind carries the crash on.

Why it works: a plain call takes part in the same evidence, trials and verdicts with a digest of caller, method, target and body as its one segment. A crash counts half for each call that it took along, two make a suspect, a third one in a trial convicts; whatever a server completes is cleared. The verdict is in the control log as before, survives the leader, and is listed, set and lifted with the same commands.

Streams are known by the segments of their prompts, as before.

--- a/packages/core/src/__tests__/unit/crash-evidence.test.ts
+++ b/packages/core/src/__tests__/unit/crash-evidence.test.ts
@@ -48,6 +48,30 @@
 		name: 'one crash suspects the segments of the run that had just begun, and no others',
 		steps: [{crash: ['a d', 'b:writing', 'c:sent'], at: 0}], suspects: ['a d'], convicted: [],
 	},
+	{
+		name: 'a whole request among others is not suspected after one crash',
+		steps: [{crash: ['request-d:sent', 'request-1:sent', 'request-2:sent'], at: 0}], suspects: [], convicted: [],
+	},
+	{
+		name: 'a whole request in two crashes is suspected, the others are not',
+		steps: [{crash: ['request-d:sent', 'request-1:sent'], at: 0}, {crash: ['request-d:sent', 'request-2:sent'], at: 900}], suspects: ['request-d'], convicted: [],
+	},
+	{
+		name: 'a whole request is convicted by two crashes among others and one in a trial',
+		steps: [{crash: ['request-d:sent', 'request-1:sent'], at: 0}, {crash: ['request-d:sent', 'request-2:sent'], at: 900}, {crash: ['request-d:sent!', 'request-3:sent'], at: 1800}], suspects: ['request-d'], convicted: ['request-d'],
+	},
+	{
+		name: 'a whole request that a server completed is not suspected',
+		steps: [{crash: ['request-p:sent', 'request-1:sent'], at: 0}, {proven: 'request-p', at: 300}, {crash: ['request-p:sent', 'request-2:sent'], at: 900}], suspects: [], convicted: [],
+	},
+	{
+		name: 'one client attempt that meets three crashes convicts nothing',
+		steps: [{crash: ['request-u:sent:r'], at: 0}, {crash: ['request-u:sent:r'], at: 900}, {crash: ['request-u:sent:r!'], at: 1800}], suspects: ['request-u'], convicted: [],
+	},
+	{
+		name: 'simultaneous crashes of other causes do not make a whole request suspect',
+		steps: [{crash: ['request-u:sent'], at: 0}, {crash: ['request-u:sent'], at: 50}], suspects: [], convicted: [],
+	},
 	{
 		name: 'three crashes convict the segments that occur together',
 		steps: [{crash: ['a d', 'b:writing'], at: 0}, {crash: ['a d'], at: 500}, {crash: ['a d', 'c:writing'], at: 900}], suspects: ['a d'], convicted: ['a d'],
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -42,7 +42,7 @@
 		status: 413, run: 'no', retryAfterMs: undefined, message: 'The prompt does not fit any engine\'s memory.',
 	},
 	quarantined: {
-		status: 422, run: 'no', retryAfterMs: undefined, message: 'The prompt has segments that crashed engines; they are quarantined.',
+		status: 422, run: 'no', retryAfterMs: undefined, message: 'The request, or segments of its prompt, crashed engines; they are quarantined.',
 	},
 	limitReached: {
 		status: 429, run: 'no', retryAfterMs: 1000, message: 'A limit of the service is reached.',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -65,7 +65,9 @@
 	ActiveQuarantine, QuarantineEntry, QuarantineSnapshot, RecordedCrash,
 } from './quarantine/quarantine-table.js';
 export {TrialSlots} from './quarantine/trial-slots.js';
-export {includesSegments, segmentSetKey, toSegmentSet} from './quarantine/types.js';
+export {
+	includesSegments, isRequestDigest, requestDigestPrefix, segmentSetKey, toSegmentSet,
+} from './quarantine/types.js';
 export type {
 	BrokenRun, CrashCase, CrashSummary, RunPhase, SegmentSet,
 } from './quarantine/types.js';
--- a/packages/core/src/quarantine/crash-evidence.ts
+++ b/packages/core/src/quarantine/crash-evidence.ts
@@ -1,15 +1,19 @@
-/** Finds the prompt segments that crash engines, from the runs that broke off with each engine. */
+/** Finds the prompt segments and the requests that crash engines, from the runs that broke off with each engine. */
 import type {EngineId, RequestId, SegmentId} from '../ids.js';
 import {addMs} from '../time.js';
 import type {Instant} from '../time.js';
 import {ProvenSegments} from './proven-segments.js';
-import {includesSegments, segmentSetKey, toSegmentSet} from './types.js';
+import {
+	includesSegments, isRequestDigest, segmentSetKey, toSegmentSet,
+} from './types.js';
 import type {
 	BrokenRun, CrashCase, SegmentSet,
 } from './types.js';
 
 /** Score from which a segment set is convicted: as much as three crashes, each with a run of it that had just begun. */
 export const convictionScore = 3;
+/** Score from which a whole request is convicted, of which no two that differ are alike: two crashes among other runs and one in a trial. */
+const requestConvictionScore = 2;
 /** Score from which a segment set is suspected. */
 const suspicionScore = 1;
 /** Minimum number of requests and of separate crashes behind a conviction, so that no single request or event leads to one. */
@@ -135,7 +139,7 @@
 		this.#expire(now);
 		const evidence = this.#crashes.filter(({isConfirmed}) => isConfirmed).map(crash => this.#reduce(crash, quarantined, now)).filter(item => item !== undefined);
 		const cases = new Map<string, CrashCase & {readonly isConvicted: boolean; readonly lastAt: Instant}>();
-		for (const segment of new Set(evidence.flatMap(({runs}) => runs.flatMap(({segments}) => segments)))) {
+		for (const segment of findSuspicious(evidence)) {
 			const found = buildCase(segment, evidence, now);
 			cases.set(segmentSetKey(found.segments), found);
 		}
@@ -156,7 +160,7 @@
 		}
 
 		const unproven = runs.map(run => ({...run, segments: run.segments.filter(segment => !this.isProven(segment, now))})).filter(({segments}) => segments.length > 0);
-		const begun = unproven.filter(({phase}) => phase === 'begun');
+		const begun = unproven.filter(run => hasBegun(run));
 		const suspicious = begun.length > 0 ? begun : unproven;
 		return suspicious.length === 0 ? undefined : {crash, weight: begun.length > 0 ? 1 : weakWeight, runs: suspicious};
 	}
@@ -170,6 +174,21 @@
 	}
 }
 
+/** Whether a run had just begun. Servers don't tell when they begin with a whole request, so one that ran alone counts. */
+const hasBegun = ({phase, isTrial, segments}: BrokenRun): boolean => phase === 'begun' || (isTrial === true && segments.some(segment => isRequestDigest(segment)));
+
+/** The segments whose evidence can reach the score of a suspicion; a crash of a busy server leaves many that can't. */
+const findSuspicious = (evidence: readonly Evidence[]): readonly SegmentId[] => {
+	const scores = new Map<SegmentId, number>();
+	for (const {runs, weight} of evidence) {
+		for (const segment of new Set(runs.flatMap(({segments}) => segments))) {
+			scores.set(segment, (scores.get(segment) ?? 0) + weight);
+		}
+	}
+
+	return [...scores].filter(([, score]) => score >= suspicionScore).map(([segment]) => segment);
+};
+
 const runsWith = ({runs}: Evidence, set: SegmentSet): readonly BrokenRun[] => runs.filter(({segments}) => includesSegments(segments, set));
 
 /** Builds the case against the segments that occur together with `segment` in every crash. */
@@ -197,7 +216,7 @@
 	return {
 		segments: set,
 		score,
-		isConvicted: score >= convictionScore && starts.length >= minSeparateCrashes && requestIds.size >= minRequests,
+		isConvicted: score >= (set.every(member => isRequestDigest(member)) ? requestConvictionScore : convictionScore) && starts.length >= minSeparateCrashes && requestIds.size >= minRequests,
 		lastAt: evidence.at(-1)!.crash.at,
 		crashes: evidence.map(item => ({
 			engine: item.crash.engine, agoMs: Math.max(0, now - item.crash.at), requestIds: runsWith(item, [segment]).map(({requestId}) => requestId),
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -39,6 +39,17 @@
 	readonly crashes: readonly CrashSummary[];
 };
 
+/** Prefix of the digest of a whole request; segments of prompts are hexadecimal. */
+export const requestDigestPrefix = 'request-';
+
+/**
+ * Whether a segment stands for a whole request and not for a part of its prompt.
+ *
+ * @example
+ * isRequestDigest(toId<SegmentId>('request-5f3a')); // true
+ */
+export const isRequestDigest = (segment: SegmentId): boolean => segment.startsWith(requestDigestPrefix);
+
 /** Creates a segment set. */
 export const toSegmentSet = (segments: Iterable<SegmentId>): SegmentSet => [...new Set(segments)].toSorted();
 
--- a/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
+++ b/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
@@ -101,7 +101,7 @@
 			}),
 			errorHeaders: (): Record<string, string> => ({}),
 		},
-		plain: new PlainRoute({...parts, dataCentre: toId<DataCentreId>('a')}),
+		plain: new PlainRoute({...parts, guard: createIdleGuard(), dataCentre: toId<DataCentreId>('a')}),
 		streams: new StreamRoute({...parts, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements}),
 		metrics: new GatewayMetrics(),
 	});
--- a/packages/daemon/src/control-node/engine-liveness.ts
+++ b/packages/daemon/src/control-node/engine-liveness.ts
@@ -56,6 +56,11 @@
 			return 'ended';
 		}
 
+		// A plain server has no report, but says that it is the one that is addressed
+		if (response.status >= 400 && response.status < 500) {
+			return 'running';
+		}
+
 		const status = 'kind' in body || response.status !== 200 ? undefined : dialect.readStatus(body);
 		if (status?.start === undefined) {
 			return status === undefined ? 'unknown' : 'running';
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -21,6 +21,7 @@
 import type {PlainRoute} from './plain-route.js';
 import {forwardableHeaders} from './raw-headers.js';
 import {errorReply} from './reply.js';
+import {digestRequest} from './request-digest.js';
 import type {Reply} from './reply.js';
 import type {StartupGate} from './startup-gate.js';
 import type {StreamRoute} from './stream-route.js';
@@ -209,8 +210,13 @@
 		}
 
 		const timeoutMs = Math.min(route.timeoutMs, metadata.val.callerTimeoutMs ?? route.timeoutMs);
+		const request = {
+			method: req.method ?? 'GET', target, rawHeaders: req.rawHeaders, body,
+		};
+		const {sharedSegments} = metadata.val;
 		const call: Call = {
-			...metadata.val, method: req.method ?? 'GET', target, rawHeaders: req.rawHeaders, body, route, arrivedAt, deadlineAt: addMs(arrivedAt, timeoutMs),
+			...metadata.val, ...request, route, arrivedAt, deadlineAt: addMs(arrivedAt, timeoutMs),
+			sharedSegments: route.kind === 'stream' && sharedSegments.length > 0 ? sharedSegments : [digestRequest(request)],
 		};
 		await this.#serve(call, service, req, res);
 	}
--- a/packages/daemon/src/gateway/crash-guard.ts
+++ b/packages/daemon/src/gateway/crash-guard.ts
@@ -1,7 +1,7 @@
-/** Keeps prompts that crash engines away from them: reports crashes to the leader, refuses quarantined prompts, and lets suspected ones run one at a time. */
+/** Keeps requests that crash engines away from them: reports crashes to the leader, refuses quarantined requests, and lets suspected ones run one at a time. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	addMs, CRASH_REPORT, includesSegments, ProvenSegments, segmentSetKey, toSegmentSet, TRIAL_BEGIN, TRIAL_END, TrialSlots,
+	addMs, CRASH_REPORT, includesSegments, isRequestDigest, ProvenSegments, segmentSetKey, toSegmentSet, TRIAL_BEGIN, TRIAL_END, TrialSlots,
 } from '@baobabpier/core';
 import type {
 	BrokenRun, Clock, EngineAddress, EngineId, InstanceId, Instant, RequestId, RunPhase, SegmentId, SegmentSet, SuspectsSnapshot,
@@ -85,6 +85,8 @@
 	#suspects: SuspectsSnapshot | undefined;
 	#formerSuspects: {readonly sets: readonly SegmentSet[]; readonly until: Instant} | undefined;
 	readonly #proven = new ProvenSegments();
+	/** Apart from segments of prompts, which are far fewer and would give way. */
+	readonly #provenRequests = new ProvenSegments();
 	readonly #open = new Set<OpenCall>();
 	readonly #trials = new Set<RequestId>();
 	readonly #localSlots = new TrialSlots();
@@ -226,7 +228,7 @@
 
 	/** Records that an engine completed a run: its segments are sound. */
 	recordComplete({sharedSegments}: Call): void {
-		this.#proven.add(sharedSegments, this.parts.clock.now());
+		(sharedSegments.some(segment => isRequestDigest(segment)) ? this.#provenRequests : this.#proven).add(sharedSegments, this.parts.clock.now());
 		this.#reportProven([...this.#suspects?.sets ?? [], ...this.#quarantined].filter(set => set.some(segment => sharedSegments.includes(segment))));
 	}
 
@@ -260,7 +262,7 @@
 	}
 
 	#isProven(segment: SegmentId): boolean {
-		return this.#proven.has(segment, this.parts.clock.now());
+		return (isRequestDigest(segment) ? this.#provenRequests : this.#proven).has(segment, this.parts.clock.now());
 	}
 
 	#findQuarantined({sharedSegments}: Call): SegmentSet | undefined {
@@ -273,10 +275,10 @@
 		return [...this.#suspects?.sets ?? [], ...former, ...this.#ownSets].map(set => set.filter(segment => !this.#isProven(segment))).filter(set => includesSegments(sharedSegments, set));
 	}
 
-	/** Sets of this instance's runs that broke off lately as they began: the leader may be lost before it tells of them. */
+	/** Sets of this instance's runs that broke off lately as they began: the leader may be lost before it tells of them. One crash is no ground to suspect a whole request. */
 	get #ownSets(): readonly SegmentSet[] {
 		const now = this.parts.clock.now();
-		return this.#reports.filter(({at}) => now < addMs(at, ownSuspicionMs)).flatMap(({runs}) => runs.filter(({phase}) => phase === 'begun').map(({segments}) => toSegmentSet(segments)));
+		return this.#reports.filter(({at}) => now < addMs(at, ownSuspicionMs)).flatMap(({runs}) => runs.filter(({phase, segments}) => phase === 'begun' && !segments.some(segment => isRequestDigest(segment))).map(({segments}) => toSegmentSet(segments)));
 	}
 
 	#ownReport(requestId: RequestId): PendingReport | undefined {
@@ -288,7 +290,7 @@
 		const until = addMs(this.parts.clock.now(), ownReportWaitMs);
 		for (;;) {
 			const report = this.#ownReport(requestId);
-			if (report === undefined || report.epoch !== undefined || this.parts.clock.now() >= until) {
+			if (report === undefined || report.epoch !== undefined || this.parts.leader() === undefined || this.parts.clock.now() >= until) {
 				return;
 			}
 
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -263,7 +263,7 @@
 		random,
 		dialect: dialect.caller,
 		plain: new PlainRoute({
-			dataCentre: initialSettings.dataCentre, fleet, transport, dialect: dialect.server, retryBudgets, clock, random,
+			dataCentre: initialSettings.dataCentre, fleet, transport, dialect: dialect.server, retryBudgets, guard, clock, random,
 		}),
 		streams: new StreamRoute({
 			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, clock, random,
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -1,12 +1,15 @@
 /** Serves calls to plain services: sends each call to one server, and to further servers where the call may be retried. */
-import {chooseServer, routerError, spreadRetryDelay} from '@baobabpier/core';
+import {
+	chooseServer, routerError, spreadRetryDelay, toId,
+} from '@baobabpier/core';
 import type {
-	BackendId, Clock, DataCentreId, ListedServer, RandomSource, ServerLoad, ServiceName,
+	BackendId, Clock, DataCentreId, EngineId, ListedServer, RandomSource, RunPhase, ServerLoad, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {TransportFailure} from '../transport/types.js';
 import type {CallScope} from './call-scope.js';
+import type {CrashGuard} from './crash-guard.js';
 import {resultOfUnsent} from './fleet-view.js';
 import type {FleetView} from './fleet-view.js';
 import {errorReply} from './reply.js';
@@ -23,6 +26,9 @@
 const minRetryAfterMs = 120;
 /** Jitter added to the suggested retry delay, in milliseconds, so that callers don't retry at the same time. */
 const retryAfterJitterMs = 180;
+/** Longest wait of a call for its trial, as a fraction of the time left and in multiples of the target latency. */
+const maxTrialWaitFraction = 0.5;
+const trialWaitTargets = 4;
 /** Lowest status code of a server error. */
 const minServerErrorStatus = 500;
 
@@ -33,10 +39,13 @@
 	readonly transport: ServerTransport;
 	readonly dialect: ServerDialect;
 	readonly retryBudgets: RetryBudgets;
+	readonly guard: CrashGuard;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
 
+type AttemptTimeout = ReturnType<CallScope['createTimeout']>;
+
 type Attempt =
 	/** The server's complete response to this call. */
 	| {readonly kind: 'answer'; readonly head: ResponseHead; readonly body: Uint8Array}
@@ -50,14 +59,34 @@
 
 	/** Serves a call. Returns a `streamed` reply, which is not sent, when the caller has disconnected. */
 	async serve(call: Call, service: ServiceName, scope: CallScope): Promise<Reply> {
-		const {retryBudgets, fleet, dataCentre, clock, random} = this.parts;
-		retryBudgets.recordCall(service);
+		this.parts.retryBudgets.recordCall(service);
+		const unregister = this.parts.guard.register(call, scope);
+		try {
+			return await this.#serve(call, service, scope);
+		} finally {
+			unregister();
+		}
+	}
+
+	async #serve(call: Call, service: ServiceName, scope: CallScope): Promise<Reply> {
+		const {
+			retryBudgets, fleet, guard, dataCentre, clock, random,
+		} = this.parts;
 		const tried = new Set<BackendId>();
 		let attempts = 0;
 		let lastReply: Reply | undefined;
 		/** Whether an attempt may have been executed: a later refusal then says nothing about the call. */
 		let mayHaveRun = false;
 		while (scope.reason === undefined) {
+			// Attempts run one after another
+			// eslint-disable-next-line no-await-in-loop
+			const decision = await guard.admit(call, scope, maxTrialWaitMs(call, scope));
+			if (decision.kind === 'quarantined' || decision.kind === 'busy') {
+				const refusal = decision.kind === 'busy' ? routerError('overloaded', 'requests that may have crashed a server run one at a time', this.#retryAfterMs(call, service)) : routerError('quarantined');
+				lastReply = mayHaveRun ? lastReply : errorReply(refusal);
+				break;
+			}
+
 			const load = chooseServer(fleet.loads(service, isUrgent(call)), dataCentre, tried, clock.now(), random.next());
 			const server = load === undefined ? undefined : fleet.get(load.id);
 			if (load === undefined) {
@@ -70,12 +99,11 @@
 
 			tried.add(server.id);
 			const canRetry = call.route.kind === 'safe' && attempts + 1 < call.route.maxAttempts;
-			// Attempts run one after another
 			// eslint-disable-next-line no-await-in-loop
 			const attempt = await this.#send(call, server, load, scope, canRetry);
 			attempts += attempt.kind === 'unsent' ? 0 : 1;
 			log('A call got an outcome at a server.', {
-				requestId: call.requestId, server: server.id, attempt: attempts, outcome: attempt.kind, status: attempt.kind === 'answer' ? attempt.head.status : undefined,
+				requestId: call.requestId, server: server.id, digest: call.sharedSegments[0], attempt: attempts, outcome: attempt.kind, status: attempt.kind === 'answer' ? attempt.head.status : undefined,
 				detail: 'detail' in attempt ? attempt.detail : undefined, inFlight: load.inFlight, failing: Number(load.failing.toFixed(2)), leftMs: Math.round(scope.remainingMs()),
 			});
 			const isCertainlyNotRun = attempt.kind === 'unsent' || attempt.kind === 'notRun';
@@ -86,7 +114,11 @@
 			}
 		}
 
-		return scope.reason === 'callerGone' ? {kind: 'streamed'} : lastReply ?? errorReply(routerError('noBackend', `no server of ${service} can be reached`, this.#retryAfterMs(call, service)));
+		if (scope.reason === 'callerGone') {
+			return {kind: 'streamed'};
+		}
+
+		return scope.reason === 'quarantined' && lastReply === undefined ? errorReply(routerError('quarantined')) : lastReply ?? errorReply(routerError('noBackend', `no server of ${service} can be reached`, this.#retryAfterMs(call, service)));
 	}
 
 	/** The reply to the caller when this attempt is the last. */
@@ -120,6 +152,7 @@
 			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'run'}, scope.remainingMs()), body: call.body, signal: timeout.signal, isUrgent: isUrgent(call),
 		});
 		if (response.kind !== 'head') {
+			this.#recordBroken(call, server, response, scope, timeout, 'sent');
 			timeout.release();
 			endCall(scope.reason === 'callerGone' ? 'none' : (response.kind === 'unsent' ? resultOfUnsent(response) : 'failed'));
 			return response;
@@ -127,6 +160,10 @@
 
 		const head = dialect.readHead(response.status, response.rawHeaders);
 		const body = await transport.readBody(response);
+		if ('kind' in body) {
+			this.#recordBroken(call, server, body, scope, timeout, 'begun');
+		}
+
 		timeout.release();
 		if ('kind' in body) {
 			endCall(scope.reason === 'callerGone' ? 'none' : 'failed');
@@ -139,10 +176,25 @@
 			return {kind: 'broken', detail: fault};
 		}
 
+		if (!head.isNotExecuted) {
+			this.parts.guard.recordComplete(call);
+		}
+
+		this.parts.guard.endTrial(call);
 		endCall(head.isMisdirected ? 'misplaced' : (head.status >= minServerErrorStatus && !head.isNotExecuted ? 'failed' : 'good'), head.load);
 		return head.isNotExecuted ? {kind: 'notRun', isMisdirected: head.isMisdirected} : {kind: 'answer', head, body};
 	}
 
+	/** Tells the guard of a connection that broke under a call, unless this instance broke it. */
+	#recordBroken(call: Call, server: ListedServer, {kind}: TransportFailure, scope: CallScope, timeout: AttemptTimeout, phase: RunPhase): void {
+		const {guard} = this.parts;
+		if (kind === 'broken' && scope.reason === undefined && !timeout.hasExpired()) {
+			guard.recordBroken(call, {id: toId<EngineId>(server.id), address: server.address}, phase);
+		}
+
+		guard.endTrial(call);
+	}
+
 	/** Retry delay suggested to a refused caller, in milliseconds: not before a server of the service takes calls again. */
 	#retryAfterMs(call: Call, service: ServiceName): number {
 		const unavailableForMs = this.parts.fleet.unavailableForMs(service, undefined, isUrgent(call));
@@ -151,6 +203,9 @@
 	}
 }
 
+/** Time that a call may wait for its trial, in milliseconds: it leaves as much to run. */
+const maxTrialWaitMs = (call: Call, scope: CallScope): number => Math.min(scope.remainingMs() * maxTrialWaitFraction, call.route.targetLatencyMs * trialWaitTargets);
+
 /** Whether a call goes before others where not all can be served. */
 export const isUrgent = ({route}: Call): boolean => route.priority === 0;
 
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -14,7 +14,7 @@
 	readonly maxTokens: number;
 	/** Id of the last stream event that the caller received; undefined when the stream starts from the beginning. */
 	readonly lastEventId: string | undefined;
-	/** Segments of the prompt that other requests may have too, without repetitions; empty for a plain call. */
+	/** What other requests may have in common with it: segments of its prompt, without repetitions, or else the digest of the whole request. */
 	readonly sharedSegments: readonly SegmentId[];
 };
 
