--- a/packages/core/src/catalogue/parse-catalogue.ts
+++ b/packages/core/src/catalogue/parse-catalogue.ts
@@ -3,6 +3,7 @@
 import {toId} from '../ids.js';
 import type {Revision, ServiceName} from '../ids.js';
 import type {Result} from '../result.js';
+import {isServerAddress} from '../server-address.js';
 import {
 	checkToml, collectStrings, findDuplicates,
 } from '../toml/check-toml.js';
@@ -10,7 +11,7 @@
 import type {CatalogueFault, CatalogueSnapshot, Service} from './types.js';
 
 const positive = z.number().int().positive();
-const address = z.string().regex(/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\da-f:]+\]):\d{1,5}$/v, 'must be "IP:port"');
+const address = z.string().refine(isServerAddress, 'must be "IP:port"');
 const name = z.string().regex(/^[a-z\d][\-a-z\d]*$/v, 'must be lower-case letters, digits and hyphens');
 const call = z.string().regex(/^[A-Z]+ \/\S*$/v, 'must be "METHOD /path"');
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -310,6 +310,7 @@
 	RoutingFault,
 	RoutingTable,
 } from './routing/types.js';
+export {isServerAddress} from './server-address.js';
 export {digestServerList} from './server-list.js';
 export type {ListedServer} from './server-list.js';
 export {CONTROL_WATCH} from './rpc/watch-method.js';
--- a/packages/daemon/src/pools/report-poller.ts
+++ b/packages/daemon/src/pools/report-poller.ts
@@ -2,9 +2,12 @@
 import type {
 	Clock, EngineEntry, EngineId, EngineReport,
 } from '@baobabpier/core';
+import {createLog} from '../log.js';
 import type {EngineSuspects} from './engine-suspects.js';
 import type {PoolEngineClient} from './pool-host.js';
 
+const log = createLog('reports');
+
 /** Dependencies of a report poller. */
 export type ReportPollerParts = {
 	readonly clock: Clock;
@@ -31,7 +34,7 @@
 		const {clock, suspects, onReport} = this.parts;
 		this.#inFlight.add(engine.id);
 		const sentAt = clock.now();
-		const report = await this.parts.engines.fetchReport(engine);
+		const report = await this.#fetch(engine);
 		this.#inFlight.delete(engine.id);
 		if (report === 'unreachable') {
 			this.#unresponsive.add(engine.id);
@@ -46,6 +49,16 @@
 		}
 	}
 
+	/** One engine that can't be asked leaves the others' reports alone. */
+	async #fetch(engine: EngineEntry): Promise<EngineReport | 'unreachable' | undefined> {
+		try {
+			return await this.parts.engines.fetchReport(engine);
+		} catch (error) {
+			log('A report could not be requested.', {engine: engine.id, address: engine.address, detail: (error as Error).message});
+			return 'unreachable';
+		}
+	}
+
 	/** Suspects an engine that didn't respond. When more than half of the engines don't respond, this instance is taken to be partitioned, and none is suspected. */
 	#handleUnreachable(engine: EngineId, engineCount: number): void {
 		if (this.#unresponsive.size <= engineCount / 2) {
--- a/packages/daemon/src/settings/parse-settings.ts
+++ b/packages/daemon/src/settings/parse-settings.ts
@@ -1,11 +1,13 @@
 /** Reads a daemon's TOML settings, or lists every fault. */
-import {checkToml, collectStrings, findDuplicates} from '@baobabpier/core';
+import {
+	checkToml, collectStrings, findDuplicates, isServerAddress,
+} from '@baobabpier/core';
 import type {
 	CatalogueFault, DataCentreId, InstanceId, Result, TomlCheck,
 } from '@baobabpier/core';
 import {z} from 'zod';
 
-const address = z.string().regex(/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\da-f:]+\]):\d{1,5}$/v, 'must be "IP:port"');
+const address = z.string().refine(isServerAddress, 'must be "IP:port"');
 const name = z.string().regex(/^[a-z\d][\-a-z\d]*$/v, 'must be lower-case letters, digits and hyphens');
 const positive = z.number().int().positive();
 
--- a/packages/daemon/src/timed-connect.ts
+++ b/packages/daemon/src/timed-connect.ts
@@ -1,5 +1,6 @@
 /** Opens TCP connections for undici within a time that its own timers are too coarse for. */
 import {connect} from 'node:net';
+import type {Socket} from 'node:net';
 import type {buildConnector} from 'undici';
 
 /** Code of the error of a connection that its peer reset. */
@@ -13,7 +14,17 @@
  * createTimedConnect(250)({hostname: '10.0.0.9', port: '8080', protocol: 'http:'}, callback);
  */
 export const createTimedConnect = (timeoutMs: number, onReset?: () => void): buildConnector.connector => (options, callback) => {
-	const socket = connect({host: options.hostname, port: Number(options.port), noDelay: true});
+	let socket: Socket;
+	try {
+		socket = connect({host: options.hostname, port: Number(options.port), noDelay: true});
+	} catch (error) {
+		// An address that can't be connected to is refused at once; its caller expects to be called back later
+		queueMicrotask(() => {
+			callback(error as Error, null);
+		});
+		return;
+	}
+
 	const timer = setTimeout(() => {
 		socket.destroy(Object.assign(new Error(`no connection to ${options.hostname}:${options.port} within ${timeoutMs} ms`), {code: 'UND_ERR_CONNECT_TIMEOUT'}));
 	}, timeoutMs);
