Pass over single entries of the product's list that can't be read

What operators saw elsewhere: one odd entry of another writer, and the machines stopped following the list. It could happen here: the whole list was refused, without a log line, so that marks of leaving servers no longer arrived.

Cause: the schema of the list held all entries. Class: as with addresses, one value from outside decides for all the others.

Why it works: entries are decoded one by one; unreadable ones are counted and logged when their number changes, a list that can't be read is logged.

--- a/packages/daemon/src/__tests__/unit/parse-settings.test.ts
+++ b/packages/daemon/src/__tests__/unit/parse-settings.test.ts
@@ -29,6 +29,8 @@
 		text: valid.replace('secretFile = "secret"', 'secretFile = 5').replace('id = "a-1"', 'id = "a-9"').replace('callers = "127.0.0.1:8001"', 'callers = "localhost"'),
 		faults: ['1|id|"a-9"', '3|secretFile|5', '5|listen.callers|"localhost"'],
 	},
+	{name: 'a port that no address has', text: valid.replace('127.0.0.1:8001', '127.0.0.1:99999'), faults: ['5|listen.callers|"127.0.0.1:99999"']},
+	{name: 'an octet that no address has', text: valid.replace('127.0.0.1:8001', '127.0.0.256:8001'), faults: ['5|listen.callers|"127.0.0.256:8001"']},
 	{name: 'a bad tracing endpoint', text: `${valid}[tracing]\nendpoint = "collector"\n`, faults: ['12|tracing.endpoint|"collector"']},
 ];
 
--- a/packages/daemon/src/platform-watcher.ts
+++ b/packages/daemon/src/platform-watcher.ts
@@ -2,6 +2,7 @@
 import {json} from 'node:stream/consumers';
 import type {ServerListEntry} from '@baobabpier/core';
 import {z} from 'zod';
+import {createLog} from './log.js';
 import {readIssuedId} from './transport/request-id.js';
 import {ServerTransport} from './transport/server-transport.js';
 import type {ForeignResponseListener} from './transport/types.js';
@@ -9,7 +10,9 @@
 const pollMs = 500;
 const callMs = 800;
 
-const listSchema = z.array(z.object({id: z.string(), state: z.enum(['live', 'leaving']), mark: z.number().optional()}));
+const log = createLog('platform');
+const listSchema = z.array(z.unknown());
+const entrySchema = z.object({id: z.string(), state: z.enum(['live', 'leaving']), mark: z.number().optional()});
 
 /** Where the readings of the list go. */
 export type ListListener = {
@@ -22,6 +25,7 @@
 	readonly #transport: ServerTransport;
 	#timer: NodeJS.Timeout | undefined;
 	#polling = false;
+	#unreadable = 0;
 
 	constructor(private readonly list: string | undefined, private readonly listener: ListListener, onForeignResponse?: ForeignResponseListener) {
 		this.#transport = new ServerTransport({
@@ -61,13 +65,24 @@
 				return;
 			}
 
-			const entries = listSchema.parse(await json(response.body));
-			this.listener.onList(entries.map(({id, state, mark}) => ({id, state, mark})));
-		} catch {
-			// The list is out of reach or malformed; what is known stays
+			const read = listSchema.parse(await json(response.body)).map(entry => entrySchema.safeParse(entry));
+			const entries = read.filter(entry => entry.success).map(({data: {id, state, mark}}) => ({id, state, mark}));
+			this.#logUnreadable(read.length - entries.length, entries.length);
+			this.listener.onList(entries);
+		} catch (error) {
+			// What is known stays
+			log('The platform\'s list can\'t be read.', {address, detail: (error as Error).message});
 			this.listener.onListFailed();
 		} finally {
 			this.#polling = false;
 		}
 	}
+
+	/** Logs how many entries are passed over, when that changes. */
+	#logUnreadable(unreadable: number, read: number): void {
+		if (unreadable !== this.#unreadable) {
+			this.#unreadable = unreadable;
+			log('Entries of the platform\'s list can\'t be read; the other entries are used.', {unreadable, read});
+		}
+	}
 }
