Name the limits of servers by the field's term

Renames only, but for one parameter list: server-limits becomes server-rate-limits (files, types, methods, metric, command), so that no name of the platform's wire stands outside its adapter.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -11,7 +11,7 @@
 import {explain, explainStreams} from './explain-command.js';
 import {createOutput} from './output.js';
 import {liftQuarantine, listQuarantine, setQuarantine} from './quarantine-commands.js';
-import {listServerLimits} from './server-limits-command.js';
+import {listRateLimits} from './rate-limits-command.js';
 import {showStatus} from './status-command.js';
 import {
 	cancelStop, planStop, showStops, stopKinds,
@@ -85,7 +85,7 @@
 			.positional('segments', segmentsArgument)
 			.option('author', {type: 'string', default: process.env.USER ?? 'operator'}), async args => run(async () => liftQuarantine(args, args, createOutput(args.json))))
 		.demandCommand(1))
-	.command('server-limits', 'Prints the limits of requests that servers name, as the leader knows them.', command => command.options(targetOptions), async args => run(async () => listServerLimits(args, createOutput(args.json))))
+	.command('rate-limits', 'Prints the limits of requests that servers name, as the leader knows them.', command => command.options(targetOptions), async args => run(async () => listRateLimits(args, createOutput(args.json))))
 	.command('status', 'Prints an instance\'s status.', command => command.options(targetOptions), async args => run(async () => showStatus(args, createOutput(args.json))))
 	.command('explain <request-id> <files..>', 'Explains a request from collected log files.', command => command
 		.positional('request-id', fileArgument)
--- a/packages/cli/src/server-limits-command.ts
+++ b/packages/cli/src/rate-limits-command.ts
@@ -1,5 +1,5 @@
-/** The `server-limits` command. */
-import {SERVER_LIMIT_LIST} from '@baobabpier/core';
+/** The `rate-limits` command. */
+import {RATE_LIMIT_LIST} from '@baobabpier/core';
 import {exitCodes} from './exit-codes.js';
 import type {ExitCode} from './exit-codes.js';
 import {callInstance} from './operator-client.js';
@@ -7,8 +7,8 @@
 import type {Output} from './output.js';
 
 /** Prints the limits of requests that servers name, as the instance knows them if it leads. */
-export const listServerLimits = async (target: OperatorTarget, output: Output): Promise<ExitCode> => {
-	const status = await callInstance(target, SERVER_LIMIT_LIST, {});
+export const listRateLimits = async (target: OperatorTarget, output: Output): Promise<ExitCode> => {
+	const status = await callInstance(target, RATE_LIMIT_LIST, {});
 	const lines = status.limits.map(({server, requestsPerSecond, namedTo}) => `${server}: ${requestsPerSecond} requests a second, named to ${namedTo}`);
 	output.print(status, lines.length === 0 ? ['No server names a limit, or this instance does not lead.'] : lines);
 	return exitCodes.done;
--- a/packages/core/src/__tests__/history/server-limit-histories.test.ts
+++ b/packages/core/src/__tests__/history/server-rate-limit-histories.test.ts
@@ -1,10 +1,10 @@
 /** Many instances ask for the permits of one limited server while leaders change; the server counts what arrives. */
 import {describe, expect, test} from 'vitest';
 import {
-	addMs, createSeededRandom, KnownServerLimits, ManualClock, ServerLimitTable, toId,
+	addMs, createSeededRandom, KnownRateLimits, ManualClock, RateLimitTable, toId,
 } from '../../index.js';
 import type {
-	BackendId, InstanceId, Instant, RandomSource, ServerLimitsSnapshot,
+	BackendId, InstanceId, Instant, RandomSource, RateLimitsSnapshot,
 } from '../../index.js';
 
 const server = toId<BackendId>('s1');
@@ -18,7 +18,7 @@
 const contactMs = 3000;
 
 type Simulated = {
-	readonly known: KnownServerLimits;
+	readonly known: KnownRateLimits;
 	/** When the leader's answer arrives whose request was sent. */
 	permits: Instant[];
 };
@@ -26,12 +26,12 @@
 const simulate = ({instances, limitAt, requestsPerSecond, leaderLossMs}: {instances: number; limitAt: (ms: number) => number | undefined; requestsPerSecond: number; leaderLossMs: number}, random: RandomSource): {most: number; total: number; named: number} => {
 	const clock = new ManualClock();
 	const arrivals: number[] = [];
-	const entries = Array.from({length: instances}, (_, index): Simulated => ({known: new KnownServerLimits(toId<InstanceId>(`e${index}`)), permits: []}));
+	const entries = Array.from({length: instances}, (_, index): Simulated => ({known: new KnownRateLimits(toId<InstanceId>(`e${index}`)), permits: []}));
 	let term = 1;
-	let table: ServerLimitTable | undefined = new ServerLimitTable(term);
+	let table: RateLimitTable | undefined = new RateLimitTable(term);
 	let electedAt = 0;
-	let snapshot: ServerLimitsSnapshot | undefined;
-	const observe = (entry: Simulated, isPermitted: boolean, sentWith: ReturnType<KnownServerLimits['revisionOf']>): void => {
+	let snapshot: RateLimitsSnapshot | undefined;
+	const observe = (entry: Simulated, isPermitted: boolean, sentWith: ReturnType<KnownRateLimits['revisionOf']>): void => {
 		const said = limitAt(clock.now());
 		if (said !== undefined) {
 			entry.known.name(server, said, sentWith, clock.now());
@@ -47,7 +47,7 @@
 			[table, electedAt] = [undefined, now + electionMs];
 		} else if (table === undefined && now >= electedAt) {
 			term += 1;
-			table = new ServerLimitTable(term);
+			table = new RateLimitTable(term);
 			table.adopt(entries.flatMap(({known}) => known.recorded), clock.now());
 		}
 
--- a/packages/core/src/__tests__/unit/server-limits.test.ts
+++ b/packages/core/src/__tests__/unit/server-rate-limits.test.ts
@@ -2,22 +2,22 @@
 	beforeEach, describe, expect, test,
 } from 'vitest';
 import {
-	addMs, KnownServerLimits, ManualClock, ServerLimitTable, toId,
+	addMs, KnownRateLimits, ManualClock, RateLimitTable, toId,
 } from '../../index.js';
 import type {
-	BackendId, InstanceId, PermitClass, RequestId, ServerLimit,
+	BackendId, InstanceId, PermitClass, RequestId, ServerRateLimit,
 } from '../../index.js';
 
 const server = toId<BackendId>('s1');
 const instance = toId<InstanceId>('e1');
 const self = toId<InstanceId>('e2');
 let clock: ManualClock;
-let table: ServerLimitTable;
+let table: RateLimitTable;
 
 beforeEach(() => {
 	clock = new ManualClock();
 	clock.advance(1000);
-	table = new ServerLimitTable(1);
+	table = new RateLimitTable(1);
 });
 
 /** Has the server say something in the response to a request that was sent `sentAgoMs` ago. */
@@ -135,7 +135,7 @@
 		say(1);
 		clock.advance(10_000);
 		const known = table.snapshot.limits;
-		table = new ServerLimitTable(2);
+		table = new RateLimitTable(2);
 		table.adopt(known, clock.now());
 		expect([limitInForce(), acquire('urgent')]).toEqual([1, false]);
 	});
@@ -146,13 +146,13 @@
 });
 
 describe('an instance', () => {
-	let known: KnownServerLimits;
-	const limitOf = (requestsPerSecond: number | undefined, term: number, count: number): ServerLimit => ({
+	let known: KnownRateLimits;
+	const limitOf = (requestsPerSecond: number | undefined, term: number, count: number): ServerRateLimit => ({
 		server, requestsPerSecond, revision: {term, count}, namedTo: instance,
 	});
 
 	beforeEach(() => {
-		known = new KnownServerLimits(self);
+		known = new KnownRateLimits(self);
 	});
 
 	test('needs permits as soon as a response names a limit, and until the leader says that it is over', () => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -290,15 +290,15 @@
 export {boundHoldBack, ServerAvailability, spreadRetryDelay} from './routing/server-availability.js';
 export type {HoldBack, SendBlock, SendEffect} from './routing/server-availability.js';
 export type {ServerLoad} from './routing/choose-server.js';
-export {KnownServerLimits} from './server-limits/known-server-limits.js';
-export {ServerLimitTable} from './server-limits/server-limit-table.js';
+export {KnownRateLimits} from './server-rate-limits/known-rate-limits.js';
+export {RateLimitTable} from './server-rate-limits/rate-limit-table.js';
 export type {
-	LimitChange, LimitObservation, LimitRevision, PermitClass, PermitDecision, PermitRequest, ServerLimit, ServerLimitsSnapshot,
-} from './server-limits/types.js';
-export {SERVER_LIMIT_LIST, SERVER_LIMIT_REPORT, SERVER_PERMIT} from './rpc/server-limit-methods.js';
+	LimitChange, LimitObservation, LimitRevision, PermitClass, PermitDecision, PermitRequest, ServerRateLimit, RateLimitsSnapshot,
+} from './server-rate-limits/types.js';
+export {RATE_LIMIT_LIST, RATE_LIMIT_REPORT, SERVER_PERMIT} from './rpc/rate-limit-methods.js';
 export type {
-	ReportedLimit, ServerLimitReport, ServerLimitStatus, ServerPermitParams, ServerPermitResponse,
-} from './rpc/server-limit-methods.js';
+	ReportedLimit, RateLimitReport, RateLimitStatus, ServerPermitParams, ServerPermitResponse,
+} from './rpc/rate-limit-methods.js';
 export type {
 	CallerLimits,
 	EngineCapabilities,
--- a/packages/core/src/rpc/watch-method.ts
+++ b/packages/core/src/rpc/watch-method.ts
@@ -2,7 +2,7 @@
 import type {RoutingDocument} from '../control/routing-state.js';
 import type {ListedServer} from '../server-list.js';
 import type {DataCentreId, InstanceId, RoutingVersion} from '../ids.js';
-import type {ServerLimitsSnapshot} from '../server-limits/types.js';
+import type {RateLimitsSnapshot} from '../server-rate-limits/types.js';
 import type {SegmentSet} from '../quarantine/types.js';
 import type {SuspectsSnapshot} from './quarantine-methods.js';
 import {defineRpcMethod} from './rpc-methods.js';
@@ -48,7 +48,7 @@
 	/** Present at the leader when it is not the watcher's. */
 	readonly suspects?: SuspectsSnapshot | undefined;
 	/** Present at the leader when they are not the watcher's. */
-	readonly limits?: ServerLimitsSnapshot | undefined;
+	readonly limits?: RateLimitsSnapshot | undefined;
 	/** All known control instances. */
 	readonly controls: readonly InstanceId[];
 	/** Number of entry instances that watch. */
--- a/packages/core/src/server-limits/known-server-limits.ts
+++ b/packages/core/src/server-rate-limits/known-rate-limits.ts
@@ -4,7 +4,7 @@
 import type {Instant} from '../time.js';
 import {isNewerRevision} from './types.js';
 import type {
-	LimitChange, LimitRevision, PermitClass, ServerLimit,
+	LimitChange, LimitRevision, PermitClass, ServerRateLimit,
 } from './types.js';
 
 /** Time after which the limit of an unlisted server is forgotten, in milliseconds: a list that lacks it may be incomplete. */
@@ -27,11 +27,11 @@
  * Remembers which servers have a limit, and until when no permit is to be had.
  *
  * @example
- * const known = new KnownServerLimits(self);
+ * const known = new KnownRateLimits(self);
  * known.name(server, 1, undefined, clock.now());
  * known.isLimited(server); // true: requests need permits
  */
-export class KnownServerLimits {
+export class KnownRateLimits {
 	readonly #limits = new Map<BackendId, KnownLimit>();
 
 	constructor(private readonly self: InstanceId) {}
@@ -52,7 +52,7 @@
 	}
 
 	/** The limits that a leader has recorded, for one that has yet to hear of them. */
-	get recorded(): readonly ServerLimit[] {
+	get recorded(): readonly ServerRateLimit[] {
 		return [...this.#limits].flatMap(([server, {requestsPerSecond, revision, namedTo}]) => revision === undefined
 			? []
 			: [{
@@ -92,7 +92,7 @@
 	}
 
 	/** Applies what the leader has recorded; returns what changed. */
-	apply(limits: readonly ServerLimit[], now: Instant): readonly LimitChange[] {
+	apply(limits: readonly ServerRateLimit[], now: Instant): readonly LimitChange[] {
 		return limits.flatMap(({server, requestsPerSecond, revision, namedTo}) => {
 			const known = this.#limits.get(server);
 			if (!isNewerRevision(revision, known?.revision)) {
--- a/packages/core/src/server-limits/server-limit-table.ts
+++ b/packages/core/src/server-rate-limits/rate-limit-table.ts
@@ -4,7 +4,7 @@
 import {PermitBucket} from './permit-bucket.js';
 import {isNewerRevision} from './types.js';
 import type {
-	LimitChange, LimitObservation, PermitDecision, PermitRequest, ServerLimit, ServerLimitsSnapshot,
+	LimitChange, LimitObservation, PermitDecision, PermitRequest, ServerRateLimit, RateLimitsSnapshot,
 } from './types.js';
 
 /** Time after which the limit of an unlisted server is forgotten, in milliseconds: a list that lacks it may be incomplete. */
@@ -13,7 +13,7 @@
 const maxServers = 20_000;
 
 type LimitEntry = {
-	limit: ServerLimit;
+	limit: ServerRateLimit;
 	/** Undefined once the limit is lifted. */
 	bucket: PermitBucket | undefined;
 	/** When the request was sent whose response said it. */
@@ -27,14 +27,14 @@
  * one bound holds for any number of instances. A new leader starts without permits.
  *
  * @example
- * const table = new ServerLimitTable(term);
+ * const table = new RateLimitTable(term);
  * table.observe({server, requestsPerSecond: 1, sentAt, isPermitted: false, instance}, clock.now());
  * table.acquire({server, class: 'patient', requestId: undefined}, clock.now()).kind; // 'denied'
  */
-export class ServerLimitTable {
+export class RateLimitTable {
 	readonly #entries = new Map<BackendId, LimitEntry>();
 	#count = 0;
-	#snapshot: ServerLimitsSnapshot | undefined;
+	#snapshot: RateLimitsSnapshot | undefined;
 
 	constructor(private readonly term: number) {}
 
@@ -44,18 +44,18 @@
 	}
 
 	/** All limits, with those that were lifted lately. */
-	get snapshot(): ServerLimitsSnapshot {
+	get snapshot(): RateLimitsSnapshot {
 		this.#snapshot ??= {term: this.term, version: `${this.term}/${this.#count}`, limits: [...this.#entries.values()].map(({limit}) => limit)};
 		return this.#snapshot;
 	}
 
 	/** The limit of a server; undefined when none was ever named. */
-	limitOf(server: BackendId): ServerLimit | undefined {
+	limitOf(server: BackendId): ServerRateLimit | undefined {
 		return this.#entries.get(server)?.limit;
 	}
 
 	/** Takes over what an instance knows from a former leader. */
-	adopt(limits: readonly ServerLimit[], now: Instant): void {
+	adopt(limits: readonly ServerRateLimit[], now: Instant): void {
 		for (const limit of limits) {
 			const entry = this.#entries.get(limit.server);
 			if (isNewerRevision(limit.revision, entry?.limit.revision)) {
@@ -66,7 +66,8 @@
 	}
 
 	/** Takes note of a response. One whose request was sent before that of the newest response changes nothing, and only a request that was sent with a permit can lift a limit. */
-	observe({server, requestsPerSecond, sentAt, isPermitted, instance}: LimitObservation, now: Instant): LimitChange | undefined {
+	observe(observation: LimitObservation, now: Instant): LimitChange | undefined {
+		const {server, requestsPerSecond, sentAt, isPermitted} = observation;
 		const entry = this.#entries.get(server);
 		const before = entry?.limit.requestsPerSecond;
 		const isOutdated = entry !== undefined && sentAt <= entry.asOf;
@@ -79,7 +80,7 @@
 			return undefined;
 		}
 
-		this.#change(server, requestsPerSecond, instance, sentAt, now);
+		this.#change(observation, now);
 		return {server, before, requestsPerSecond};
 	}
 
@@ -122,14 +123,14 @@
 		}
 	}
 
-	#change(server: BackendId, requestsPerSecond: number | undefined, namedTo: InstanceId, asOf: Instant, now: Instant): void {
+	#change({server, requestsPerSecond, sentAt, instance}: LimitObservation, now: Instant): void {
 		this.#count += 1;
 		this.#set({
-			server, requestsPerSecond, namedTo, revision: {term: this.term, count: this.#count},
-		}, asOf, now);
+			server, requestsPerSecond, namedTo: instance, revision: {term: this.term, count: this.#count},
+		}, sentAt, now);
 	}
 
-	#set(limit: ServerLimit, asOf: Instant, now: Instant): void {
+	#set(limit: ServerRateLimit, asOf: Instant, now: Instant): void {
 		const {server, requestsPerSecond} = limit;
 		const existing = this.#entries.get(server);
 		if (existing === undefined && this.#entries.size >= maxServers) {
--- a/packages/core/src/server-limits/types.ts
+++ b/packages/core/src/server-rate-limits/types.ts
@@ -10,7 +10,7 @@
 };
 
 /** The limit of one server. */
-export type ServerLimit = {
+export type ServerRateLimit = {
 	readonly server: BackendId;
 	/** Undefined once the server names none any more. */
 	readonly requestsPerSecond: number | undefined;
@@ -20,11 +20,11 @@
 };
 
 /** All limits that a leader knows. */
-export type ServerLimitsSnapshot = {
+export type RateLimitsSnapshot = {
 	readonly term: number;
 	/** Changes with the limits and the term. */
 	readonly version: string;
-	readonly limits: readonly ServerLimit[];
+	readonly limits: readonly ServerRateLimit[];
 };
 
 /** How urgent a request to a limited server is; `upkeep` are the calls that instances make for themselves. */
--- a/packages/daemon/src/__tests__/unit/open-gate.ts
+++ b/packages/daemon/src/__tests__/unit/open-gate.ts
@@ -1,7 +1,7 @@
 /** A server gate, and limits of servers, that let everything pass. */
 import {toId} from '@baobabpier/core';
 import type {BackendId, Instant} from '@baobabpier/core';
-import type {ServerLimits} from '../../server-limits/types.js';
+import type {ServerRateLimits} from '../../server-rate-limits/types.js';
 import type {SendRecord, ServerGate} from '../../transport/types.js';
 
 const sendRecord: SendRecord = {sentAt: 0 as Instant, isPermitted: false, limitRevision: undefined};
@@ -13,7 +13,7 @@
 	needsPermit: () => false, acquirePermit: async () => undefined, maySend: () => true, recordSend: () => sendRecord, recordResponse: () => undefined,
 };
 
-export const noLimits: ServerLimits = {
+export const noLimits: ServerRateLimits = {
 	size: 0,
 	exhausted: [],
 	nextEnd: undefined,
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -22,7 +22,7 @@
 import {Peers} from '../rpc/peers.js';
 import {RpcServer} from '../rpc/rpc-server.js';
 import type {EngineEstimates} from '../settings/engine-estimates.js';
-import {LeaderServerLimits} from '../server-limits/leader-server-limits.js';
+import {LeaderRateLimits} from '../server-rate-limits/leader-rate-limits.js';
 import {EngineReports} from './engine-reports.js';
 import {EngineLiveness} from './engine-liveness.js';
 import {LearnedEstimatesRecorder} from './learned-estimates-recorder.js';
@@ -161,7 +161,7 @@
 		voters: first.voters,
 	});
 	const shares = new LeaderShares(first.id, control);
-	const limits: LeaderServerLimits = new LeaderServerLimits({
+	const limits: LeaderRateLimits = new LeaderRateLimits({
 		self: first.id, clock, leadingTerm: () => isCertainToLead() ? control.status.term : undefined, onChange() {
 			watchServer.wake();
 		}, countPermit(result, permitClass) {
@@ -274,7 +274,7 @@
 	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => watchServer.entries);
 	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
 	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
-	metrics.registerServerGauge('server_limit', 'Limits that servers name, in requests a second; only while this instance leads', () => limits.inForce.map(({server, requestsPerSecond}) => ({server, value: requestsPerSecond})));
+	metrics.registerServerGauge('server_rate_limit', 'Limits that servers name, in requests a second; only while this instance leads', () => limits.inForce.map(({server, requestsPerSecond}) => ({server, value: requestsPerSecond})));
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => control.state.quarantine.entries.length);
 	metrics.registerGauge('suspected_sets', 'Prompt segment sets under suspicion at the leader', () => quarantine.suspects?.sets.length ?? 0);
 	metrics.registerGauge('trials_waiting', 'Requests that wait for a trial of suspected segments', () => quarantine.waiting);
--- a/packages/daemon/src/control-node/watch-server.ts
+++ b/packages/daemon/src/control-node/watch-server.ts
@@ -1,7 +1,7 @@
 /** Serves the long polls of the entry instances that watch this control instance. */
 import {CONTROL_WATCH, digestServerList} from '@baobabpier/core';
 import type {
-	Clock, DataCentreId, InstanceId, ListedServer, RoutingVersion, ServerLimitsSnapshot, SuspectsSnapshot, WatchResponse, WatchParams,
+	Clock, DataCentreId, InstanceId, ListedServer, RoutingVersion, RateLimitsSnapshot, SuspectsSnapshot, WatchResponse, WatchParams,
 } from '@baobabpier/core';
 import type {ReplicatedControlLog} from '../control/replicated-control-log.js';
 import {createLog} from '../log.js';
@@ -24,7 +24,7 @@
 	/** The suspected segment sets; undefined unless this instance leads. */
 	readonly suspects: () => SuspectsSnapshot | undefined;
 	/** The limits that servers name; undefined unless this instance leads. */
-	readonly limits: () => ServerLimitsSnapshot | undefined;
+	readonly limits: () => RateLimitsSnapshot | undefined;
 };
 
 type Waiting = {
--- a/packages/daemon/src/gateway/availability-gate.ts
+++ b/packages/daemon/src/gateway/availability-gate.ts
@@ -2,7 +2,7 @@
 import {ServerAvailability} from '@baobabpier/core';
 import type {BackendId, Clock, SendEffect} from '@baobabpier/core';
 import {createLog} from '../log.js';
-import type {ServerLimits} from '../server-limits/types.js';
+import type {ServerRateLimits} from '../server-rate-limits/types.js';
 import type {
 	CallKind, PermitSeeker, SendPermit, SendRecord, ServerGate,
 } from '../transport/types.js';
@@ -25,7 +25,7 @@
 export type AvailabilityGateParts = {
 	readonly clock: Clock;
 	readonly dialect: NoticeDialect;
-	readonly limits: ServerLimits;
+	readonly limits: ServerRateLimits;
 	readonly count: (event: GateEvent, kind: CallKind) => void;
 	/** Called when a server begins or ceases to leave, to be held back or to have used up its limit. */
 	readonly onChange: () => void;
--- a/packages/daemon/src/gateway/control-watch.ts
+++ b/packages/daemon/src/gateway/control-watch.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {CONTROL_WATCH} from '@baobabpier/core';
 import type {
-	Clock, DataCentreId, InstanceId, ListedServer, RoutingDocument, RoutingVersion, ServerLimitsSnapshot, WatchParams, WatchResponse,
+	Clock, DataCentreId, InstanceId, ListedServer, RoutingDocument, RoutingVersion, RateLimitsSnapshot, WatchParams, WatchResponse,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
@@ -38,7 +38,7 @@
 	/** Versions of the quarantine, the suspects and the servers' limits that are applied. */
 	readonly versions: () => Pick<WatchParams, 'limitsVersion' | 'quarantineRevision' | 'suspectsVersion'>;
 	readonly onQuarantine: (response: Pick<WatchResponse, 'quarantine' | 'suspects'>) => void;
-	readonly onLimits: (limits: ServerLimitsSnapshot) => void;
+	readonly onLimits: (limits: RateLimitsSnapshot) => void;
 	/** Called after the leader of the control log changed. */
 	readonly onLeader: () => void;
 };
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -17,7 +17,7 @@
 import {ServerTransport} from '../transport/server-transport.js';
 import {Peers} from '../rpc/peers.js';
 import {ServerConnections} from '../server-connections.js';
-import {RemoteServerLimits} from '../server-limits/remote-server-limits.js';
+import {RemoteRateLimits} from '../server-rate-limits/remote-rate-limits.js';
 import {AvailabilityGate} from './availability-gate.js';
 import {CallerListener} from './caller-listener.js';
 import {ControlWatch, isListStale} from './control-watch.js';
@@ -117,7 +117,7 @@
 	const random = createSeededRandom(hashText(`${initialSettings.id}/${Date.now()}`));
 	const peers = new Peers([], initialSettings.secret, id => id);
 	const metrics = new GatewayMetrics();
-	const limits: RemoteServerLimits = new RemoteServerLimits({
+	const limits: RemoteRateLimits = new RemoteRateLimits({
 		self: initialSettings.id, clock, peers, leader: () => controlWatch.leader, onChange() {
 			availability.handleLimitChange();
 		}, countPermit(result, permitClass) {
@@ -278,7 +278,7 @@
 	metrics.registerGauge('list_age_seconds', 'Age of the list of servers', () => controlWatch.listAgeMs / 1000);
 	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
 	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
-	metrics.registerServerGauge('server_limit', 'Limits that servers name, in requests a second', () => limits.inForce);
+	metrics.registerServerGauge('server_rate_limit', 'Limits that servers name, in requests a second', () => limits.inForce);
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => guard.quarantined);
 	metrics.registerGauge('quarantine_refusals', 'Calls refused for quarantined segments', () => guard.counts.refused);
 	metrics.registerGauge('quarantine_trials', 'Calls that tried suspected segments', () => guard.counts.trials);
--- a/packages/daemon/src/server-limits/leader-server-limits.ts
+++ b/packages/daemon/src/server-rate-limits/leader-rate-limits.ts
@@ -1,9 +1,9 @@
 /** The limits of servers at a control instance, which grants the permits while it leads. */
 import {
-	addMs, SERVER_LIMIT_LIST, SERVER_LIMIT_REPORT, SERVER_PERMIT, ServerLimitTable, toId,
+	addMs, RATE_LIMIT_LIST, RATE_LIMIT_REPORT, SERVER_PERMIT, RateLimitTable, toId,
 } from '@baobabpier/core';
 import type {
-	BackendId, Clock, EngineAdmission, EngineId, InstanceId, LimitChange, LimitObservation, PermitClass, PermitDecision, PermitRequest, RequestId, ServerLimit, ServerLimitsSnapshot,
+	BackendId, Clock, EngineAdmission, EngineId, InstanceId, LimitChange, LimitObservation, PermitClass, PermitDecision, PermitRequest, RequestId, ServerRateLimit, RateLimitsSnapshot,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {RpcServer} from '../rpc/rpc-server.js';
@@ -11,13 +11,13 @@
 	CallKind, PermitSeeker, SendPermit, SendRecord,
 } from '../transport/types.js';
 import {canLiftLimit, permitClassOf, permitTtlMs} from './permit-class.js';
-import type {ServerLimits} from './types.js';
+import type {ServerRateLimits} from './types.js';
 
-const log = createLog('server-limits');
+const log = createLog('rate-limits');
 const notLeading = 'this instance does not lead';
 
 /** Dependencies of the limits at a control instance. */
-export type LeaderServerLimitsParts = {
+export type LeaderRateLimitsParts = {
 	readonly self: InstanceId;
 	readonly clock: Clock;
 	/** The term in which this instance is certain to lead; undefined when it doesn't. */
@@ -35,14 +35,14 @@
  * limits.start(rpc);
  * limits.snapshot?.limits; // What the entry instances get to know
  */
-export class LeaderServerLimits implements ServerLimits, EngineAdmission {
-	#table: ServerLimitTable | undefined;
+export class LeaderRateLimits implements ServerRateLimits, EngineAdmission {
+	#table: RateLimitTable | undefined;
 	#tableTerm: number | undefined;
 
-	constructor(private readonly parts: LeaderServerLimitsParts) {}
+	constructor(private readonly parts: LeaderRateLimitsParts) {}
 
 	/** The limits of all servers; undefined unless this instance leads. */
-	get snapshot(): ServerLimitsSnapshot | undefined {
+	get snapshot(): RateLimitsSnapshot | undefined {
 		return this.#leadingTable()?.snapshot;
 	}
 
@@ -59,7 +59,7 @@
 	}
 
 	/** The limits in force. */
-	get inForce(): ReadonlyArray<ServerLimit & {readonly requestsPerSecond: number}> {
+	get inForce(): ReadonlyArray<ServerRateLimit & {readonly requestsPerSecond: number}> {
 		return (this.snapshot?.limits ?? []).flatMap(limit => limit.requestsPerSecond === undefined ? [] : [{...limit, requestsPerSecond: limit.requestsPerSecond}]);
 	}
 
@@ -77,7 +77,7 @@
 
 			return {decision: this.#decide(table, request), limit: table.limitOf(request.server)};
 		});
-		server.registerMethod(SERVER_LIMIT_REPORT, ({instance, observations, recorded}) => {
+		server.registerMethod(RATE_LIMIT_REPORT, ({instance, observations, recorded}) => {
 			const table = this.#requireTable();
 			const now = this.parts.clock.now();
 			this.#adopt(recorded);
@@ -89,7 +89,7 @@
 
 			return {limits: observations.flatMap(({server: id}) => table.limitOf(id) ?? [])};
 		});
-		server.registerMethod(SERVER_LIMIT_LIST, () => ({
+		server.registerMethod(RATE_LIMIT_LIST, () => ({
 			limits: this.inForce.map(({server: id, requestsPerSecond, namedTo}) => ({server: id, requestsPerSecond, namedTo})),
 		}));
 	}
@@ -148,13 +148,13 @@
 		this.#table?.release(requestId);
 	}
 
-	#decide(table: ServerLimitTable, request: PermitRequest): PermitDecision {
+	#decide(table: RateLimitTable, request: PermitRequest): PermitDecision {
 		const decision = table.acquire(request, this.parts.clock.now());
 		this.parts.countPermit(decision.kind, request.class);
 		return decision;
 	}
 
-	#observe(table: ServerLimitTable, observation: LimitObservation): void {
+	#observe(table: RateLimitTable, observation: LimitObservation): void {
 		const now = this.parts.clock.now();
 		const change = table.observe(observation, now);
 		if (change !== undefined) {
@@ -163,7 +163,7 @@
 		}
 	}
 
-	#adopt(limits: readonly ServerLimit[]): void {
+	#adopt(limits: readonly ServerRateLimit[]): void {
 		const table = this.#requireTable();
 		const {version} = table.snapshot;
 		table.adopt(limits, this.parts.clock.now());
@@ -179,21 +179,21 @@
 		});
 	}
 
-	#leadingTable(): ServerLimitTable | undefined {
+	#leadingTable(): RateLimitTable | undefined {
 		const term = this.parts.leadingTerm();
 		if (term === undefined) {
 			return undefined;
 		}
 
 		if (this.#table === undefined || this.#tableTerm !== term) {
-			this.#table = new ServerLimitTable(term);
+			this.#table = new RateLimitTable(term);
 			this.#tableTerm = term;
 		}
 
 		return this.#table;
 	}
 
-	#requireTable(): ServerLimitTable {
+	#requireTable(): RateLimitTable {
 		const table = this.#leadingTable();
 		if (table === undefined) {
 			throw new Error(notLeading);
--- a/packages/daemon/src/server-limits/remote-server-limits.ts
+++ b/packages/daemon/src/server-rate-limits/remote-rate-limits.ts
@@ -1,9 +1,9 @@
 /** The limits of servers at an instance that gets its permits from the leader. */
 import {
-	addMs, KnownServerLimits, SERVER_LIMIT_REPORT, SERVER_PERMIT, toId,
+	addMs, KnownRateLimits, RATE_LIMIT_REPORT, SERVER_PERMIT, toId,
 } from '@baobabpier/core';
 import type {
-	BackendId, Clock, InstanceId, Instant, PermitClass, RequestId, ServerLimit, ServerLimitsSnapshot, ServerPermitResponse,
+	BackendId, Clock, InstanceId, Instant, PermitClass, RequestId, ServerRateLimit, RateLimitsSnapshot, ServerPermitResponse,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
@@ -11,9 +11,9 @@
 	CallKind, PermitSeeker, SendPermit, SendRecord,
 } from '../transport/types.js';
 import {canLiftLimit, permitClassOf, permitTtlMs} from './permit-class.js';
-import type {ServerLimits} from './types.js';
+import type {ServerRateLimits} from './types.js';
 
-const log = createLog('server-limits');
+const log = createLog('rate-limits');
 /** Timeout of a question for a permit, in milliseconds. */
 const permitTimeoutMs = 250;
 /** Time for which a server counts as exhausted when the leader can't be asked, in milliseconds. */
@@ -26,7 +26,7 @@
 const resendIntervalMs = 300;
 
 /** Dependencies of the limits at an instance that asks a leader. */
-export type RemoteServerLimitsParts = {
+export type RemoteRateLimitsParts = {
 	readonly self: InstanceId;
 	readonly clock: Clock;
 	readonly peers: Peers;
@@ -46,21 +46,21 @@
  * Asks the leader for a permit before each request to a limited server, and reports to it what responses say.
  *
  * @example
- * const limits = new RemoteServerLimits({self, clock, peers, leader: () => watch.leader, onChange, countPermit});
+ * const limits = new RemoteRateLimits({self, clock, peers, leader: () => watch.leader, onChange, countPermit});
  * const permit = await limits.acquire({server, kind: 'run', requestId, isUrgent: true}, signal);
  */
-export class RemoteServerLimits implements ServerLimits {
-	readonly #known: KnownServerLimits;
+export class RemoteRateLimits implements ServerRateLimits {
+	readonly #known: KnownRateLimits;
 	/** The newest observation of each server that the leader has yet to hear. */
 	readonly #unreported = new Map<BackendId, Observation>();
-	#snapshot: Pick<ServerLimitsSnapshot, 'term' | 'version'> | undefined;
+	#snapshot: Pick<RateLimitsSnapshot, 'term' | 'version'> | undefined;
 	#hasRecordedToReport = false;
 	#timer: NodeJS.Timeout | undefined;
 	#isReporting = false;
 	#isStopped = false;
 
-	constructor(private readonly parts: RemoteServerLimitsParts) {
-		this.#known = new KnownServerLimits(parts.self);
+	constructor(private readonly parts: RemoteRateLimitsParts) {
+		this.#known = new KnownRateLimits(parts.self);
 	}
 
 	get size(): number {
@@ -104,7 +104,7 @@
 	}
 
 	/** Applies what the leader knows; one of another term is told what former leaders recorded. */
-	apply(snapshot: ServerLimitsSnapshot): void {
+	apply(snapshot: RateLimitsSnapshot): void {
 		const isNewTerm = this.#snapshot !== undefined && this.#snapshot.term !== snapshot.term;
 		this.#snapshot = {term: snapshot.term, version: snapshot.version};
 		this.#applyLimits(snapshot.limits);
@@ -163,7 +163,7 @@
 		this.#known.retain(listed, this.parts.clock.now());
 	}
 
-	#applyLimits(limits: readonly ServerLimit[]): void {
+	#applyLimits(limits: readonly ServerRateLimit[]): void {
 		const changes = this.#known.apply(limits, this.parts.clock.now());
 		for (const {server, before, requestsPerSecond} of changes) {
 			log('The limit of a server changed.', {
@@ -222,7 +222,7 @@
 		const recorded = this.#hasRecordedToReport ? this.#known.recorded : [];
 		this.#isReporting = true;
 		try {
-			const {limits} = await peers.get(leading).call(SERVER_LIMIT_REPORT, {
+			const {limits} = await peers.get(leading).call(RATE_LIMIT_REPORT, {
 				instance: self,
 				observations: reported.map(([server, {requestsPerSecond, sentAt, isPermitted}]) => ({
 					server, requestsPerSecond, isPermitted, sentAgoMs: clock.now() - sentAt,
--- a/packages/daemon/src/server-limits/types.ts
+++ b/packages/daemon/src/server-rate-limits/types.ts
@@ -5,7 +5,7 @@
 } from '../transport/types.js';
 
 /** Grants permits for limited servers and learns of limits from responses. */
-export type ServerLimits = {
+export type ServerRateLimits = {
 	/** Number of servers with a limit in force. */
 	readonly size: number;
 	/** The servers of which no request gets a permit now. */
