--- a/packages/core/src/server-rate-limits/rate-limit-table.ts
+++ b/packages/core/src/server-rate-limits/rate-limit-table.ts
@@ -1,5 +1,5 @@
 /** The limits of all servers at the instance that grants the permits. */
-import type {BackendId, InstanceId, RequestId} from '../ids.js';
+import type {BackendId, RequestId} from '../ids.js';
 import type {Instant} from '../time.js';
 import {PermitBucket} from './permit-bucket.js';
 import {isNewerRevision} from './types.js';
