Keep replaced voters in the control log's membership

Cause: a voter that was silent for 2.5 s was dropped from the membership once a learner had taken its place. The leader sends nothing to a replica that is no member, so the dropped one never learned of it; its own log still named it a voter, and only a replica that is no voter by its own log asked to join.

Now it becomes a learner, so that it goes on from its log and can vote again later. Learners that are gone are removed after 60 s, or earlier when there are more than eight, which bounds the membership. A replica that has heard no leader for 1.5 s requests to join whatever its log says, and asks the replicas that others name. Members that don't reply get heartbeats only.

--- a/packages/core/src/__tests__/history/consensus-schedules.ts
+++ b/packages/core/src/__tests__/history/consensus-schedules.ts
@@ -33,6 +33,11 @@
 			...baseWeights, freeze: 1, transfer: 1, cut: 1, heal: 1,
 		},
 	},
+	replacements: {
+		replicas: 6, voters: 3, steps: 900, maxEntriesPerMessage: 4, weights: {
+			...baseWeights, deliver: 150, sync: 60, freeze: 2, crash: 2, cut: 1, heal: 1, compact: 1,
+		},
+	},
 	leaders: {
 		replicas: 3, steps: 400, maxEntriesPerMessage: 1, weights: {
 			...baseWeights, advance: 20, command: 12, crash: 4, cut: 4, heal: 3, sync: 40,
--- a/packages/core/src/__tests__/history/consensus-simulation.ts
+++ b/packages/core/src/__tests__/history/consensus-simulation.ts
@@ -1,6 +1,6 @@
 /** Simulates replicas in virtual time with seeded network and disk faults, and checks invariants after every step. */
 import {
-	ConsensusReplica, ControlState, createSeededRandom, emptySnapshot, instanceOf, pickIndex, toId, toReplicaId,
+	ConsensusReplica, ControlState, createSeededRandom, emptySnapshot, instanceOf, isMember, pickIndex, toId, toReplicaId,
 } from '@baobabpier/core';
 import type {
 	CatalogueProposalResult,
@@ -36,11 +36,16 @@
 	readonly replicas: number;
 	readonly steps: number;
 	readonly maxEntriesPerMessage: number;
+	/** Number of voters; all replicas vote when undefined. */
+	readonly voters?: number;
 	readonly weights: Readonly<Record<Action, number>>;
 };
 
 export type Action = 'advance' | 'deliver' | 'sync' | 'command' | 'read' | 'drop' | 'repeat' | 'crash' | 'loseDisk' | 'cut' | 'heal' | 'freeze' | 'compact' | 'transfer' | 'fillDisk';
 
+/** Silence after which a voter is replaced and a learner is removed, in milliseconds; both shorter than the freezes of a schedule. */
+const replacementTimings = {voterReplacementTimeoutMs: 500, learnerRemovalTimeoutMs: 800};
+
 /** A safety mechanism that a test disables. */
 export type Mutation = {
 	readonly rules?: SafetyRules;
@@ -115,7 +120,7 @@
 	constructor(seed: number, private readonly profile: Profile, private readonly mutation: Mutation = {}) {
 		this.#random = createSeededRandom(seed);
 		const ids = Array.from({length: profile.replicas}, (_, index) => toReplicaId(toId<InstanceId>(`i${index}`), '0'));
-		const snapshot = {...emptySnapshot, membership: {voters: ids, learners: []}};
+		const snapshot = {...emptySnapshot, membership: {voters: ids.slice(0, profile.voters), learners: profile.voters === undefined ? [] : ids.slice(profile.voters)}};
 		const hard = {
 			cluster: 'c', term: toId<Term>(0), vote: undefined, commit: toId<LogIndex>(0),
 		};
@@ -270,8 +275,9 @@
 		this.#reopenStorages();
 		for (const node of this.#nodes) {
 			this.#step(node, {kind: 'tick'});
-			const isVoter = node.replica.status(this.#now as Instant).membership.voters.includes(node.id);
-			if (!isVoter && !this.mutation.reusesReplicaId) {
+			const {membership, hearsQuorum} = node.replica.status(this.#now as Instant);
+			const isOutside = !isMember(membership, node.id) || !hearsQuorum;
+			if (isOutside && !this.mutation.reusesReplicaId) {
 				for (const other of this.#nodes) {
 					this.#step(other, {kind: 'seen', replica: node.id});
 				}
@@ -352,7 +358,8 @@
 	#startReplica(node: SimulatedReplica): void {
 		const options: ReplicaOptions = {
 			self: node.id,
-			timings: {...timings, maxEntriesPerMessage: this.profile.maxEntriesPerMessage},
+			timings: {...timings, ...(this.profile.voters === undefined ? {} : replacementTimings), maxEntriesPerMessage: this.profile.maxEntriesPerMessage},
+			targetVoterCount: this.profile.voters,
 			random: this.#random,
 			requiresDurableCommit: this.mutation.requiresDurableCommit ?? requiresDurableCommit,
 			rules: this.mutation.rules,
@@ -544,7 +551,9 @@
 	#hasConverged(): boolean {
 		const last = Math.max(...this.#committed.keys(), 1);
 		const views = this.#nodes.map(({replica}) => replica.status(this.#now as Instant));
-		return this.#nodes.every(({state, id}) => state.index >= Math.max(last, this.#acknowledgedIndex) && views[0]!.membership.voters.includes(id))
+		const {membership} = views[0]!;
+		const {voters = this.#nodes.length} = this.profile;
+		return this.#nodes.every(({state, id}) => state.index >= Math.max(last, this.#acknowledgedIndex) && isMember(membership, id)) && membership.voters.length >= voters
 			&& views.every(({commit, leader}) => commit === views[0]!.commit && leader !== undefined);
 	}
 
--- a/packages/core/src/consensus/leader-term.ts
+++ b/packages/core/src/consensus/leader-term.ts
@@ -7,7 +7,7 @@
 import type {ReplicaStore} from './replica-store.js';
 import type {SafetyRules} from './safety-rules.js';
 import type {
-	AppendReply, ConsensusMessage, ConsensusTimings, Proposal, ReplicaId,
+	AppendReply, ConsensusMessage, ConsensusTimings, Proposal, ReplicaId, ReplicaMembership,
 } from './types.js';
 
 /** Options and dependencies of a leader's term. */
@@ -26,6 +26,8 @@
 	readonly #pendingReads = new PendingReadQueue();
 	readonly #progress = new ProgressTable();
 	readonly #lastReplyAt = new Map<ReplicaId, number>();
+	/** When a member was added in this term. */
+	readonly #addedAt = new Map<ReplicaId, number>();
 	#round = 0;
 	#heartbeatDueAt: number;
 	#leaseSuspendedUntilRound = 0;
@@ -88,15 +90,24 @@
 
 	/** Appends the next planned membership change, when a change is allowed. */
 	changeMembership(joinRequests: ReadonlyMap<string, ReplicaId>, now: Instant): void {
-		const {self, store, rules, targetVoterCount: voters} = this.options;
+		const {
+			self, store, rules, timings, targetVoterCount: voters,
+		} = this.options;
 		if (!rules.mayChangeMembership(store.log, store.hardState.commit, this.#termStartIndex)) {
 			return;
 		}
 
 		const membership = planMembershipChange(store.log.membership, {
-			self, joinRequests, targetVoterCount: voters, isCaughtUp: replica => this.#isCaughtUp(replica, now), isUnresponsive: replica => this.#isUnresponsive(replica, now),
+			self,
+			joinRequests,
+			targetVoterCount: voters,
+			isCaughtUp: replica => this.#isCaughtUp(replica, now),
+			silentMs: replica => this.#silentMs(replica, now),
+			voterReplacementTimeoutMs: timings.voterReplacementTimeoutMs,
+			learnerRemovalTimeoutMs: timings.learnerRemovalTimeoutMs,
 		});
 		if (membership !== undefined) {
+			this.#trackMembers(membership, now);
 			store.append([{kind: 'membership', membership}], store.log.lastTime);
 			this.#replicate(now);
 		}
@@ -109,7 +120,7 @@
 		}
 	}
 
-	/** Starts a round when a heartbeat is due, and resends unacknowledged entries. */
+	/** Starts a round when a heartbeat is due, and resends unacknowledged entries to the members that reply: others get a heartbeat, to which they reply once they are back. */
 	tick(now: Instant): void {
 		if (now < this.#heartbeatDueAt) {
 			return;
@@ -118,7 +129,7 @@
 		this.#heartbeatDueAt = now + this.options.timings.heartbeatIntervalMs;
 		this.#round += 1;
 		for (const replica of this.#otherMembers()) {
-			this.#sendAppend(replica, now);
+			this.#sendAppend(replica, now, this.#silentMs(replica, now) <= this.options.timings.maxElectionTimeoutMs);
 		}
 	}
 
@@ -201,9 +212,27 @@
 		return this.#progress.matchIndexOf(replica) >= this.options.store.hardState.commit && now - lastReplyAt <= this.options.timings.minElectionTimeoutMs;
 	}
 
-	#isUnresponsive(replica: ReplicaId, now: Instant): boolean {
-		const {voterReplacementTimeoutMs} = this.options.timings;
-		return voterReplacementTimeoutMs !== undefined && now - (this.#lastReplyAt.get(replica) ?? this.startedAt) > voterReplacementTimeoutMs;
+	/** Time since a member's last reply, or since it could have replied for the first time in this term. */
+	#silentMs(replica: ReplicaId, now: Instant): number {
+		return now - (this.#lastReplyAt.get(replica) ?? this.#addedAt.get(replica) ?? this.startedAt);
+	}
+
+	/** Forgets removed members: one that is added again starts anew. */
+	#trackMembers(next: ReplicaMembership, now: Instant): void {
+		const {membership} = this.options.store.log;
+		for (const replica of [...next.voters, ...next.learners]) {
+			if (!isMember(membership, replica)) {
+				this.#addedAt.set(replica, now);
+			}
+		}
+
+		for (const replica of [...membership.voters, ...membership.learners]) {
+			if (!isMember(next, replica)) {
+				this.#addedAt.delete(replica);
+				this.#lastReplyAt.delete(replica);
+				this.#progress.remove(replica);
+			}
+		}
 	}
 
 	#majorityAckedSentAt(now: Instant): number {
--- a/packages/core/src/consensus/progress.ts
+++ b/packages/core/src/consensus/progress.ts
@@ -36,6 +36,11 @@
 		return progress;
 	}
 
+	/** Forgets a member. */
+	remove(replica: ReplicaId): void {
+		this.#progress.delete(replica);
+	}
+
 	/** Last index known to be synced on a member. */
 	matchIndexOf(replica: ReplicaId): number {
 		return this.#progress.get(replica)?.matchIndex ?? 0;
--- a/packages/core/src/consensus/replica-membership.ts
+++ b/packages/core/src/consensus/replica-membership.ts
@@ -33,10 +33,17 @@
 	readonly isCaughtUp: (replica: ReplicaId) => boolean;
 	/** Desired number of voters; further learners only replace unresponsive voters. Unbounded when undefined. */
 	readonly targetVoterCount?: number | undefined;
-	/** Whether a replica has not replied for long enough to be replaced. */
-	readonly isUnresponsive?: (replica: ReplicaId) => boolean;
+	/** How long a replica has not replied, in milliseconds. */
+	readonly silentMs?: (replica: ReplicaId) => number;
+	/** Silence after which a voter may be replaced, in milliseconds; never when undefined. */
+	readonly voterReplacementTimeoutMs?: number | undefined;
+	/** Silence after which a learner is removed, in milliseconds; never when undefined. */
+	readonly learnerRemovalTimeoutMs?: number | undefined;
 };
 
+/** Largest number of learners that are kept while they don't reply: it bounds the membership where machines are replaced faster than learners time out. */
+const maxSilentLearners = 8;
+
 const without = (list: readonly ReplicaId[], replica: ReplicaId): readonly ReplicaId[] => list.filter(id => id !== replica);
 
 /** Adds a joining replica as a learner; it replaces an earlier learner of the same instance that lost its disk. */
@@ -50,18 +57,38 @@
 	return undefined;
 };
 
-const findUnresponsiveVoter = ({voters}: ReplicaMembership, {self, isUnresponsive}: MembershipPlanContext): ReplicaId | undefined =>
-	voters.find(id => id !== self && isUnresponsive?.(id) === true);
+const isSilentFor = ({self, silentMs}: MembershipPlanContext, replica: ReplicaId, timeoutMs: number | undefined): boolean =>
+	timeoutMs !== undefined && replica !== self && (silentMs?.(replica) ?? 0) > timeoutMs;
+
+const findUnresponsiveVoter = ({voters}: ReplicaMembership, context: MembershipPlanContext): ReplicaId | undefined =>
+	voters.find(id => isSilentFor(context, id, context.voterReplacementTimeoutMs));
 
 /** Whether another voter is needed: there are too few, or one of them is unresponsive. */
 const needsVoter = (membership: ReplicaMembership, context: MembershipPlanContext): boolean =>
 	context.targetVoterCount === undefined || membership.voters.length < context.targetVoterCount
 	|| (membership.voters.length === context.targetVoterCount && findUnresponsiveVoter(membership, context) !== undefined);
 
-/** Removes an unresponsive voter once its replacement is a voter. */
-const planVoterRemoval = (membership: ReplicaMembership, context: MembershipPlanContext): ReplicaMembership | undefined => {
-	const unresponsive = context.targetVoterCount !== undefined && membership.voters.length > context.targetVoterCount ? findUnresponsiveVoter(membership, context) : undefined;
-	return unresponsive === undefined ? undefined : {voters: without(membership.voters, unresponsive), learners: membership.learners};
+/**
+ * Demotes an unresponsive voter once its replacement is a voter. It stays a member, so that it goes on from its log when it is back:
+ * a replica outside of the membership would receive nothing and, with its last copy of it, not even know. A replica whose instance
+ * has another one lost its disk and is removed.
+ */
+const planVoterDemotion = ({voters, learners}: ReplicaMembership, context: MembershipPlanContext): ReplicaMembership | undefined => {
+	const demoted = context.targetVoterCount !== undefined && voters.length > context.targetVoterCount ? findUnresponsiveVoter({voters, learners}, context) : undefined;
+	if (demoted === undefined) {
+		return undefined;
+	}
+
+	const isSuperseded = [...voters, ...learners].some(id => id !== demoted && instanceOf(id) === instanceOf(demoted));
+	return {voters: without(voters, demoted), learners: isSuperseded ? learners : [...learners, demoted]};
+};
+
+/** Removes a learner that is gone; if its instance comes back, it requests to join again. */
+const planLearnerRemoval = ({voters, learners}: ReplicaMembership, context: MembershipPlanContext): ReplicaMembership | undefined => {
+	const silent = learners.filter(id => isSilentFor(context, id, context.voterReplacementTimeoutMs)).sort((a, b) => context.silentMs!(b) - context.silentMs!(a));
+	const [longest] = silent;
+	const isGone = longest !== undefined && (silent.length > maxSilentLearners || isSilentFor(context, longest, context.learnerRemovalTimeoutMs));
+	return isGone ? {voters, learners: without(learners, longest)} : undefined;
 };
 
 /** Promotes a learner that has caught up; the voter of the same instance that lost its disk is removed first. */
@@ -92,10 +119,11 @@
 };
 
 /**
- * Plans the next change that makes joining replicas voters; each change differs by one replica.
+ * Plans the next change of the membership; each change concerns one replica.
  *
  * @example
  * planMembershipChange(membership, facts); // Undefined when no change is needed
  */
 export const planMembershipChange = (membership: ReplicaMembership, context: MembershipPlanContext): ReplicaMembership | undefined =>
-	planLearnerAddition(membership, context) ?? planVoterRemoval(membership, context) ?? planLearnerPromotion(membership, context);
+	planLearnerAddition(membership, context) ?? planVoterDemotion(membership, context)
+	?? planLearnerPromotion(membership, context) ?? planLearnerRemoval(membership, context);
--- a/packages/core/src/consensus/types.ts
+++ b/packages/core/src/consensus/types.ts
@@ -173,6 +173,8 @@
 	readonly pauseThresholdMs: number;
 	/** A voter without a reply for this long may be replaced by a learner; never when undefined. */
 	readonly voterReplacementTimeoutMs?: number;
+	/** A learner without a reply for this long is removed; never when undefined. */
+	readonly learnerRemovalTimeoutMs?: number;
 	/** Maximum number of entries in one message. */
 	readonly maxEntriesPerMessage: number;
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -321,7 +321,7 @@
 	RoleCandidate, EngineCapacity, RoleChange, ExpectedMix,
 } from './placement/role-planner.js';
 export {PipelinedQueueModel} from './placement/pipelined-queue-model.js';
-export {planMembershipChange} from './consensus/replica-membership.js';
+export {isMember, planMembershipChange} from './consensus/replica-membership.js';
 export {ConnectionPlan} from './transport/connection-plan.js';
 export type {ConnectionId, PlanStep} from './transport/connection-plan.js';
 export type {PlannedRequest} from './transport/planned-request.js';
--- a/packages/core/src/rpc/rpc-methods.ts
+++ b/packages/core/src/rpc/rpc-methods.ts
@@ -247,8 +247,8 @@
 export const CONTROL_POSITION = defineRpcMethod<EmptyObject, ControlPosition>('control.position');
 /** Bootstraps a log on a fresh replica. */
 export const CONTROL_BEGIN = defineRpcMethod<{cluster: string; snapshot: Snapshot}, {accepted: boolean}>('control.begin');
-/** Requests that a replica be added to the log's members. */
-export const CONTROL_JOIN = defineRpcMethod<{replica: ReplicaId}, EmptyObject>('control.join');
+/** Requests that a replica be added to the log's members; returns the instances that are known to hold replicas. */
+export const CONTROL_JOIN = defineRpcMethod<{replica: ReplicaId}, {replicas?: readonly InstanceId[]}>('control.join');
 /** Returns the read index: the index that a linearizable read must wait for. */
 export const CONTROL_BARRIER = defineRpcMethod<EmptyObject, {index: LogIndex | undefined; leader: InstanceId | undefined}>('control.barrier');
 /* eslint-enable @typescript-eslint/naming-convention */
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -269,6 +269,9 @@
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => control.state.routing.current?.version ?? 0);
 	metrics.registerGauge('control_term', 'Term of the control log', () => control.status.term ?? 0);
 	metrics.registerGauge('control_leads', 'Whether this instance leads the control log', () => control.status.role === 'leader' ? 1 : 0);
+	metrics.registerGauge('control_hears_majority', 'Whether this instance is in contact with a majority of the voters, directly or through the leader', () => control.position.hearsQuorum ? 1 : 0);
+	metrics.registerGauge('control_votes', 'Whether this instance is a voter of the control log', () => control.status.members.some(({replica, voter}) => voter && replica === control.position.replica) ? 1 : 0);
+	metrics.registerGauge('control_members', 'Voters and learners of the control log, as this instance knows them', () => control.status.members.length);
 	metrics.registerGauge('storage_failed_seconds', 'How long the storage of the replica has been failed; 0 while it runs', () => (control.status.failedForMs ?? 0) / 1000);
 	metrics.registerGauge('storage_reopenings', 'How often a failed storage was opened again', () => control.status.reopenings);
 	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => watchServer.entries);
--- a/packages/daemon/src/control/control-timings.ts
+++ b/packages/daemon/src/control/control-timings.ts
@@ -15,6 +15,7 @@
 	leaseDurationMs: 500,
 	pauseThresholdMs: 300,
 	voterReplacementTimeoutMs: 2500,
+	learnerRemovalTimeoutMs: 60_000,
 	maxEntriesPerMessage: 256,
 };
 
@@ -36,6 +37,9 @@
 /** Interval at which a replica that is no member of the log requests to join, in milliseconds. */
 export const joinIntervalMs = 300;
 
+/** Time without a leader after which a replica requests to join although its own log names it a member, in milliseconds: an election takes less. */
+export const joinAfterSilenceMs = 1500;
+
 /** Duration of one write and sync after which a leader hands over, in milliseconds: it answers no change of the catalogue meanwhile. */
 export const stalledWriteMs = 1000;
 
--- a/packages/daemon/src/control/replica-host.ts
+++ b/packages/daemon/src/control/replica-host.ts
@@ -115,7 +115,7 @@
 		});
 		this.#task.start();
 		this.#joiner = new ReplicaJoiner({
-			self, founders: this.parts.founders, replicas: this.parts.replicas, instances: this.parts.instances, peers, task: this.#task,
+			self, founders: this.parts.founders, replicas: this.parts.replicas, instances: this.parts.instances, peers, task: this.#task, clock,
 		});
 		void this.#joiner.run();
 		this.parts.onChange();
--- a/packages/daemon/src/control/replica-joiner.ts
+++ b/packages/daemon/src/control/replica-joiner.ts
@@ -1,13 +1,15 @@
-/** Makes this instance's replica a member of the log: the first members create it, later ones request to join. */
+/** Makes this instance's replica a member of the log and keeps it one: the first members create it, later ones request to join. */
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	CONTROL_BEGIN, CONTROL_JOIN, CONTROL_POSITION, emptySnapshot, instanceOf,
+	CONTROL_BEGIN, CONTROL_JOIN, CONTROL_POSITION, emptySnapshot, instanceOf, isMember,
+} from '@baobabpier/core';
+import type {
+	Clock, ControlPosition, Instant, InstanceId, ReplicaId,
 } from '@baobabpier/core';
-import type {ControlPosition, InstanceId, ReplicaId} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
-import {joinIntervalMs} from './control-timings.js';
+import {joinAfterSilenceMs, joinIntervalMs} from './control-timings.js';
 import type {ReplicaTask} from './replica-task.js';
 
 const log = createLog('replica');
@@ -23,16 +25,25 @@
 	readonly instances: () => readonly InstanceId[];
 	readonly peers: Peers;
 	readonly task: ReplicaTask;
+	readonly clock: Clock;
 };
 
-/** Requests to join until the replica is a voter. */
+/** Maximum number of instances that are asked because others named them. */
+const maxReferrals = 64;
+
+/** Requests to join whenever the replica is outside of the log's membership. */
 export class ReplicaJoiner {
+	/** Instances that others named as holders of replicas. */
+	readonly #referrals = new Set<InstanceId>();
 	#isStopped = false;
 	#warned = false;
+	#heardAt: Instant;
 
-	constructor(private readonly parts: JoinerParts) {}
+	constructor(private readonly parts: JoinerParts) {
+		this.#heardAt = parts.clock.now();
+	}
 
-	/** Runs until stopped: a replica may lose its membership later, when its disk is replaced by an older copy. */
+	/** Runs until stopped: a replica may lose its membership later, while it is down or when its disk is replaced by an older copy. */
 	async run(): Promise<void> {
 		while (!this.#isStopped) {
 			// A founder that could not store the beginning is told again, until a majority has it and elects a leader
@@ -41,7 +52,7 @@
 				await this.#sendBeginning();
 			}
 
-			if (!this.parts.task.view.membership.voters.includes(this.parts.task.id)) {
+			if (this.#isOutside()) {
 				// eslint-disable-next-line no-await-in-loop
 				await this.#tryJoin();
 			}
@@ -55,12 +66,24 @@
 		this.#isStopped = true;
 	}
 
+	/** Whether the replica is no member as far as it knows, or has heard no leader for so long that its own log may be wrong about that. */
+	#isOutside(): boolean {
+		const {clock, task} = this.parts;
+		const {membership, hearsQuorum} = task.view;
+		const now = clock.now();
+		if (hearsQuorum) {
+			this.#heardAt = now;
+		}
+
+		return !isMember(membership, task.id) || now - this.#heardAt > joinAfterSilenceMs;
+	}
+
 	async #tryJoin(): Promise<void> {
 		const positions = await this.#askAll();
 		const isBegun = [...positions.values()].some(({index, replica, isFresh}) => index > 0 || (replica !== undefined && !isFresh));
 		if (isBegun || !this.parts.task.isFresh || !this.parts.founders.includes(this.parts.self)) {
 			this.#warnIfLost(positions);
-			await this.#callAll(this.parts.replicas(), async id => this.parts.peers.get(id).call(CONTROL_JOIN, {replica: this.parts.task.id}, requestTimeoutMs));
+			await this.#requestToJoin();
 			return;
 		}
 
@@ -71,6 +94,17 @@
 		}
 	}
 
+	/** Asks every instance that may lead, and learns of further ones: this replica's log may name none of the members any more. */
+	async #requestToJoin(): Promise<void> {
+		const known = [...new Set([...this.parts.replicas(), ...this.#referrals])];
+		await this.#callAll(known, async id => {
+			const {replicas = []} = await this.parts.peers.get(id).call(CONTROL_JOIN, {replica: this.parts.task.id}, requestTimeoutMs);
+			for (const replica of replicas.slice(0, maxReferrals - this.#referrals.size)) {
+				this.#referrals.add(replica);
+			}
+		});
+	}
+
 	/** Whether all replicas respond and are empty; a log is created only then. */
 	async #begin(voters: readonly ReplicaId[]): Promise<void> {
 		const snapshot = {...emptySnapshot, membership: {voters, learners: []}};
--- a/packages/daemon/src/control/replicated-control-log.ts
+++ b/packages/daemon/src/control/replicated-control-log.ts
@@ -209,7 +209,7 @@
 		server.registerMethod(CONTROL_BARRIER, async () => ({index: await this.#task?.readIndex(attemptTimeoutMs), leader: this.position.leader}));
 		server.registerMethod(CONTROL_JOIN, ({replica}) => {
 			this.#task?.step({kind: 'seen', replica});
-			return {};
+			return {replicas: this.replicas};
 		});
 	}
 
