Find the members of the control log when no seed belongs to it

A restarted entry instance knows only the seeds. When all three were outside of the log it watched these three for good, since it took further addresses only from instances in contact with a majority, and kept every source that responded.

Addresses named by instances without that contact are now tried while no source has it, and such sources make room for others. Nothing that they hold is put in force: the first configuration still has to be confirmed by a majority.

--- a/packages/daemon/src/gateway/control-watch.ts
+++ b/packages/daemon/src/gateway/control-watch.ts
@@ -22,6 +22,10 @@
 const maxListAgeMs = 2000;
 /** Number of control instances that are watched at a time: one in the same data centre, the leader and one more. */
 const maxSources = 3;
+/** Time for which a newly selected source is kept without a response, in milliseconds: a longer round trip than between any two data centres, and the confirmation of a read. */
+const trialMs = 600;
+/** Maximum number of control instances that are tried because one without contact to a majority named them. */
+const maxReferrals = 64;
 /** A source whose last response is not older than this counts as healthy, in milliseconds. */
 const healthyAgeMs = watchTimeoutMs + responseGraceMs + retryDelayMs;
 
@@ -45,6 +49,7 @@
 
 type Source = {
 	readonly id: InstanceId;
+	readonly selectedAt: number;
 	isStopped: boolean;
 	respondedAt: number;
 	response: WatchResponse | undefined;
@@ -53,7 +58,10 @@
 /** Keeps long-poll requests open at a few control instances. */
 export class ControlWatch {
 	readonly #sources = new Map<InstanceId, Source>();
+	/** Control instances that one in contact with a majority named. */
 	#controls: readonly InstanceId[] = [];
+	/** Control instances that one without that contact named: only addresses to try. */
+	readonly #referrals = new Set<InstanceId>();
 	#version: RoutingVersion | undefined;
 	#listDigest: string | undefined;
 	#listReadAt = Number.NEGATIVE_INFINITY;
@@ -119,8 +127,9 @@
 
 		for (const id of selected) {
 			if (!this.#sources.has(id)) {
+				const now = this.parts.clock.now();
 				const source: Source = {
-					id, isStopped: false, respondedAt: this.parts.clock.now(), response: undefined,
+					id, selectedAt: now, isStopped: false, respondedAt: now, response: undefined,
 				};
 				this.#sources.set(id, source);
 				void this.#pollSource(source);
@@ -128,17 +137,24 @@
 		}
 	}
 
-	/** Selects the leader and healthy sources, and fills up with other control instances in rotation. */
+	/**
+	 * Selects the leader and healthy sources in contact with a majority, and fills up with other control instances in rotation.
+	 * The seeds may all have lost that contact; while no source has it, one of them is kept and the others make room.
+	 */
 	#selectSources(): readonly InstanceId[] {
-		const all = [...new Set([...this.#controls, ...this.parts.seeds()])];
+		const healthy = [...this.#sources.values()].filter(source => this.#isHealthy(source));
+		const withQuorum = healthy.filter(({response}) => response!.hearsQuorum);
+		const candidates = withQuorum.length > 0 ? withQuorum : healthy.slice(0, 1);
+		const all = [...new Set([...this.#controls, ...this.parts.seeds(), ...(withQuorum.length > 0 ? [] : this.#referrals)])];
 		if (all.length <= maxSources) {
 			return all;
 		}
 
-		const healthy = [...this.#sources.values()].filter(source => this.#isHealthy(source));
-		const local = healthy.find(({response}) => response?.dataCentre === this.parts.dataCentre);
-		const leader = this.#leader !== undefined && all.includes(this.#leader) ? [this.#leader] : [];
-		const kept = [...new Set([...leader, ...(local === undefined ? [] : [local.id]), ...healthy.map(({id}) => id)])].filter(id => all.includes(id)).slice(0, maxSources);
+		const now = this.parts.clock.now();
+		const local = candidates.find(({response}) => response!.dataCentre === this.parts.dataCentre);
+		const leader = this.#leader === undefined ? [] : [this.#leader];
+		const onTrial = [...this.#sources.values()].filter(({response, selectedAt}) => response === undefined && now - selectedAt <= trialMs);
+		const kept = [...new Set([...leader, ...(local === undefined ? [] : [local.id]), ...[...candidates, ...onTrial].map(({id}) => id)])].filter(id => all.includes(id)).slice(0, maxSources);
 		const others = all.filter(id => !kept.includes(id));
 		const missing = maxSources - kept.length;
 		if (missing > 0) {
@@ -203,12 +219,17 @@
 	#applyResponse(source: Source, response: WatchResponse, withContent: boolean): void {
 		if (response.hearsQuorum) {
 			this.#controls = response.controls;
+			this.#referrals.clear();
 			this.#entryInstanceCount = Math.max(1, response.entries);
 			if (response.leader !== this.#leader && response.leader !== undefined) {
 				log('The control log has another leader.', {leader: response.leader, before: this.#leader, source: source.id});
 				this.#leader = response.leader;
 				this.parts.onLeader();
 			}
+		} else {
+			for (const control of response.controls.slice(0, maxReferrals - this.#referrals.size)) {
+				this.#referrals.add(control);
+			}
 		}
 
 		// Before the first routing configuration, so that no call is served without the quarantine
