Keep a silent run of a stream until another one delivers

Callers' streams were cut off, or refused as not run, when a sound engine paused for a second or two: around planned stops, configuration changes and at any other time.

Cause: 1.2 s without an event (2 s without a first one) ended the run at once, before another engine had a place, and counted as a failure of the engine. Where no other engine had room the stream was broken off, although its engine went on a moment later; the same engine got the request again and again; and a refusal after it said that the call had not run, since only the last send decided that.

Now a silent run goes on while rounds look for another engine beside it. The first run that delivers a new event serves the caller and ends the other, so that two runs are never joined. A silence means a failure only where another engine was faster. The retry is taken from the budget once there is a place. Of several silent streams of one engine each further one looks later, so that a short pause makes few repeats. "Not run" is decided by everything that was sent for the call.

--- a/packages/daemon/src/gateway/call-scope.ts
+++ b/packages/daemon/src/gateway/call-scope.ts
@@ -1,8 +1,8 @@
 /** Cancellation scope of one call: aborts its work when the caller disconnects, the deadline passes or the instance stops. */
 import type {Clock, Instant} from '@baobabpier/core';
 
-/** Why a call ended early. */
-export type EndReason = 'callerGone' | 'deadline' | 'quarantined';
+/** Why a call, or a part of its work, ended early: `superseded` ends only a part, whose result is not needed any more. */
+export type EndReason = 'callerGone' | 'deadline' | 'quarantined' | 'superseded';
 
 /**
  * Carries the signal that aborts all work done for a call.
@@ -14,12 +14,12 @@
  */
 export class CallScope {
 	readonly #abortController = new AbortController();
-	#timer: NodeJS.Timeout;
+	#timer: NodeJS.Timeout | undefined;
 	#reason: EndReason | undefined;
 	#isLimited = false;
 
-	constructor(private readonly clock: Clock, private deadlineAt: Instant) {
-		this.#timer = this.#startTimer();
+	constructor(private readonly clock: Clock, private deadlineAt: Instant, private readonly parent?: CallScope) {
+		this.#timer = parent === undefined ? this.#startTimer() : undefined;
 	}
 
 	/** Why the call ended early; undefined when it has not. */
@@ -38,7 +38,23 @@
 
 	/** Milliseconds until the deadline. */
 	remainingMs(): number {
-		return Math.max(0, this.deadlineAt - this.clock.now());
+		return this.parent?.remainingMs() ?? Math.max(0, this.deadlineAt - this.clock.now());
+	}
+
+	/** Creates a scope for a part of the call's work; it ends with the call, or earlier by itself. */
+	createPart(): CallScope {
+		const part = new CallScope(this.clock, this.deadlineAt, this);
+		const endWithCall = (): void => {
+			part.end(this.#reason!);
+		};
+
+		if (this.#reason === undefined) {
+			this.signal.addEventListener('abort', endWithCall, {once: true});
+		} else {
+			endWithCall();
+		}
+
+		return part;
 	}
 
 	/** Brings the deadline forward; a later one has no effect. */
--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -6,6 +6,7 @@
 import type {TransportFailure} from '../transport/types.js';
 import type {CallScope} from './call-scope.js';
 import type {CallResult} from './fleet-view.js';
+import type {StreamRun} from './stream-run.js';
 import type {ResponseHead, Call} from './types.js';
 
 /** Retry delay after an engine rejected a placed request, in milliseconds: about one prefill. */
@@ -30,8 +31,18 @@
 	| {readonly kind: 'relay'; readonly head: ResponseHead; readonly body: Uint8Array}
 	/** The engine's reason, and the number of requests running and waiting there if the engine reports it. */
 	| {readonly kind: 'notRun'; readonly isMisdirected: boolean; readonly load: number | undefined; readonly detail: string}
+	/** Another run of the stream delivered first. */
+	| {readonly kind: 'superseded'; readonly detail: string}
 	| TransportFailure;
 
+/** A run whose engine has sent nothing for a while. It goes on until another run delivers an event. */
+export type SilentRun = {
+	readonly run: StreamRun;
+	readonly engine: EngineId;
+	/** Releases its placement; further calls have no effect. */
+	release(): void;
+};
+
 /** An engine with reserved memory; without a lease if the pool's owner granted the placement. */
 export type ReservedEngine = {
 	readonly server: ListedServer;
@@ -51,8 +62,17 @@
 export type StreamProgress = {
 	readonly call: Call;
 	readonly service: ServiceName;
-	readonly scope: CallScope;
+	/** Scope of the current round: that of the call, or a part of it while another run is silent. */
+	scope: CallScope;
 	readonly out: StreamOutput;
+	/** Runs in progress: one, or a silent one and the one that may take its place. */
+	readonly runs: Set<StreamRun>;
+	/** The silent run beside which rounds look for another engine. */
+	silent: SilentRun | undefined;
+	/** Whether an engine may have run the call: a later refusal then says nothing about it. */
+	mayHaveRun: boolean;
+	/** Whether the next send needs a retry from the budget. */
+	isRetryDue: boolean;
 	readonly excluded: Set<EngineId>;
 	/** Engines that the next placement avoids if others have room. */
 	avoided: readonly EngineId[];
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -1,14 +1,17 @@
 /** Serves streams of model services: placement, prefill, KV cache transfer, event relay, and resumption at another engine. */
-import {routerError, spreadRetryDelay, toId} from '@baobabpier/core';
+import {
+	errorResponses, routerError, spreadRetryDelay, toId,
+} from '@baobabpier/core';
 import type {
-	Clock, EngineAddress, EngineId, ErrorKind, RandomSource, BackendId, RouterError, ServiceName,
+	Clock, EngineAddress, EngineId, ErrorKind, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {CallScope} from './call-scope.js';
 import type {CrashGuard} from './crash-guard.js';
 import {EngineLeases} from './engine-leases.js';
-import {StreamRunner} from './stream-runner.js';
+import {StreamRun} from './stream-run.js';
+import type {RunStage} from './stream-run.js';
 import type {FleetView} from './fleet-view.js';
 import type {StreamPlacement, StreamPlacements} from './stream-placements.js';
 import {PrefillClient} from './prefill-client.js';
@@ -18,7 +21,7 @@
 import type {RetryBudgets} from './retry-budgets.js';
 import {rejectedRetryAfterMs} from './stream-progress.js';
 import type {
-	DecodeOutcome, ReservedEngine, StreamProgress, StreamOutput,
+	ReservedEngine, SilentRun, StreamProgress, StreamOutput,
 } from './stream-progress.js';
 import type {
 	Call, SendPurpose, ServerDialect,
@@ -32,6 +35,11 @@
 /** Minimum retry delay after a full pool and the width of its jitter, in multiples of the first event's target latency: a burst passes in a few seconds. */
 const retryDelayTargets = 1.5;
 
+/** Interval at which another engine is sought for a stream whose engine stays silent, in milliseconds. */
+const seekIntervalMs = 400;
+/** Delay of the second stream of a silent engine that looks for another one, in milliseconds; it grows with the logarithm of their number. */
+const seekerDelayMs = 100;
+
 /** Errors of calls that found no engine with capacity. */
 const capacityErrors: ReadonlySet<ErrorKind> = new Set(['noBackend', 'overloaded', 'queueTimeout']);
 
@@ -51,30 +59,38 @@
 type RoundResult = {
 	readonly isFinal: boolean;
 	readonly reply: Reply;
+	/** A run of the round whose engine is silent, which keeps its placement. */
+	readonly silent?: Omit<SilentRun, 'release'>;
 };
 
 /** Serves streams; calls of `serve` are independent of each other. */
 export class StreamRoute {
 	readonly #leases: EngineLeases;
 	readonly #prefillClient: PrefillClient;
-	readonly #runner: StreamRunner;
+	/** Number of silent runs at each engine that look for another one. */
+	readonly #seekers = new Map<EngineId, number>();
 
 	constructor(private readonly parts: StreamRouteParts) {
 		this.#leases = new EngineLeases({...parts, expectedTokens: (service, call) => parts.places.expectedTokens(service, call)});
 		this.#prefillClient = new PrefillClient({...parts, leases: this.#leases});
-		this.#runner = new StreamRunner(parts);
 	}
 
 	/** Serves a call; resolves once its response is sent or determined. */
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
 		this.parts.retryBudgets.recordCall(service);
 		const progress: StreamProgress = {
-			call, service, scope, out, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined, avoided: [], sentTo: new Set(),
+			call, service, scope, out, runs: new Set(), silent: undefined, mayHaveRun: false, isRetryDue: false, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined, avoided: [], sentTo: new Set(),
 		};
 		const unregister = this.parts.guard.register(call, scope);
 		try {
-			return this.#withRetryDelay(await this.#runRounds(progress), progress);
+			const reply = toCertainReply(await this.#runRounds(progress), progress);
+			if (out.isStarted && !progress.isComplete) {
+				out.abort();
+			}
+
+			return this.#withRetryDelay(reply, progress);
 		} finally {
+			progress.silent?.release();
 			unregister();
 		}
 	}
@@ -94,10 +110,15 @@
 	async #runRounds(progress: StreamProgress): Promise<Reply> {
 		const {scope} = progress;
 		let reply: Reply = errorReply(routerError('noBackend', undefined, rejectedRetryAfterMs));
-		for (let round = 1, sentRounds = 0; sentRounds < maxSentRounds && scope.reason === undefined; round++) {
+		for (let round = 1, sentRounds = 0; scope.reason === undefined; round++) {
+			const maySend = sentRounds < maxSentRounds;
+			if (!maySend && progress.silent === undefined) {
+				break;
+			}
+
 			const sends = progress.sent + progress.prefills;
 			// eslint-disable-next-line no-await-in-loop
-			const result = await this.#runRound(progress, round);
+			const result = progress.silent === undefined ? await this.#runRound(progress, round) : await this.#contend(progress, progress.silent, maySend ? round : undefined);
 			if (result.isFinal) {
 				return result.reply;
 			}
@@ -109,9 +130,86 @@
 		return this.#fail(progress, reply);
 	}
 
+	/**
+	 * Looks for another engine beside a silent run, unless `round` is undefined. The silent run goes on meanwhile: an engine may
+	 * be silent for a moment, and what the caller has is given up only for a run that delivers.
+	 */
+	async #contend(progress: StreamProgress, silent: SilentRun, round: number | undefined): Promise<RoundResult> {
+		const {run} = silent;
+		const {scope} = progress;
+		if (run.isSilent && round !== undefined && progress.sent < progress.call.route.maxAttempts) {
+			const part = scope.createPart();
+			run.onActive = () => {
+				part.end('superseded');
+			};
+
+			progress.scope = part;
+			const result = await this.#seekOther(progress, silent, round);
+			progress.scope = scope;
+			run.onActive = undefined;
+			if (progress.silent !== silent) {
+				return result;
+			}
+		}
+
+		await run.waitWhileSilent(seekIntervalMs);
+		if (run.isSilent) {
+			return {isFinal: false, reply: errorReply(routerError('answerLost', 'the engine is silent'))};
+		}
+
+		progress.silent = undefined;
+		const stage = await this.#follow(progress, run);
+		const result = this.#handleOutcome(progress, silent.engine, stage, run);
+		if (result.silent === undefined) {
+			silent.release();
+		} else {
+			progress.silent = silent;
+		}
+
+		return result;
+	}
+
+	/** Runs a round beside a silent run. The more runs of one engine are silent, the later each further one begins: the engine may go on any moment, and would have been left by all. */
+	async #seekOther(progress: StreamProgress, {engine, run}: SilentRun, round: number): Promise<RoundResult> {
+		const seekers = this.#seekers.get(engine) ?? 0;
+		this.#seekers.set(engine, seekers + 1);
+		try {
+			await run.waitWhileSilent(seekerDelayMs * Math.log2(1 + seekers));
+			progress.isRetryDue = true;
+			return progress.scope.reason === undefined ? await this.#runRound(progress, round) : {isFinal: false, reply: {kind: 'streamed'}};
+		} finally {
+			progress.isRetryDue = false;
+			const left = this.#seekers.get(engine)! - 1;
+			if (left === 0) {
+				this.#seekers.delete(engine);
+			} else {
+				this.#seekers.set(engine, left);
+			}
+		}
+	}
+
+	/** Starts a run and waits until it is over or silent. */
+	async #run(progress: StreamProgress, server: ListedServer, purpose: SendPurpose, onFirstEvent: () => void): Promise<{readonly stage: RunStage; readonly run: StreamRun}> {
+		const run = new StreamRun(this.parts, progress, {server, purpose, onFirstEvent});
+		return {run, stage: await this.#follow(progress, run)};
+	}
+
+	/** Waits until a run is over or silent; beside another silent run, until one of the two is over or delivers. */
+	async #follow(progress: StreamProgress, run: StreamRun): Promise<RunStage> {
+		let stage = await run.nextStage();
+		while (stage.kind === 'silent' && progress.silent !== undefined && progress.silent.run !== run && progress.silent.run.isSilent) {
+			// eslint-disable-next-line no-await-in-loop
+			await run.waitWhileSilent(seekIntervalMs);
+			// eslint-disable-next-line no-await-in-loop
+			stage = await run.nextStage();
+		}
+
+		progress.mayHaveRun ||= stage.kind !== 'notRun' && stage.kind !== 'unsent';
+		return stage;
+	}
+
 	#fail({scope, out, sent}: StreamProgress, reply: Reply): Reply {
 		if (out.isStarted) {
-			out.abort();
 			return {kind: 'streamed'};
 		}
 
@@ -172,15 +270,35 @@
 		}
 	}
 
-	/** Releases the placement after its use and reports the failures, successes and pace seen on its engines. */
+	/** Releases the placement after its use and reports the failures, successes and pace seen on its engines. A silent run keeps it. */
 	async #withPlacement(progress: StreamProgress, placement: StreamPlacement, use: () => Promise<RoundResult>): Promise<RoundResult> {
-		try {
-			return await use();
-		} finally {
+		let isReleased = false;
+		const release = (): void => {
+			if (isReleased) {
+				return;
+			}
+
+			isReleased = true;
 			const unreachable = [placement.decode, placement.prefill].map(({id}) => id).filter(id => this.parts.fleet.isUnreachable(toId<BackendId>(id)));
 			placement.release({
 				unreachable, pace: progress.pace, events: progress.isComplete ? progress.events : undefined, failed: progress.failed.splice(0), served: progress.served.splice(0), rejectedBy: progress.rejectedBy.splice(0),
 			});
+		};
+
+		let result: RoundResult | undefined;
+		try {
+			result = progress.isRetryDue && !this.parts.retryBudgets.tryAcquire(progress.service)
+				? {isFinal: true, reply: this.#fail(progress, errorReply(routerError('overloaded', 'the retry budget is exhausted', rejectedRetryAfterMs)))}
+				: await use();
+			return result;
+		} finally {
+			if (result?.silent === undefined) {
+				release();
+			} else {
+				// An earlier silent run has ended, or this one would have been waited for
+				void progress.silent?.run.outcome.then(progress.silent.release);
+				progress.silent = {...result.silent, release};
+			}
 		}
 	}
 
@@ -219,16 +337,17 @@
 		const prefilledAt = this.parts.clock.now();
 		const placedServer = this.#leases.findListed(placement.decode);
 		let engine = placement.decode.id;
-		let outcome: DecodeOutcome = {kind: 'unsent', detail: 'the engine is no longer listed'};
+		let outcome: RunStage = {kind: 'unsent', detail: 'the engine is no longer listed'};
+		let run: StreamRun | undefined;
 		let reserved: ReservedEngine | undefined = placedServer === undefined ? undefined : {server: placedServer, lease};
 		for (;;) {
 			if (reserved !== undefined) {
 				engine = toId<EngineId>(reserved.server.id);
 				// Engines are tried in sequence
 				// eslint-disable-next-line no-await-in-loop
-				outcome = await this.#runner.run(progress, reserved.server, {kind: 'decode', source, lease: reserved.lease}, () => {
+				({stage: outcome, run} = await this.#run(progress, reserved.server, {kind: 'decode', source, lease: reserved.lease}, () => {
 					placement.transferDone();
-				});
+				}));
 			}
 
 			if (outcome.kind !== 'notRun' || outcome.isMisdirected) {
@@ -249,7 +368,7 @@
 			void this.#prefillClient.free(source);
 		}
 
-		return this.#handleOutcome(progress, engine, outcome);
+		return this.#handleOutcome(progress, engine, outcome, run);
 	}
 
 	/** Retry delay for a refused caller, in milliseconds: the queue's wait plus a jitter that spreads the retries of many callers. */
@@ -258,7 +377,7 @@
 	}
 
 	/** Returns whether a prefill's result may be offered to another engine. */
-	#mayTryAnotherEngine({call, service, scope, sent}: StreamProgress, outcome: DecodeOutcome): boolean {
+	#mayTryAnotherEngine({call, service, scope, sent}: StreamProgress, outcome: RunStage): boolean {
 		if (scope.reason !== undefined) {
 			return false;
 		}
@@ -268,10 +387,10 @@
 
 	/** Runs prefill and decode on the same engine. */
 	async #runDirectly(progress: StreamProgress, placement: StreamPlacement, {server, lease}: ReservedEngine): Promise<RoundResult> {
-		const outcome = await this.#runner.run(progress, server, directPurpose(progress, lease), () => {
+		const {stage, run} = await this.#run(progress, server, directPurpose(progress, lease), () => {
 			placement.prefillDone();
 		});
-		return this.#handleOutcome(progress, placement.decode.id, outcome);
+		return this.#handleOutcome(progress, placement.decode.id, stage, run);
 	}
 
 	/** Runs prefill and decode on one decode engine when no prefill engine is available. */
@@ -327,13 +446,13 @@
 		const engine = addressOf(reserved);
 		const placement = this.parts.places.recordLeased(progress.call, progress.service, engine);
 		return this.#withPlacement(progress, placement, async () => {
-			const outcome = await this.#runner.run(progress, reserved.server, purpose, () => undefined);
-			return this.#handleOutcome(progress, engine.id, outcome);
+			const {stage, run} = await this.#run(progress, reserved.server, purpose, () => undefined);
+			return this.#handleOutcome(progress, engine.id, stage, run);
 		});
 	}
 
 	/** Decides from the outcome at one engine whether the call is retried. */
-	#handleOutcome(progress: StreamProgress, engine: EngineId, outcome: DecodeOutcome): RoundResult {
+	#handleOutcome(progress: StreamProgress, engine: EngineId, outcome: RunStage, run: StreamRun | undefined): RoundResult {
 		const {
 			call, service, scope, out,
 		} = progress;
@@ -350,6 +469,14 @@
 			return {isFinal: true, reply: outcome};
 		}
 
+		if (outcome.kind === 'silent') {
+			return {isFinal: false, reply: errorReply(routerError('answerLost', 'the engine is silent')), silent: {run: run!, engine}};
+		}
+
+		if (outcome.kind === 'superseded') {
+			return {isFinal: false, reply: {kind: 'streamed'}};
+		}
+
 		if (outcome.kind === 'unsent') {
 			return {isFinal: false, reply: errorReply(routerError('noBackend', outcome.detail, rejectedRetryAfterMs))};
 		}
@@ -363,6 +490,11 @@
 	}
 }
 
+/** The reply to a call of which an engine may have run a part: no refusal, since that would promise that none has. */
+const toCertainReply = (reply: Reply, {mayHaveRun}: StreamProgress): Reply => mayHaveRun && reply.kind === 'error' && errorResponses[reply.error.kind].run === 'no'
+	? errorReply(routerError('answerLost', reply.error.detail))
+	: reply;
+
 /** Declines a placement on an engine that leaves, asked for time or has used up its limit since the request, and lets the pool's owner know that the engine takes no streams. */
 const declinePlacement = ({call, excluded, rejectedBy}: StreamProgress, {decode}: StreamPlacement): void => {
 	log('A placement is declined: its engine takes no work.', {requestId: call.requestId, engine: decode.id});
