Answer what has arrived before a port closes

Callers on kept connections, and callers whose connection waited to be accepted, got no answer when a busy process came to the end of its stop: their requests were in the kernel's buffers and were reset with the connection.

Cause: a connection counted as idle while its request waited unread, and the listener was closed first, which resets what its queue holds.

A closing port now lets the event loop accept and read until nothing more has arrived, gives new connections 200 ms for their first request, answers all of it, and closes the listener last. The instance of the platform refuses such requests as not run; the product's own port serves them.

Two tests used `stopAccepting`, which is gone; they now close the listener, and one of them requires the refusal, which it allowed to be missing before.

--- a/packages/daemon/src/__tests__/unit/caller-listener.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-listener.test.ts
@@ -134,13 +134,14 @@
 	expect(servedCalls.map(({requestId}) => requestId)).toEqual(['early']);
 });
 
-test('forwards no call that arrives after the listener stopped accepting', async () => {
+test('refuses a call that arrives while the listener closes, and forwards nothing', async () => {
 	const socket = await openConnection();
 	send(socket, '/unsafe/1', 'first');
 	expect(await receiveUntil(socket, text => text.includes('done'))).toContain('200 OK');
-	listener.stopAccepting();
+	const closed = listener.close(1000);
 	send(socket, '/unsafe/2', 'second');
-	await receiveUntil(socket, text => text.includes('shuttingDown') || text === '');
+	expect(await receiveUntil(socket, text => text.includes('shuttingDown'))).toContain('503 ');
+	await closed;
 	expect(servedCalls.map(({requestId}) => requestId)).toEqual(['first']);
 });
 
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/late-requests.test.ts
@@ -0,0 +1,125 @@
+/** Requests that have arrived at a closing port, but were not read or accepted yet. */
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {connect} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect, test} from 'vitest';
+import {DrainablePort} from '../../fleet/drainable-port.js';
+import {listenOn} from '../../listen.js';
+import {ServerConnections} from '../../server-connections.js';
+
+const closeMs = 1000;
+const answerMs = 20;
+const request = 'GET / HTTP/1.1\r\nhost: a.example\r\n\r\n';
+
+/** A caller's connection. */
+class Caller {
+	text = '';
+	readonly closed: Promise<unknown>;
+	readonly socket: Socket;
+
+	constructor(port: number) {
+		this.socket = connect(port, '127.0.0.1');
+		this.socket.on('error', () => undefined);
+		this.socket.on('data', (bytes: Uint8Array) => {
+			this.text += bytes.toString();
+		});
+		this.closed = once(this.socket, 'close');
+	}
+
+	get answers(): number {
+		return this.text.split('HTTP/1.1 200').length - 1;
+	}
+}
+
+const openPort = async (): Promise<{readonly connections: ServerConnections; readonly port: number}> => {
+	const connections = new ServerConnections(createServer(), (_req, res) => {
+		setTimeout(() => {
+			res.writeHead(200, {'content-length': 2});
+			res.end('ok');
+		}, answerMs);
+	});
+	await listenOn(connections.server, '127.0.0.1:0');
+	return {connections, port: (connections.server.address() as AddressInfo).port};
+};
+
+const waitForAnswer = async (caller: Caller): Promise<void> => {
+	while (caller.answers === 0) {
+		await sleep(5); // eslint-disable-line no-await-in-loop
+	}
+};
+
+const closers = [
+	{
+		name: 'the connections of a port',
+		async close(connections: ServerConnections) {
+			await connections.close(closeMs);
+		},
+	},
+	{
+		name: 'a port that is drained',
+		async close(connections: ServerConnections) {
+			await new DrainablePort(connections).close();
+		},
+	},
+] as const;
+
+const arrivals = [
+	{
+		name: 'on a connection that was idle',
+		async prepare(port: number) {
+			const caller = new Caller(port);
+			caller.socket.write(request);
+			await waitForAnswer(caller);
+			caller.text = '';
+			return caller;
+		},
+		send(_port: number, caller: Caller | undefined) {
+			caller!.socket.write(request);
+			return caller!;
+		},
+	},
+	{
+		name: 'on a connection without a request',
+		async prepare(port: number) {
+			const caller = new Caller(port);
+			await once(caller.socket, 'connect');
+			return caller;
+		},
+		send(_port: number, caller: Caller | undefined) {
+			caller!.socket.write(request);
+			return caller!;
+		},
+	},
+	{
+		name: 'on a connection that waits to be accepted',
+		prepare: async () => undefined,
+		send(port: number) {
+			const caller = new Caller(port);
+			caller.socket.write(request);
+			return caller;
+		},
+	},
+	{
+		name: 'a moment later on a connection that waits to be accepted',
+		prepare: async () => undefined,
+		send(port: number) {
+			const caller = new Caller(port);
+			setTimeout(() => {
+				caller.socket.write(request);
+			}, 60);
+			return caller;
+		},
+	},
+] as const;
+
+// Guards against requests that end without an answer because a busy process closes before it has read them
+test.concurrent.each(closers.flatMap(closer => arrivals.map(arrival => ({closer, arrival, name: `${arrival.name}, at ${closer.name}`}))))('a request is answered that arrives as the port closes: $name', async ({closer, arrival}) => {
+	const {connections, port} = await openPort();
+	const idle = await arrival.prepare(port);
+	const caller = arrival.send(port, idle);
+	await closer.close(connections);
+	await caller.closed;
+	expect(caller.answers).toBe(1);
+});
--- a/packages/daemon/src/__tests__/unit/listener-stop.test.ts
+++ b/packages/daemon/src/__tests__/unit/listener-stop.test.ts
@@ -264,11 +264,11 @@
 	connection.send('/safe/short/large');
 	await until('the answer is written', () => listener.inProgress === 0 && served.length === 1);
 	beginStop(5000);
-	listener.stopAccepting();
+	const closed = listener.close(5000);
 	expect(listener.isIdle).toBe(false);
 	connection.socket.resume();
 	await until('the answer is sent', () => listener.isIdle);
-	await listener.close(1000);
+	await closed;
 	await until('the connection is closed', () => connection.isClosed);
 	expect(connection.bytes).toBeGreaterThan(longBody.length);
 });
--- a/packages/daemon/src/fleet/drainable-port.ts
+++ b/packages/daemon/src/fleet/drainable-port.ts
@@ -22,11 +22,10 @@
 		this.connections.setStallTimeout(closing ? this.stallMs : 0);
 	}
 
-	/** Takes no new connection, waits for the requests in progress, and closes what is left. */
+	/** Waits for the requests in progress, answers what still arrives until none does for a while, and closes what is left. */
 	async close(): Promise<void> {
-		this.connections.stopListening();
 		await this.#waitUntilQuiet();
-		this.connections.destroy();
+		await this.connections.close(quietMs);
 	}
 
 	async #waitUntilQuiet(): Promise<void> {
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -132,28 +132,20 @@
 		}
 	}
 
-	/** Stops accepting connections, and calls on open connections. Closes connections without a call in progress. */
-	stopAccepting(): void {
-		this.#isClosed = true;
-		this.#connections.stopListening();
-		this.#connections.closeIdle();
-	}
-
-	/** Ends the calls in progress and closes all connections; sending the responses takes at most `ms` milliseconds. */
+	/** Ends the calls in progress, refuses those that still arrive and closes all connections, within `ms` milliseconds at the latest. */
 	async close(ms: number): Promise<void> {
-		this.stopAccepting();
 		this.#endCalls();
 		await this.#connections.close(ms);
 	}
 
 	/** Ends the calls in progress and closes all connections at once. */
 	destroy(): void {
-		this.stopAccepting();
 		this.#endCalls();
 		this.#connections.destroy();
 	}
 
 	#endCalls(): void {
+		this.#isClosed = true;
 		this.parts.gate.open();
 		for (const scope of this.#openScopes) {
 			scope.limitTo(this.parts.clock.now());
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -7,6 +7,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer} from 'node:net';
 import type {Socket} from 'node:net';
+import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
 import {errorResponses, routerError, toErrorBody} from '@baobabpier/core';
 import type {ErrorKind} from '@baobabpier/core';
 import {createLog} from './log.js';
@@ -16,6 +17,10 @@
 const lingerMs = 2000;
 /** Idle timeout, while the server is closing, of a connection whose last response did not announce that, in milliseconds. */
 const closingIdleTimeoutMs = 500;
+/** Time that a new connection has for its first request while the server closes, in milliseconds: more than the round trip to most callers. */
+const firstRequestMs = 200;
+/** Interval at which that is checked, in milliseconds. */
+const firstRequestCheckMs = 10;
 
 /** Thrown into the body of a request whose further bytes are no part of a request. */
 export class MalformedBodyError extends Error {
@@ -32,6 +37,7 @@
 };
 
 type Connection = {
+	readonly openedAt: number;
 	/** Requests whose responses have not been sent completely; only the first one has reached the handler. */
 	readonly exchanges: Exchange[];
 	/** Why the bytes after the last request were refused. */
@@ -87,6 +93,8 @@
 	readonly #connections = new Map<Socket, Connection>();
 	readonly #idleWaiters = new Set<() => void>();
 	#active = 0;
+	/** Number of connections accepted so far. */
+	#opened = 0;
 	#isClosing = false;
 	#stallTimeoutMs = 0;
 
@@ -161,30 +169,63 @@
 		});
 	}
 
-	/** Stops accepting connections. The `close` of an HTTP server would also break off responses that are ended but not sent. */
-	stopListening(): void {
-		NetServer.prototype.close.call(this.server);
+	/**
+	 * Closes all connections after their responses, and refuses new ones, within `ms` milliseconds at the latest. What callers have
+	 * sent by then still reaches the handler: a busy process has connections to accept and requests to read that it does not know of.
+	 */
+	async close(ms: number): Promise<void> {
+		const deadline = performance.now() + ms;
+		this.setClosing(true);
+		await this.#finishArrived(deadline);
+		this.#stopListening();
+		await this.#finishArrived(deadline);
+		this.destroy();
 	}
 
-	/** Closes the connections without a response in progress. */
-	closeIdle(): void {
-		for (const [socket, {exchanges, refusal}] of this.#connections) {
-			if (exchanges.length === 0 && refusal === undefined) {
-				socket.destroy();
-			}
+	/** Reads and answers what callers have sent until now. */
+	async #finishArrived(deadline: number): Promise<void> {
+		await this.#readArrived(deadline);
+		while (performance.now() < deadline && this.#awaitsFirstRequest()) {
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(firstRequestCheckMs);
 		}
+
+		await this.waitUntilIdle(deadline - performance.now());
+		await this.#readArrived(deadline);
+		await this.waitUntilIdle(deadline - performance.now());
 	}
 
-	/** Closes all connections: idle ones at once, others after their response, but after `ms` milliseconds at the latest. */
-	async close(ms: number): Promise<void> {
-		this.setClosing(true);
-		this.closeIdle();
-		await this.waitUntilIdle(ms);
-		this.destroy();
+	/** Lets the event loop accept and read until nothing more has arrived. */
+	async #readArrived(deadline: number): Promise<void> {
+		let before: number;
+		do {
+			before = this.#received;
+			// A whole poll phase lies between two turns
+			// eslint-disable-next-line no-await-in-loop
+			await nextTurn();
+			// eslint-disable-next-line no-await-in-loop
+			await nextTurn();
+		} while (this.#received !== before && performance.now() < deadline);
+	}
+
+	/** Changes with each connection that is accepted and each byte that is read. */
+	get #received(): number {
+		return [...this.#connections.keys()].reduce((sum, {bytesRead}) => sum + bytesRead, this.#opened);
+	}
+
+	#awaitsFirstRequest(): boolean {
+		const now = performance.now();
+		return [...this.#connections].some(([{bytesRead}, {openedAt}]) => bytesRead === 0 && now - openedAt < firstRequestMs);
+	}
+
+	/** Stops accepting connections. The `close` of an HTTP server would also break off responses that are ended but not sent. */
+	#stopListening(): void {
+		NetServer.prototype.close.call(this.server);
 	}
 
 	/** Closes all connections at once; responses in progress are broken off. */
 	destroy(): void {
+		this.#stopListening();
 		for (const [socket, {exchanges}] of this.#connections) {
 			const [first] = exchanges;
 			if (first !== undefined) {
@@ -196,7 +237,8 @@
 	}
 
 	#open(socket: Socket): void {
-		const connection: Connection = {exchanges: [], refusal: undefined};
+		this.#opened += 1;
+		const connection: Connection = {openedAt: performance.now(), exchanges: [], refusal: undefined};
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
