Keep a silent attempt of a safe call until another server answers

A safe call whose server paused for longer than six times its usual time was given up there and sent to another one. Where the others were full or paused as well, callers got 502 or 504, or the answer came later than from the first server, and each attempt began the work anew.

Another attempt now begins beside the silent one, within the same limits of attempts and budget, and the first answer ends the others. A server counts as failing only where it was silent and another one answered first.

--- a/packages/daemon/src/__tests__/unit/silent-engines.test.ts
+++ b/packages/daemon/src/__tests__/unit/silent-engines.test.ts
@@ -146,6 +146,63 @@
 	expect({status: statusOf(answer), events: eventsOf(answer), runs: [runsOf(one), runsOf(other)]}).toEqual({status, events, runs});
 }, 10_000);
 
+type PlainCase = {
+	readonly name: string;
+	readonly path: '/safe/' | '/unsafe/';
+	/** Time until each server in the order in which they get the call answers, in milliseconds; undefined where it is full. */
+	readonly answerMs: ReadonlyArray<number | undefined>;
+	readonly status: string;
+	/** Position of the server that answered. */
+	readonly answeredBy: number | undefined;
+	readonly runs: number;
+};
+
+const plainCases: readonly PlainCase[] = [
+	{
+		name: 'a server is silent and the others answer', path: '/safe/', answerMs: [2000, 0, 0], status: '200', answeredBy: 1, runs: 2,
+	},
+	{
+		name: 'a server is silent and goes on, the others are full', path: '/safe/', answerMs: [1400, undefined, undefined], status: '200', answeredBy: 0, runs: 3,
+	},
+	{
+		name: 'all servers are silent, the first one goes on first', path: '/safe/', answerMs: [1400, 1800, 1900], status: '200', answeredBy: 0, runs: 3,
+	},
+	{
+		name: 'all servers are silent, the last one goes on first', path: '/safe/', answerMs: [1900, 1800, 500], status: '200', answeredBy: 2, runs: 3,
+	},
+	{
+		name: 'a server of a call that may run once is silent', path: '/unsafe/', answerMs: [1400, 0, 0], status: '200', answeredBy: 0, runs: 1,
+	},
+	{
+		name: 'a server is silent until the deadline, the others are full', path: '/safe/', answerMs: [4000, undefined, undefined], status: '504', answeredBy: undefined, runs: 3,
+	},
+];
+
+// Guards against attempts of plain calls that are given up for others that answer later or not at all
+test.concurrent.each(plainCases)('when $name, a plain call ends with $status', async ({path, answerMs, status, answeredBy, runs}) => {
+	const own = new GatewayHarness();
+	let arrived = 0;
+	const respond: Respond = async ({socket, id}) => {
+		const position = arrived++;
+		const ms = answerMs[position];
+		if (ms === undefined) {
+			socket.write(refusal(id));
+			return;
+		}
+
+		await sleep(ms);
+		if (!socket.destroyed) {
+			socket.write(`${head(id, 'content-length: 1\r\n')}${position}`);
+		}
+	};
+
+	const engines = await Promise.all(answerMs.map(async (_, index) => own.startEngine(`e${index}`, 'decode', respond)));
+	const gateway = await own.startGateway(engines.map(engine => [engine, engine] as const));
+	const answer = await exchangeRaw(gateway, path, 'r1');
+	own.close();
+	expect({status: statusOf(answer), runs: arrived, answeredBy: status === '200' ? Number(answer.at(-1)) : undefined}).toEqual({status, runs, answeredBy});
+}, 10_000);
+
 // Guards against one silent engine whose streams all begin again elsewhere at once
 test('of many streams of an engine that is silent for a moment, few begin at another one', async () => {
 	const streams = 40;
--- /dev/null
+++ b/packages/daemon/src/gateway/plain-attempt.ts
@@ -0,0 +1,68 @@
+/** One attempt of a plain call at a server. */
+import {createLog} from '../log.js';
+import type {CallScope} from './call-scope.js';
+
+const log = createLog('plain');
+
+/** What an attempt needs to know of its call while it runs. */
+export type AttemptControl = {
+	readonly signal: AbortSignal;
+	/** Whether the attempt was ended because another one has the answer. */
+	readonly isSuperseded: () => boolean;
+	/** Whether the server had been silent for too long. */
+	readonly isSilent: () => boolean;
+};
+
+/**
+ * An attempt in progress. A silent one goes on: another attempt may begin beside it, and the first answer ends the others.
+ *
+ * @example
+ * const attempt = new PlainAttempt(scope, async control => send(control), 250);
+ * await Promise.race([attempt.settled, attempt.silence]);
+ */
+export class PlainAttempt<Outcome> {
+	readonly settled: Promise<{readonly attempt: PlainAttempt<Outcome>; readonly outcome: Outcome}>;
+	/** Resolves once the server has been silent for too long. */
+	readonly silence: Promise<undefined>;
+	readonly #abort = new AbortController();
+	#isSuperseded = false;
+	#isSilent = false;
+
+	/** A `silenceMs` of undefined means that no other attempt may begin. */
+	constructor(scope: CallScope, send: (control: AttemptControl) => Promise<Outcome>, silenceMs: number | undefined) {
+		const abortWithCall = (): void => {
+			this.#abort.abort(scope.signal.reason);
+		};
+
+		scope.signal.addEventListener('abort', abortWithCall, {once: true});
+		let timer: NodeJS.Timeout | undefined;
+		this.silence = new Promise(resolve => {
+			timer = silenceMs === undefined
+				? undefined
+				: setTimeout(() => {
+					this.#isSilent = true;
+					resolve(undefined);
+				}, silenceMs);
+		});
+		const run = async (): Promise<{readonly attempt: PlainAttempt<Outcome>; readonly outcome: Outcome}> => {
+			try {
+				return {attempt: this, outcome: await send({signal: this.#abort.signal, isSuperseded: () => this.#isSuperseded, isSilent: () => this.#isSilent})};
+			} finally {
+				clearTimeout(timer);
+				scope.signal.removeEventListener('abort', abortWithCall);
+			}
+		};
+
+		this.settled = run();
+	}
+
+	/** Ends the attempt because another one has the answer. */
+	supersede(): void {
+		this.#isSuperseded = true;
+		// Nobody waits for its outcome any more
+		this.settled.catch((error: unknown) => {
+			log('A superseded attempt failed.', {error: (error as Error).message});
+		});
+		this.#abort.abort(new Error('another server answered first'));
+	}
+}
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -13,15 +13,17 @@
 import {resultOfUnsent} from './fleet-view.js';
 import type {FleetView} from './fleet-view.js';
 import {errorReply} from './reply.js';
+import {PlainAttempt} from './plain-attempt.js';
+import type {AttemptControl} from './plain-attempt.js';
 import type {Reply} from './reply.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import type {ResponseHead, Call, ServerDialect} from './types.js';
 
 const log = createLog('plain');
-/** A safe call is retried on another server after this many times the usual response time without a response. */
-const attemptTimeoutFactor = 6;
-/** Minimum timeout of an attempt of a safe call, in milliseconds. */
-const minAttemptTimeoutMs = 250;
+/** Another server gets a safe call too after this many times the usual response time without a response. */
+const attemptSilenceFactor = 6;
+/** Least time without a response after which that happens, in milliseconds. */
+const minAttemptSilenceMs = 250;
 /** Minimum retry delay suggested to the caller when every server is full, in milliseconds: several usual response times. */
 const minRetryAfterMs = 120;
 /** Jitter added to the suggested retry delay, in milliseconds, so that callers don't retry at the same time. */
@@ -44,15 +46,19 @@
 	readonly random: RandomSource;
 };
 
-type AttemptTimeout = ReturnType<CallScope['createTimeout']>;
-
-type Attempt =
+type AttemptResult =
 	/** The server's complete response to this call. */
 	| {readonly kind: 'answer'; readonly head: ResponseHead; readonly body: Uint8Array}
 	/** The server reports that it did not execute the call. */
 	| {readonly kind: 'notRun'; readonly isMisdirected: boolean}
 	| TransportFailure;
 
+type Outcome = {
+	readonly result: AttemptResult;
+	readonly server: ListedServer;
+	readonly load: ServerLoad;
+};
+
 /** Sends calls whose responses are buffered completely before they are forwarded to the caller. */
 export class PlainRoute {
 	constructor(private readonly parts: PlainRouteParts) {}
@@ -73,47 +79,73 @@
 			retryBudgets, fleet, guard, dataCentre, clock, random,
 		} = this.parts;
 		const tried = new Set<BackendId>();
+		const open = new Set<PlainAttempt<Outcome>>();
 		let attempts = 0;
 		let lastReply: Reply | undefined;
 		/** Whether an attempt may have been executed: a later refusal then says nothing about the call. */
 		let mayHaveRun = false;
 		while (scope.reason === undefined) {
-			// Attempts run one after another
+			// Attempts begin one after another
 			// eslint-disable-next-line no-await-in-loop
 			const decision = await guard.admit(call, scope, maxTrialWaitMs(call, scope));
-			if (decision.kind === 'quarantined' || decision.kind === 'busy') {
+			const isRefused = decision.kind === 'quarantined' || decision.kind === 'busy';
+			if (isRefused && open.size === 0) {
 				const refusal = decision.kind === 'busy' ? routerError('overloaded', 'requests that may have crashed a server run one at a time', this.#retryAfterMs(call, service)) : routerError('quarantined');
 				lastReply = mayHaveRun ? lastReply : errorReply(refusal);
 				break;
 			}
 
-			const load = chooseServer(fleet.loads(service, isUrgent(call)), dataCentre, tried, clock.now(), random.next());
+			const load = isRefused ? undefined : chooseServer(fleet.loads(service, isUrgent(call)), dataCentre, tried, clock.now(), random.next());
 			const server = load === undefined ? undefined : fleet.get(load.id);
-			if (load === undefined) {
+			if (load === undefined && !isRefused) {
 				fleet.logUnavailable(call.requestId, service, undefined, isUrgent(call));
 			}
 
-			if (load === undefined || server === undefined || attempts >= call.route.maxAttempts || (attempts > 0 && !retryBudgets.tryAcquire(service))) {
+			const begun = attempts + open.size;
+			let silence: Promise<undefined> | undefined;
+			if (load !== undefined && server !== undefined && begun < call.route.maxAttempts && (begun === 0 || retryBudgets.tryAcquire(service))) {
+				tried.add(server.id);
+				const canRetry = call.route.kind === 'safe' && begun + 1 < call.route.maxAttempts;
+				const attempt = new PlainAttempt<Outcome>(scope, async control => {
+					const result = await this.#send(call, server, load, scope, control);
+					return {result, server, load};
+				}, canRetry ? Math.max(minAttemptSilenceMs, attemptSilenceFactor * (load.usualMs ?? 0)) : undefined);
+				open.add(attempt);
+				({silence} = attempt);
+			} else if (open.size === 0) {
 				break;
 			}
 
-			tried.add(server.id);
-			const canRetry = call.route.kind === 'safe' && attempts + 1 < call.route.maxAttempts;
 			// eslint-disable-next-line no-await-in-loop
-			const attempt = await this.#send(call, server, load, scope, canRetry);
-			attempts += attempt.kind === 'unsent' ? 0 : 1;
+			const settled = await Promise.race([...[...open].map(async attempt => attempt.settled), ...(silence === undefined ? [] : [silence])]);
+			if (settled === undefined) {
+				log('A server is silent.', {requestId: call.requestId, server: server?.id, open: open.size});
+				continue;
+			}
+
+			open.delete(settled.attempt);
+			const {result, load: {inFlight, failing}} = settled.outcome;
+			attempts += result.kind === 'unsent' ? 0 : 1;
 			log('A call got an outcome at a server.', {
-				requestId: call.requestId, server: server.id, digest: call.sharedSegments[0], attempt: attempts, outcome: attempt.kind, status: attempt.kind === 'answer' ? attempt.head.status : undefined,
-				detail: 'detail' in attempt ? attempt.detail : undefined, inFlight: load.inFlight, failing: Number(load.failing.toFixed(2)), leftMs: Math.round(scope.remainingMs()),
+				requestId: call.requestId, server: settled.outcome.server.id, digest: call.sharedSegments[0], attempt: attempts, outcome: result.kind, status: result.kind === 'answer' ? result.head.status : undefined,
+				detail: 'detail' in result ? result.detail : undefined, inFlight, failing: Number(failing.toFixed(2)), leftMs: Math.round(scope.remainingMs()),
 			});
-			const isCertainlyNotRun = attempt.kind === 'unsent' || attempt.kind === 'notRun';
-			lastReply = mayHaveRun && isCertainlyNotRun ? lastReply : this.#replyTo(attempt, call, service, scope);
+			const isCertainlyNotRun = result.kind === 'unsent' || result.kind === 'notRun';
+			lastReply = mayHaveRun && isCertainlyNotRun ? lastReply : this.#replyTo(result, call, service, scope);
 			mayHaveRun ||= !isCertainlyNotRun;
-			if (isFinal(call, attempt)) {
+			if (isFinal(call, result)) {
 				break;
 			}
 		}
 
+		if (open.size > 0 && scope.reason !== undefined) {
+			lastReply = errorReply(routerError('timeout'));
+		}
+
+		for (const attempt of open) {
+			attempt.supersede();
+		}
+
 		if (scope.reason === 'callerGone') {
 			return {kind: 'streamed'};
 		}
@@ -122,7 +154,7 @@
 	}
 
 	/** The reply to the caller when this attempt is the last. */
-	#replyTo(attempt: Attempt, call: Call, service: ServiceName, scope: CallScope): Reply {
+	#replyTo(attempt: AttemptResult, call: Call, service: ServiceName, scope: CallScope): Reply {
 		switch (attempt.kind) {
 			case 'answer': {
 				return {kind: 'relay', head: attempt.head, body: attempt.body};
@@ -143,30 +175,23 @@
 		}
 	}
 
-	async #send(call: Call, server: ListedServer, load: ServerLoad, scope: CallScope, canRetry: boolean): Promise<Attempt> {
+	async #send(call: Call, server: ListedServer, load: ServerLoad, scope: CallScope, control: AttemptControl): Promise<AttemptResult> {
 		const {fleet, transport, dialect} = this.parts;
-		const timeoutMs = canRetry ? Math.max(minAttemptTimeoutMs, attemptTimeoutFactor * (load.usualMs ?? 0)) : scope.remainingMs();
-		const timeout = scope.createTimeout(Math.min(timeoutMs, scope.remainingMs()));
 		const endCall = fleet.begin(server.id);
 		const response = await transport.sendRequest({
-			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'run'}, scope.remainingMs()), body: call.body, signal: timeout.signal, isUrgent: isUrgent(call),
+			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'run'}, scope.remainingMs()), body: call.body, signal: control.signal, isUrgent: isUrgent(call),
 		});
 		if (response.kind !== 'head') {
-			this.#recordBroken(call, server, response, scope, timeout, 'sent');
-			timeout.release();
-			endCall(scope.reason === 'callerGone' ? 'none' : (response.kind === 'unsent' ? resultOfUnsent(response) : 'failed'));
+			this.#recordBroken(call, server, response, scope, control, 'sent');
+			endCall(isNoEvidence(scope, control) ? 'none' : (response.kind === 'unsent' ? resultOfUnsent(response) : 'failed'));
 			return response;
 		}
 
 		const head = dialect.readHead(response.status, response.rawHeaders);
 		const body = await transport.readBody(response);
 		if ('kind' in body) {
-			this.#recordBroken(call, server, body, scope, timeout, 'begun');
-		}
-
-		timeout.release();
-		if ('kind' in body) {
-			endCall(scope.reason === 'callerGone' ? 'none' : 'failed');
+			this.#recordBroken(call, server, body, scope, control, 'begun');
+			endCall(isNoEvidence(scope, control) ? 'none' : 'failed');
 			return body;
 		}
 
@@ -186,9 +211,9 @@
 	}
 
 	/** Tells the guard of a connection that broke under a call, unless this instance broke it. */
-	#recordBroken(call: Call, server: ListedServer, {kind}: TransportFailure, scope: CallScope, timeout: AttemptTimeout, phase: RunPhase): void {
+	#recordBroken(call: Call, server: ListedServer, {kind}: TransportFailure, scope: CallScope, control: AttemptControl, phase: RunPhase): void {
 		const {guard} = this.parts;
-		if (kind === 'broken' && scope.reason === undefined && !timeout.hasExpired()) {
+		if (kind === 'broken' && scope.reason === undefined && !control.isSuperseded()) {
 			guard.recordBroken(call, {id: toId<EngineId>(server.id), address: server.address}, phase);
 		}
 
@@ -203,6 +228,9 @@
 	}
 }
 
+/** Whether the end of an attempt says nothing about its server: it was ended for another reason than a silence. */
+const isNoEvidence = (scope: CallScope, {isSuperseded, isSilent}: AttemptControl): boolean => scope.reason === 'callerGone' || (isSuperseded() && !isSilent());
+
 /** Time that a call may wait for its trial, in milliseconds: it leaves as much to run. */
 const maxTrialWaitMs = (call: Call, scope: CallScope): number => Math.min(scope.remainingMs() * maxTrialWaitFraction, call.route.targetLatencyMs * trialWaitTargets);
 
@@ -219,7 +247,7 @@
 };
 
 /** Whether an attempt is the last of its call: a retry is not allowed or can't help. */
-const isFinal = (call: Call, attempt: Attempt): boolean => {
+const isFinal = (call: Call, attempt: AttemptResult): boolean => {
 	switch (attempt.kind) {
 		case 'answer': {
 			return call.route.kind !== 'safe' || attempt.head.status < minServerErrorStatus;
--- a/packages/daemon/src/gateway/stream-run.ts
+++ b/packages/daemon/src/gateway/stream-run.ts
@@ -84,7 +84,7 @@
 		this.#pace = new OutputPace(clock.now());
 		progress.runs.add(this);
 		this.#awaitEvent(firstEventSilenceMs);
-		this.outcome = this.#run();
+		this.outcome = this.#runSafely();
 	}
 
 	/** Whether the engine has sent nothing for a while, and the run is not over. */
@@ -117,6 +117,18 @@
 		}
 	}
 
+	/** A run that fails in itself must still end for those who wait for it. */
+	async #runSafely(): Promise<DecodeOutcome> {
+		try {
+			return await this.#run();
+		} catch (error) {
+			log('A run failed with an internal error.', {requestId: this.progress.call.requestId, error: (error as Error).stack ?? String(error)});
+			this.#abort.abort(error);
+			this.#end();
+			return {kind: 'broken', detail: 'internal error'};
+		}
+	}
+
 	async #run(): Promise<DecodeOutcome> {
 		const {progress, request: {server, purpose}, parts: {transport, dialect, fleet, guard, clock}} = this;
 		const {call} = progress;
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -182,6 +182,19 @@
 		this.destroy();
 	}
 
+	/** Closes all connections at once; responses in progress are broken off. */
+	destroy(): void {
+		this.#stopListening();
+		for (const [socket, {exchanges}] of this.#connections) {
+			const [first] = exchanges;
+			if (first !== undefined) {
+				breakOff(first.res);
+			}
+
+			socket.destroy();
+		}
+	}
+
 	/** Reads and answers what callers have sent until now. */
 	async #finishArrived(deadline: number): Promise<void> {
 		await this.#readArrived(deadline);
@@ -223,19 +236,6 @@
 		NetServer.prototype.close.call(this.server);
 	}
 
-	/** Closes all connections at once; responses in progress are broken off. */
-	destroy(): void {
-		this.#stopListening();
-		for (const [socket, {exchanges}] of this.#connections) {
-			const [first] = exchanges;
-			if (first !== undefined) {
-				breakOff(first.res);
-			}
-
-			socket.destroy();
-		}
-	}
-
 	#open(socket: Socket): void {
 		this.#opened += 1;
 		const connection: Connection = {openedAt: performance.now(), exchanges: [], refusal: undefined};
