Divide budgets by the largest number of entry instances that is reported

Each control instance counts only the entry instances that poll it, and an entry instance polls three of them. Where there are more, most counts are too low, and the last response decided: all entry instances together could use more retries and connections than allowed. Found by reading after operators reported repeats beyond the budget; that this was their cause isn't shown.

The largest number reported in the last 5 s counts now.

--- a/packages/daemon/src/__tests__/unit/control-watch.test.ts
+++ b/packages/daemon/src/__tests__/unit/control-watch.test.ts
@@ -18,9 +18,9 @@
 const documentOf = (version: number): RoutingDocument => ({version: toId<RoutingVersion>(version), text: ''});
 
 /** What a control instance answers; undefined where it doesn't. */
-type Answer = {readonly version: number; readonly hearsQuorum: boolean; readonly controls: readonly InstanceId[]};
+type Answer = {readonly version: number; readonly hearsQuorum: boolean; readonly controls: readonly InstanceId[]; readonly entries?: number};
 
-const responseOf = ({version, hearsQuorum, controls}: Answer): WatchResponse => ({
+const responseOf = ({version, hearsQuorum, controls, entries = 1}: Answer): WatchResponse => ({
 	dataCentre,
 	routingVersion: toId<RoutingVersion>(version),
 	routing: documentOf(version),
@@ -34,7 +34,7 @@
 	suspects: undefined,
 	limits: undefined,
 	controls,
-	entries: 1,
+	entries,
 });
 
 type Case = {
@@ -58,12 +58,12 @@
 	},
 ];
 
-// Guards against an entry instance that knows only seeds outside of the log and never finds its members, or acts on what those seeds hold
-test.concurrent.each(cases)('when $name, the versions in force are $inForce', async ({answers, inForce}) => {
+const createWatch = (answers: ReadonlyMap<InstanceId, Answer>, onRouting: (version: number) => void): ControlWatch => {
 	const peers = {
 		get: (id: InstanceId) => ({
 			async call(): Promise<WatchResponse> {
-				await sleep(pollMs);
+				// Different times, so that the answers of two instances alternate
+				await sleep(id === a ? pollMs : 3 * pollMs);
 				const answer = answers.get(id);
 				if (answer === undefined) {
 					throw new RpcCallError('silent', false);
@@ -73,15 +73,14 @@
 			},
 		}),
 	} as unknown as Peers;
-	const seen: number[] = [];
-	const watch = new ControlWatch({
+	return new ControlWatch({
 		self: toId<InstanceId>('entry'),
 		dataCentre,
 		seeds: () => [a, b, c],
 		peers,
 		clock: monotonicClock,
 		onRouting({version}) {
-			seen.push(version);
+			onRouting(version);
 			return true;
 		},
 		onList: () => undefined,
@@ -90,6 +89,14 @@
 		onLimits: () => undefined,
 		onLeader: () => undefined,
 	});
+};
+
+// Guards against an entry instance that knows only seeds outside of the log and never finds its members, or acts on what those seeds hold
+test.concurrent.each(cases)('when $name, the versions in force are $inForce', async ({answers, inForce}) => {
+	const seen: number[] = [];
+	const watch = createWatch(answers, version => {
+		seen.push(version);
+	});
 	watch.start();
 	const deadline = Date.now() + observationMs;
 	while (Date.now() < deadline && (inForce.length === 0 || seen.length === 0)) {
@@ -99,3 +106,17 @@
 	watch.stop();
 	expect(seen).toEqual(inForce);
 });
+
+// Guards against retry budgets and connections that are divided by too few instances: a control instance knows only those that poll it
+test('the number of entry instances is the largest that a control instance reports', async () => {
+	const watch = createWatch(new Map([[a, {...member, controls: [a, b, c], entries: 3}], [b, {...member, controls: [a, b, c], entries: 8}], [c, {...member, controls: [a, b, c], entries: 2}]]), () => undefined);
+	watch.start();
+	const counts: number[] = [];
+	while (counts.length < 100) {
+		await sleep(pollMs); // eslint-disable-line no-await-in-loop
+		counts.push(watch.entryInstanceCount);
+	}
+
+	watch.stop();
+	expect(Math.min(...counts.slice(50))).toBe(8);
+});
--- a/packages/daemon/src/gateway/control-watch.ts
+++ b/packages/daemon/src/gateway/control-watch.ts
@@ -24,6 +24,8 @@
 const maxSources = 3;
 /** Time for which a newly selected source is kept without a response, in milliseconds: a longer round trip than between any two data centres, and the confirmation of a read. */
 const trialMs = 600;
+/** Time for which the largest number of entry instances that a control instance reported is kept, in milliseconds: each one knows only those that poll it. */
+const entryCountHoldMs = 5000;
 /** Maximum number of control instances that are tried because one without contact to a majority named them. */
 const maxReferrals = 64;
 /** A source whose last response is not older than this counts as healthy, in milliseconds. */
@@ -66,7 +68,7 @@
 	#listDigest: string | undefined;
 	#listReadAt = Number.NEGATIVE_INFINITY;
 	#leader: InstanceId | undefined;
-	#entryInstanceCount = 1;
+	#entryCount = {value: 1, at: Number.NEGATIVE_INFINITY};
 	#isStopped = false;
 	#rotation = 0;
 	#timer: NodeJS.Timeout | undefined;
@@ -84,9 +86,9 @@
 		return this.#leader;
 	}
 
-	/** Number of entry instances that the control instances report; at least 1. */
+	/** Largest number of entry instances that a control instance reported lately; at least 1. */
 	get entryInstanceCount(): number {
-		return this.#entryInstanceCount;
+		return this.#entryCount.value;
 	}
 
 	/** Age of the server list in force, in milliseconds; infinite before the first. */
@@ -220,7 +222,7 @@
 		if (response.hearsQuorum) {
 			this.#controls = response.controls;
 			this.#referrals.clear();
-			this.#entryInstanceCount = Math.max(1, response.entries);
+			this.#recordEntryCount(response.entries);
 			if (response.leader !== this.#leader && response.leader !== undefined) {
 				log('The control log has another leader.', {leader: response.leader, before: this.#leader, source: source.id});
 				this.#leader = response.leader;
@@ -242,6 +244,14 @@
 		this.#applyList(response);
 	}
 
+	/** Budgets and connections are divided by this number, so one that is too low would let all instances together use too many. */
+	#recordEntryCount(count: number): void {
+		const now = this.parts.clock.now();
+		if (count >= this.#entryCount.value || now - this.#entryCount.at > entryCountHoldMs) {
+			this.#entryCount = {value: Math.max(1, count), at: now};
+		}
+	}
+
 	#applyRouting(source: Source, response: WatchResponse, withContent: boolean): void {
 		const {routing, routingVersion} = response;
 		const isNewer = routingVersion !== undefined && (this.#version === undefined || routingVersion > this.#version);
