Bound what a process keeps of bodies without end

An entrance of the product's own interface kept whatever a faulty server sent: results of peers, reports and events of engines, the platform's list, results at the command line. A process with 96 MB of heap ended out of memory, and the calls of all its callers with it. On the platform's way each body was bounded, but not their sum: 40 answers without end at once took a process from 88 to 430 MB. Chunk extensions without end kept a connection busy until the call's deadline.

Callers' bodies count until their call is over; they counted only while they were read. The framing of a response is limited in proportion to its body.

Interim responses, header fields and trailers without end were bounded before. The bounds of the command line and of operators' bodies have no test.

--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -1,4 +1,5 @@
 /** Calls an instance's operators' methods. */
+import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
 import type {RpcMethod} from '@baobabpier/core';
@@ -7,6 +8,8 @@
 import {request} from 'undici';
 
 const callMs = 10_000;
+/** Maximum size of a result, in bytes: that of the largest catalogue with its history. */
+const maxResultBytes = 64 * 1024 * 1024;
 
 /** Where an instance is and how to prove who asks. */
 export type OperatorTarget = {
@@ -15,6 +18,22 @@
 	readonly secretFile: string;
 };
 
+/** Reads a body whole. Throws Error when it is too long. */
+const readText = async (body: AsyncIterable<Uint8Array>): Promise<string> => {
+	const chunks: Uint8Array[] = [];
+	let bytes = 0;
+	for await (const chunk of body) {
+		bytes += chunk.length;
+		if (bytes > maxResultBytes) {
+			throw new Error(`the answer is over ${maxResultBytes} bytes`);
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString();
+};
+
 /**
  * Calls a method.
  *
@@ -33,7 +52,7 @@
 		// Closes the connection after the call
 		reset: true,
 	});
-	const response = await answer.body.json() as JSONRPCResponse;
+	const response = JSON.parse(await readText(answer.body)) as JSONRPCResponse;
 	if (answer.statusCode !== 200 || response.error !== undefined) {
 		throw new Error(`${command.method}: ${response.error?.message ?? `HTTP status ${answer.statusCode}`}`);
 	}
--- a/packages/daemon/src/engine/http-engine-client.ts
+++ b/packages/daemon/src/engine/http-engine-client.ts
@@ -1,6 +1,5 @@
 /** The adapter to engines that speak the stand-in's HTTP dialect. */
 import {Buffer} from 'node:buffer';
-import {json} from 'node:stream/consumers';
 import {
 	EngineFaultError, err, ok, toId,
 } from '@baobabpier/core';
@@ -145,8 +144,13 @@
 			return err(faultOf(answer));
 		}
 
+		const bytes = await this.#transport.readBody(answer);
+		if ('kind' in bytes) {
+			return err(faultOf(bytes));
+		}
+
 		try {
-			const body = await json(answer.body);
+			const body: unknown = JSON.parse(Buffer.from(bytes).toString());
 			return answer.status === 200 ? ok(body as T) : err(faultOfStatus(answer.status, body as {kind?: string}));
 		} catch (error) {
 			return err(lostBy(error));
--- a/packages/daemon/src/engine/sse-reader.ts
+++ b/packages/daemon/src/engine/sse-reader.ts
@@ -1,5 +1,8 @@
 /** Reads server-sent events from a byte stream. */
 
+/** Maximum length of one event, in characters. */
+const maxEventLength = 256 * 1024;
+
 /** One event, or a comment line that keeps the connection alive. */
 export type SseItem =
 	| {readonly kind: 'data'; readonly data: string}
@@ -13,6 +16,7 @@
 /**
  * Yields the events of a stream as they arrive.
  *
+ * @throws Error when an event is too long.
  * @see WHATWG HTML, section 9.2, "Server-sent events".
  * @example
  * for await (const item of readSse(answer.body)) handle(item);
@@ -28,5 +32,9 @@
 			buffer = buffer.slice(end + 2);
 			end = buffer.indexOf('\n\n');
 		}
+
+		if (buffer.length > maxEventLength) {
+			throw new Error(`an event is over ${maxEventLength} characters`);
+		}
 	}
 }
--- a/packages/daemon/src/gateway/call-body-reader.ts
+++ b/packages/daemon/src/gateway/call-body-reader.ts
@@ -1,38 +1,39 @@
 /** Reads the bodies of callers' calls within limits of size and memory. */
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {routerError} from '@baobabpier/core';
 import type {RouterError} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import {MalformedBodyError} from '../server-connections.js';
+import type {BufferAccount} from '../transport/buffer-account.js';
 
 const log = createLog('callers');
-/** Maximum bytes of request bodies that are buffered at a time; a quarter of the smallest instance's memory. */
-const maxBufferedBytes = 40 * 1024 * 1024;
-
 /** Reads bodies for one listener. */
 export class CallBodyReader {
-	#bufferedBytes = 0;
+	constructor(private readonly buffers: BufferAccount) {}
 
 	/**
-	 * Reads a complete request body of at most `maxBytes` bytes.
+	 * Reads a complete request body of at most `maxBytes` bytes; its bytes count as buffered until `res` closes.
 	 *
 	 * @example
-	 * const body = await reader.read(req, 4 * 1024 * 1024);
+	 * const body = await reader.read(req, res, 4 * 1024 * 1024);
 	 */
-	async read(req: IncomingMessage, maxBytes: number): Promise<Uint8Array | RouterError | 'gone'> {
+	async read(req: IncomingMessage, res: ServerResponse, maxBytes: number): Promise<Uint8Array | RouterError | 'gone'> {
+		const share = this.buffers.open();
+		res.once('close', () => {
+			share.release();
+		});
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
 		try {
 			for await (const chunk of req as AsyncIterable<Uint8Array>) {
 				bytes += chunk.length;
-				this.#bufferedBytes += chunk.length;
 				if (bytes > maxBytes) {
 					return routerError('bodyTooLarge', `over ${maxBytes} bytes`);
 				}
 
-				if (this.#bufferedBytes > maxBufferedBytes) {
-					return routerError('overloaded', 'too many bodies are being read');
+				if (!share.add(chunk.length)) {
+					return routerError('overloaded', 'too many bytes of bodies are buffered');
 				}
 
 				chunks.push(chunk);
@@ -44,8 +45,6 @@
 
 			log('A caller disconnected before its call was read.', {detail: (error as Error).message, bytes});
 			return 'gone';
-		} finally {
-			this.#bufferedBytes -= bytes;
 		}
 
 		return Buffer.concat(chunks);
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -12,6 +12,7 @@
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
 import {breakOff, ServerConnections} from '../server-connections.js';
+import {processBuffers} from '../transport/buffer-account.js';
 import {CallBodyReader} from './call-body-reader.js';
 import {CallDrain} from './call-drain.js';
 import type {DrainEffect} from './call-drain.js';
@@ -68,7 +69,7 @@
 	readonly #server: Server;
 	readonly #connections: ServerConnections;
 	readonly #openScopes = new Set<CallScope>();
-	readonly #bodies = new CallBodyReader();
+	readonly #bodies = new CallBodyReader(processBuffers);
 	readonly #drain: CallDrain;
 	#index: {readonly table: RoutingTable; readonly routes: RouteIndex} | undefined;
 	#isClosed = false;
@@ -155,7 +156,7 @@
 	async #handle(req: IncomingMessage, res: ServerResponse, waitedMs: number): Promise<void> {
 		const arrivedAt = addMs(this.parts.clock.now(), -waitedMs);
 		try {
-			const body = await this.#bodies.read(req, this.#index?.table.limits.bodyBytes ?? initialLimits.bodyBytes);
+			const body = await this.#bodies.read(req, res, this.#index?.table.limits.bodyBytes ?? initialLimits.bodyBytes);
 			if (body === 'gone') {
 				return;
 			}
@@ -297,6 +298,12 @@
 		const headers = forwardableHeaders(head.rawHeaders, new Set(['content-length']));
 		const isBodiless = call.method === 'HEAD' || head.status === 204 || head.status === 304;
 		res.writeHead(head.status, isBodiless ? headers : [...headers, 'content-length', String(body.length)]);
+		// A caller that reads slowly holds the body until it has all of it
+		const share = processBuffers.open();
+		share.add(body.length);
+		res.once('close', () => {
+			share.release();
+		});
 		res.end(isBodiless ? undefined : body);
 	}
 
--- a/packages/daemon/src/platform-watcher.ts
+++ b/packages/daemon/src/platform-watcher.ts
@@ -1,5 +1,5 @@
 /** Polls the platform's list of live and leaving instances, engines and backend servers. */
-import {json} from 'node:stream/consumers';
+import {Buffer} from 'node:buffer';
 import type {ServerListEntry} from '@baobabpier/core';
 import {z} from 'zod';
 import {createLog} from './log.js';
@@ -65,7 +65,12 @@
 				return;
 			}
 
-			const read = listSchema.parse(await json(response.body)).map(entry => entrySchema.safeParse(entry));
+			const body = await this.#transport.readBody(response);
+			if ('kind' in body) {
+				throw new Error(body.detail);
+			}
+
+			const read = listSchema.parse(JSON.parse(Buffer.from(body).toString())).map(entry => entrySchema.safeParse(entry));
 			const entries = read.filter(entry => entry.success).map(({data: {id, state, mark}}) => ({id, state, mark}));
 			this.#logUnreadable(read.length - entries.length, entries.length);
 			this.listener.onList(entries);
--- a/packages/daemon/src/rpc/rpc-client.ts
+++ b/packages/daemon/src/rpc/rpc-client.ts
@@ -1,6 +1,5 @@
 /** Calls JSON-RPC 2.0 methods of another instance over HTTP. */
 import {Buffer} from 'node:buffer';
-import {json} from 'node:stream/consumers';
 import type {RpcMethod} from '@baobabpier/core';
 import {createJSONRPCRequest} from 'json-rpc-2.0';
 import type {JSONRPCResponse} from 'json-rpc-2.0';
@@ -11,6 +10,8 @@
 
 /** Maximum number of kept connections to a peer. */
 const maxConnections = 32;
+/** Maximum size of a result, in bytes: that of the largest snapshot of the control state. */
+const maxResultBytes = 32 * 1024 * 1024;
 /** In milliseconds. */
 const connectTimeoutMs = 500;
 
@@ -97,9 +98,14 @@
 		return response.result as Result;
 	}
 
-	async #readResponse(method: string, {body}: OpenResponse): Promise<JSONRPCResponse> {
+	async #readResponse(method: string, answer: OpenResponse): Promise<JSONRPCResponse> {
+		const body = await this.#transport.readBody(answer, maxResultBytes);
+		if ('kind' in body) {
+			throw new RpcCallError(`${method}: ${body.detail}`, true);
+		}
+
 		try {
-			return await json(body) as JSONRPCResponse;
+			return JSON.parse(Buffer.from(body).toString()) as JSONRPCResponse;
 		} catch (error) {
 			throw new RpcCallError(`${method}: ${(error as Error).message}`, true);
 		}
--- a/packages/daemon/src/rpc/rpc-server.ts
+++ b/packages/daemon/src/rpc/rpc-server.ts
@@ -8,6 +8,9 @@
 import type {JSONRPCRequest, JSONRPCResponse} from 'json-rpc-2.0';
 import {readTrace, withSpan} from '../observability/tracing.js';
 
+/** Maximum size of a call, in bytes: that of the largest snapshot of the control state. Callers state the length of each call. */
+const maxCallBytes = 32 * 1024 * 1024;
+
 /** What a handler learns of its caller's connection. */
 export type RpcContext = {
 	/** Aborted when the caller's connection closes before the answer. */
@@ -36,6 +39,11 @@
 				return Response.json(toErrorBody(routerError('unauthorized')), {status: 401});
 			}
 
+			const length = Number(event.req.headers.get('content-length') ?? Number.NaN);
+			if (!(length <= maxCallBytes)) {
+				return Response.json(toErrorBody(routerError('bodyTooLarge', `a call must state a length of at most ${maxCallBytes} bytes`)), {status: 413});
+			}
+
 			const abort = new AbortController();
 			event.runtime?.node?.res?.once('close', () => {
 				abort.abort();
--- a/packages/daemon/src/transport/server-connection.ts
+++ b/packages/daemon/src/transport/server-connection.ts
@@ -21,6 +21,8 @@
  * is the HTTP parser's limit for header fields. The parser limits neither the status line nor the number of interim responses.
  */
 const maxHeadBytes = 64 * 1024;
+/** Maximum bytes of a response's framing, in multiples of its body's bytes and beyond those: chunks of one byte take six. The parser limits neither chunk extensions nor trailers. */
+const maxFraming = {factor: 16, bytes: 256 * 1024} as const;
 
 /** What a connection tells its owner. */
 export type ConnectionListener = {
@@ -61,6 +63,8 @@
 	#bytesRead = 0;
 	/** Whether the response head is still to come. */
 	#isHeadDue = false;
+	/** Bytes of the body of the response in progress. */
+	#bodyBytes = 0;
 
 	constructor(private readonly address: string, connectTimeoutMs: number, private readonly listener: ConnectionListener) {
 		const {host, port} = splitAddress(address);
@@ -87,6 +91,7 @@
 		exchange.attach({
 			onWrite: () => {
 				this.#isHeadDue = true;
+				this.#bodyBytes = 0;
 				this.#last = exchange;
 			},
 			judge: responseId => {
@@ -147,7 +152,8 @@
 			onResponseStart(controller, status, headers) {
 				exchange.onResponseStart(controller, status, headers);
 			},
-			onResponseData(controller, chunk) {
+			onResponseData: (controller, chunk) => {
+				this.#bodyBytes += chunk.length;
 				exchange.onResponseData(controller, chunk);
 			},
 			onResponseEnd() {
@@ -221,8 +227,11 @@
 
 	#handleReadable(socket: Socket): void {
 		if (this.#exchange !== undefined) {
-			if (this.#isHeadDue && socket.bytesRead - this.#bytesRead > maxHeadBytes) {
+			const bytes = socket.bytesRead - this.#bytesRead;
+			if (this.#isHeadDue && bytes > maxHeadBytes) {
 				socket.destroy(new Error(`the response head exceeds ${maxHeadBytes} bytes`));
+			} else if (bytes > (maxFraming.factor * this.#bodyBytes) + maxFraming.bytes) {
+				socket.destroy(new Error(`the framing of the response exceeds ${maxFraming.bytes} bytes`));
 			}
 
 			return;
--- a/packages/daemon/src/transport/server-transport.ts
+++ b/packages/daemon/src/transport/server-transport.ts
@@ -1,13 +1,15 @@
 /** Sends requests to other processes over kept connections. Each request is written once, and gets its own response or none. */
 import {Buffer} from 'node:buffer';
 import {AddressPool} from './address-pool.js';
+import {processBuffers} from './buffer-account.js';
+import type {BufferAccount} from './buffer-account.js';
 import {Exchange, failureOf} from './exchange.js';
 import type {
 	OpenResponse, OutgoingRequest, SendPermit, ServerTransportOptions, TransportFailure,
 } from './types.js';
 
-/** Maximum size of a buffered response body, in bytes. */
-const maxBodyBytes = 8 * 1024 * 1024;
+/** Maximum size of a buffered response body, in bytes, unless its reader states another one. */
+const defaultMaxBodyBytes = 8 * 1024 * 1024;
 /** Interval at which addresses without connections are forgotten, in milliseconds. */
 const sweepIntervalMs = 30_000;
 
@@ -22,9 +24,11 @@
 export class ServerTransport {
 	readonly #pools = new Map<string, AddressPool>();
 	readonly #sweepTimer: NodeJS.Timeout;
+	readonly #buffers: BufferAccount;
 	#isClosed = false;
 
 	constructor(private readonly options: ServerTransportOptions) {
+		this.#buffers = options.buffers ?? processBuffers;
 		this.#sweepTimer = setInterval(() => {
 			this.#sweep();
 		}, sweepIntervalMs);
@@ -69,21 +73,28 @@
 		});
 	}
 
-	/** Reads a response body completely; resolves with a failure when it is truncated, too large, or holds another response. */
-	async readBody(response: OpenResponse): Promise<Uint8Array | TransportFailure> {
+	/** Reads a response body completely; resolves with a failure when it is truncated, too large, holds another response, or finds no room in the process's buffers. */
+	async readBody(response: OpenResponse, maxBytes = defaultMaxBodyBytes): Promise<Uint8Array | TransportFailure> {
+		const share = this.#buffers.open();
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
 		try {
 			for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
 				bytes += chunk.length;
-				if (bytes > maxBodyBytes) {
-					return {kind: 'broken', detail: `the response body exceeds ${maxBodyBytes} bytes`};
+				if (bytes > maxBytes) {
+					return {kind: 'broken', detail: `the response body exceeds ${maxBytes} bytes`};
+				}
+
+				if (!share.add(chunk.length)) {
+					return {kind: 'broken', detail: 'too many bytes of bodies are buffered'};
 				}
 
 				chunks.push(chunk);
 			}
 		} catch (error) {
 			return failureOf(error);
+		} finally {
+			share.release();
 		}
 
 		return response.mayBeTruncated() ? {kind: 'broken', detail: 'the connection was reset before the end of a response without a length'} : Buffer.concat(chunks);
--- a/packages/daemon/src/transport/types.ts
+++ b/packages/daemon/src/transport/types.ts
@@ -3,6 +3,7 @@
 import type {
 	BackendId, Instant, LimitRevision, ResponseBinding,
 } from '@baobabpier/core';
+import type {BufferAccount} from './buffer-account.js';
 
 /** What a request is for, as metrics and logs name it. */
 export type CallKind = 'run' | 'prefill' | 'lease' | 'release' | 'free' | 'order' | 'report' | 'liveness' | 'list' | 'rpc' | 'engine' | 'plain';
@@ -123,6 +124,8 @@
 	readonly gate?: ServerGate;
 	/** In milliseconds. */
 	readonly connectTimeoutMs?: number;
+	/** Account of the bodies that are read whole; that of the process when undefined. */
+	readonly buffers?: BufferAccount;
 };
 
 /** A response of another request was found in place of a response, or within its body. */
