Split the search of silent streams from the stream route; free what a search leaves

A round that ends beside a silent run takes its listener off the call's scope, since a long silence would add one every 0.4 s, and an engine's lease that the retry budget leaves unused is dropped at once instead of expiring.

--- a/packages/daemon/src/gateway/call-scope.ts
+++ b/packages/daemon/src/gateway/call-scope.ts
@@ -17,6 +17,7 @@
 	#timer: NodeJS.Timeout | undefined;
 	#reason: EndReason | undefined;
 	#isLimited = false;
+	#detach: (() => void) | undefined;
 
 	constructor(private readonly clock: Clock, private deadlineAt: Instant, private readonly parent?: CallScope) {
 		this.#timer = parent === undefined ? this.#startTimer() : undefined;
@@ -50,6 +51,9 @@
 
 		if (this.#reason === undefined) {
 			this.signal.addEventListener('abort', endWithCall, {once: true});
+			part.#detach = () => {
+				this.signal.removeEventListener('abort', endWithCall);
+			};
 		} else {
 			endWithCall();
 		}
@@ -76,9 +80,10 @@
 		}
 	}
 
-	/** Clears the deadline timer once the call has its response. */
+	/** Clears the deadline timer once the call has its response, or the part nothing left to abort. */
 	close(): void {
 		clearTimeout(this.#timer);
+		this.#detach?.();
 	}
 
 	/** Creates a signal that aborts with the call, or after `ms` milliseconds; `extend` restarts the timer, and `release` clears it. */
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -10,6 +10,7 @@
 import type {CallScope} from './call-scope.js';
 import type {CrashGuard} from './crash-guard.js';
 import {EngineLeases} from './engine-leases.js';
+import {EngineSeekers} from './engine-seekers.js';
 import {StreamRun} from './stream-run.js';
 import type {RunStage} from './stream-run.js';
 import type {FleetView} from './fleet-view.js';
@@ -37,8 +38,6 @@
 
 /** Interval at which another engine is sought for a stream whose engine stays silent, in milliseconds. */
 const seekIntervalMs = 400;
-/** Delay of the second stream of a silent engine that looks for another one, in milliseconds; it grows with the logarithm of their number. */
-const seekerDelayMs = 100;
 
 /** Errors of calls that found no engine with capacity. */
 const capacityErrors: ReadonlySet<ErrorKind> = new Set(['noBackend', 'overloaded', 'queueTimeout']);
@@ -67,8 +66,7 @@
 export class StreamRoute {
 	readonly #leases: EngineLeases;
 	readonly #prefillClient: PrefillClient;
-	/** Number of silent runs at each engine that look for another one. */
-	readonly #seekers = new Map<EngineId, number>();
+	readonly #seekers = new EngineSeekers();
 
 	constructor(private readonly parts: StreamRouteParts) {
 		this.#leases = new EngineLeases({...parts, expectedTokens: (service, call) => parts.places.expectedTokens(service, call)});
@@ -150,6 +148,8 @@
 			if (progress.silent !== silent) {
 				return result;
 			}
+
+			part.close();
 		}
 
 		await run.waitWhileSilent(seekIntervalMs);
@@ -169,22 +169,16 @@
 		return result;
 	}
 
-	/** Runs a round beside a silent run. The more runs of one engine are silent, the later each further one begins: the engine may go on any moment, and would have been left by all. */
+	/** Runs a round beside a silent run. */
 	async #seekOther(progress: StreamProgress, {engine, run}: SilentRun, round: number): Promise<RoundResult> {
-		const seekers = this.#seekers.get(engine) ?? 0;
-		this.#seekers.set(engine, seekers + 1);
+		const {delayMs, end} = this.#seekers.begin(engine);
+		progress.isRetryDue = true;
 		try {
-			await run.waitWhileSilent(seekerDelayMs * Math.log2(1 + seekers));
-			progress.isRetryDue = true;
+			await run.waitWhileSilent(delayMs);
 			return progress.scope.reason === undefined ? await this.#runRound(progress, round) : {isFinal: false, reply: {kind: 'streamed'}};
 		} finally {
 			progress.isRetryDue = false;
-			const left = this.#seekers.get(engine)! - 1;
-			if (left === 0) {
-				this.#seekers.delete(engine);
-			} else {
-				this.#seekers.set(engine, left);
-			}
+			end();
 		}
 	}
 
@@ -445,10 +439,17 @@
 	async #runWithLease(progress: StreamProgress, reserved: ReservedEngine, purpose: SendPurpose): Promise<RoundResult> {
 		const engine = addressOf(reserved);
 		const placement = this.parts.places.recordLeased(progress.call, progress.service, engine);
-		return this.#withPlacement(progress, placement, async () => {
+		let isUsed = false;
+		const result = await this.#withPlacement(progress, placement, async () => {
+			isUsed = true;
 			const {stage, run} = await this.#run(progress, reserved.server, purpose, () => undefined);
 			return this.#handleOutcome(progress, engine.id, stage, run);
 		});
+		if (!isUsed) {
+			void this.#leases.drop(reserved);
+		}
+
+		return result;
 	}
 
 	/** Decides from the outcome at one engine whether the call is retried. */
