--- a/.ci/summary.mjs
+++ b/.ci/summary.mjs
@@ -4,6 +4,9 @@
 
 const [reportFile, knownRedFile] = process.argv.slice(2);
 
+/** Longest message of a failure that is printed, in characters. */
+const maxMessageLength = 4000;
+
 /** Entries start with `test: <full name>`; the lines below each describe it. */
 const readKnownRed = file => existsSync(file)
 	? readFileSync(file, 'utf8').split('\n').filter(line => line.startsWith('test: ')).map(line => line.slice('test: '.length).trim())
@@ -24,10 +27,15 @@
 }
 
 for (const test of unexpected) {
+	for (const message of test.failureMessages) {
+		console.log(message.slice(0, maxMessageLength));
+	}
+
 	console.log(`FAILED: ${test.fullName}`);
 }
 
 for (const file of brokenFiles) {
+	console.log(file.message.slice(0, maxMessageLength));
 	console.log(`FAILED TO LOAD OR SET UP: ${file.name}`);
 }
 
