Close ports within what is left of the stop, not within 200 or 300 ms

What callers saw: requests in progress at a closing port ended without an answer when the process got no processor time for some hundred milliseconds. Cause: a port that was drained closed within 200 ms, an entry instance within 300 ms of a grace period of which seconds were left. Time without the processor counted, so the bound was over before the process ran again, and what it read then was broken off. Why this works: connections are accepted for 300 ms at most, as before; what has arrived by then may use what is left of the stop, and 100 ms at the least. Responses that are broken off at the end are logged.

--- a/packages/daemon/src/__tests__/unit/late-requests.test.ts
+++ b/packages/daemon/src/__tests__/unit/late-requests.test.ts
@@ -11,6 +11,8 @@
 
 const closeMs = 1000;
 const answerMs = 20;
+/** Longer than a drained port is quiet, and than a closing one accepts connections. */
+const stallMs = 500;
 const request = 'GET / HTTP/1.1\r\nhost: a.example\r\n\r\n';
 
 /** A caller's connection. */
@@ -33,8 +35,26 @@
 	}
 }
 
-const openPort = async (): Promise<{readonly connections: ServerConnections; readonly port: number}> => {
-	const connections = new ServerConnections(createServer(), (_req, res) => {
+/** Lets the event loop stand still. */
+const stall = (): void => {
+	const until = performance.now() + stallMs;
+	while (performance.now() < until) {
+		// Busy
+	}
+};
+
+/** The first thing that it does as it closes takes long, as on a busy machine. */
+class StalledConnections extends ServerConnections {
+	stall: (() => void) | undefined;
+
+	override setClosing(isClosing: boolean): void {
+		super.setClosing(isClosing);
+		this.stall?.();
+	}
+}
+
+const openPort = async (): Promise<{readonly connections: StalledConnections; readonly port: number}> => {
+	const connections = new StalledConnections(createServer(), (_req, res) => {
 		setTimeout(() => {
 			res.writeHead(200, {'content-length': 2});
 			res.end('ok');
@@ -123,3 +143,27 @@
 	await caller.closed;
 	expect(caller.answers).toBe(1);
 });
+
+// Guards against requests that end without an answer because the process was paused while its port closed
+test.each([
+	...closers, {
+		name: 'a port that has no time left',
+		async close(connections: ServerConnections) {
+			await connections.close(0);
+		},
+	},
+])('a request is answered that arrives during a pause of a closing process, at $name', async ({close}) => {
+	const {connections, port} = await openPort();
+	const caller = new Caller(port);
+	caller.socket.write(request);
+	await waitForAnswer(caller);
+	caller.text = '';
+	connections.stall = () => {
+		caller.socket.write(request);
+		stall();
+	};
+
+	await close(connections);
+	await caller.closed;
+	expect(caller.answers).toBe(1);
+});
--- a/packages/daemon/src/fleet/drainable-port.ts
+++ b/packages/daemon/src/fleet/drainable-port.ts
@@ -25,7 +25,7 @@
 	/** Waits for the requests in progress, answers what still arrives until none does for a while, and closes what is left. */
 	async close(): Promise<void> {
 		await this.#waitUntilQuiet();
-		await this.connections.close(quietMs);
+		await this.connections.close(this.stallMs);
 	}
 
 	async #waitUntilQuiet(): Promise<void> {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -47,7 +47,7 @@
 const closeReserveMs = 500;
 /** Maximum fraction of the stop timeout that is reserved for closing. */
 const maxCloseReserveFraction = 1 / 8;
-/** Fraction of that reserve in which the last responses are sent. */
+/** Fraction of that reserve in which the last responses are sent at the latest. */
 const sendReserveFraction = 0.6;
 const drainPollIntervalMs = 25;
 /** Fraction of a server's connection limit that all entry instances together may use. */
@@ -316,6 +316,7 @@
 		const {stopMs} = settings;
 		const reserveMs = Math.min(closeReserveMs, stopMs * maxCloseReserveFraction);
 		const endsAt = addMs(clock.now(), stopMs - reserveMs);
+		const sentBy = addMs(endsAt, reserveMs * sendReserveFraction);
 		const knownAt = addMs(clock.now(), Math.min(notReadyDelayMs, stopMs - reserveMs));
 		log('A stop begins.', {inProgress: callerListener.inProgress, withinMs: stopMs});
 		callerListener.startClosing({knownAt, endsAt});
@@ -325,7 +326,7 @@
 		}
 
 		log('The drain is over.', {inProgress: callerListener.inProgress});
-		await close(reserveMs * sendReserveFraction);
+		await close(Math.max(0, sentBy - clock.now()));
 	};
 
 	return {
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -21,6 +21,10 @@
 const firstRequestMs = 200;
 /** Interval at which that is checked, in milliseconds. */
 const firstRequestCheckMs = 10;
+/** Longest time for which a closing server still accepts connections, in milliseconds. */
+const maxAcceptMs = 300;
+/** Least time to answer what has arrived by the end of that, in milliseconds: the process may have been paused meanwhile. */
+const minAnswerMs = 100;
 
 /** Thrown into the body of a request whose further bytes are no part of a request. */
 export class MalformedBodyError extends Error {
@@ -170,15 +174,19 @@
 	}
 
 	/**
-	 * Closes all connections after their responses, and refuses new ones, within `ms` milliseconds at the latest. What callers have
-	 * sent by then still reaches the handler: a busy process has connections to accept and requests to read that it does not know of.
+	 * Closes all connections after their responses, and refuses new ones, within about `ms` milliseconds at the latest. What callers
+	 * have sent by then still reaches the handler: a busy process has connections to accept and requests to read that it does not know of.
 	 */
 	async close(ms: number): Promise<void> {
-		const deadline = performance.now() + ms;
+		const startedAt = performance.now();
 		this.setClosing(true);
-		await this.#finishArrived(deadline);
+		await this.#finishArrived(startedAt + Math.min(ms, maxAcceptMs));
 		this.#stopListening();
-		await this.#finishArrived(deadline);
+		await this.#finishArrived(Math.max(startedAt + ms, performance.now() + minAnswerMs));
+		if (this.#active > 0) {
+			log('The responses in progress are broken off.', {active: this.#active, closingMs: Math.round(performance.now() - startedAt)});
+		}
+
 		this.destroy();
 	}
 
