Read what has arrived before a timeout closes an idle connection

What callers saw: a request on an idle connection, or the first one on a connection, was reset without an answer when the process had been paused for a moment. Cause: after a pause timers come before the next poll phase, so the timeout of an idle connection closed it while the request was in the socket's buffer. Why this works: the timeout closes a connection only if nothing has arrived on it after a poll phase.

--- a/packages/daemon/src/__tests__/unit/late-requests.test.ts
+++ b/packages/daemon/src/__tests__/unit/late-requests.test.ts
@@ -1,9 +1,10 @@
 /** Requests that have arrived at a closing port, but were not read or accepted yet. */
 import {once} from 'node:events';
 import {createServer} from 'node:http';
+import type {ServerOptions} from 'node:http';
 import {connect} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
 import {expect, test} from 'vitest';
 import {DrainablePort} from '../../fleet/drainable-port.js';
 import {listenOn} from '../../listen.js';
@@ -53,8 +54,8 @@
 	}
 }
 
-const openPort = async (): Promise<{readonly connections: StalledConnections; readonly port: number}> => {
-	const connections = new StalledConnections(createServer(), (_req, res) => {
+const openPort = async (options: ServerOptions = {}): Promise<{readonly connections: StalledConnections; readonly port: number}> => {
+	const connections = new StalledConnections(createServer(options), (_req, res) => {
 		setTimeout(() => {
 			res.writeHead(200, {'content-length': 2});
 			res.end('ok');
@@ -167,3 +168,32 @@
 	await caller.closed;
 	expect(caller.answers).toBe(1);
 });
+
+// Guards against requests that end without an answer because a timeout of their idle connection ended while the process was paused
+test.each([
+	{name: 'an idle connection', isUsed: true},
+	{name: 'a connection without a request', isUsed: false},
+])('a request is answered that arrives during a pause of the process on $name', async ({isUsed}) => {
+	const {connections, port} = await openPort({
+		headersTimeout: stallMs / 2, requestTimeout: 0, connectionsCheckingInterval: stallMs / 4,
+	});
+	const accepted = once(connections.server, 'connection') as Promise<[Socket]>;
+	const caller = new Caller(port);
+	await once(caller.socket, 'connect');
+	await sleep(stallMs / 10);
+	if (isUsed) {
+		caller.socket.write(request);
+		await waitForAnswer(caller);
+		caller.text = '';
+		const [socket] = await accepted;
+		socket.setTimeout(stallMs / 2);
+	}
+
+	// Timers come before the next poll phase
+	await nextTurn();
+	caller.socket.write(request);
+	stall();
+	await sleep(answerMs * 10);
+	expect(caller.answers).toBe(1);
+	connections.destroy();
+});
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -285,9 +285,10 @@
 
 	/** Closes a connection that is idle, or whose caller reads nothing; a response that has nothing to send yet goes on. */
 	#handleTimeout(socket: Socket): void {
-		const [first] = this.#connections.get(socket)?.exchanges ?? [];
+		const connection = this.#connections.get(socket);
+		const [first] = connection?.exchanges ?? [];
 		if (first === undefined) {
-			socket.destroy();
+			void this.#closeUnused(socket, connection);
 		} else if (socket.writableLength > 0) {
 			log('A caller reads nothing of its response, which is broken off.', {unreadBytes: socket.writableLength});
 			breakOff(first.res);
@@ -311,12 +312,27 @@
 		}
 	}
 
+	/** Closes a connection on which nothing has arrived: after a pause of the process its timeout ends before it reads. */
+	async #closeUnused(socket: Socket, connection: Connection | undefined): Promise<void> {
+		const {bytesRead} = socket;
+		await nextTurn();
+		await nextTurn();
+		if (socket.bytesRead === bytesRead && (connection?.exchanges.length ?? 0) === 0) {
+			socket.destroy();
+		}
+	}
+
 	#refuse(socket: Socket, code: string | undefined, detail: string): void {
 		const connection = this.#connections.get(socket);
 		const isAnswering = (connection?.exchanges.length ?? 0) > 0;
 		const hasLeft = code === 'ECONNRESET' || (code === 'HPE_INVALID_EOF_STATE' && isAnswering);
 		const isUnused = code === 'ERR_HTTP_REQUEST_TIMEOUT' && socket.bytesRead === 0;
-		if (connection === undefined || !socket.writable || hasLeft || isUnused) {
+		if (isUnused) {
+			void this.#closeUnused(socket, connection);
+			return;
+		}
+
+		if (connection === undefined || !socket.writable || hasLeft) {
 			socket.destroy();
 			return;
 		}
