Accept every connection that waits before a port stops listening

What callers saw: around a planned stop of an entry instance, requests on new connections were reset without an answer, several at once, most on a busy machine. Callers whose connections were closed with their answers come back on new ones, so the time in which a closing port accepts always ran out, and of those that waited then only two were accepted; closing the listener resets the others. Why this works: the port goes on listening until a turn accepts nothing, within what is left of the stop.

--- a/packages/daemon/src/__tests__/unit/late-requests.test.ts
+++ b/packages/daemon/src/__tests__/unit/late-requests.test.ts
@@ -14,6 +14,7 @@
 const answerMs = 20;
 /** Longer than a drained port is quiet, and than a closing one accepts connections. */
 const stallMs = 500;
+const waitingCallers = 20;
 const request = 'GET / HTTP/1.1\r\nhost: a.example\r\n\r\n';
 
 /** A caller's connection. */
@@ -28,7 +29,9 @@
 		this.socket.on('data', (bytes: Uint8Array) => {
 			this.text += bytes.toString();
 		});
-		this.closed = once(this.socket, 'close');
+		this.closed = new Promise(resolve => {
+			this.socket.once('close', resolve);
+		});
 	}
 
 	get answers(): number {
@@ -145,15 +148,35 @@
 	expect(caller.answers).toBe(1);
 });
 
-// Guards against requests that end without an answer because the process was paused while its port closed
-test.each([
+const pausedClosers = [
 	...closers, {
 		name: 'a port that has no time left',
 		async close(connections: ServerConnections) {
 			await connections.close(0);
 		},
 	},
-])('a request is answered that arrives during a pause of a closing process, at $name', async ({close}) => {
+] as const;
+
+// Guards against requests that end without an answer because the event loop accepts one connection in a turn
+test.each(pausedClosers)('the requests of all connections that wait to be accepted after a pause are answered, at $name', async ({close}) => {
+	const {connections, port} = await openPort();
+	const callers: Caller[] = [];
+	connections.stall = () => {
+		callers.push(...Array.from({length: waitingCallers}, () => new Caller(port)));
+		for (const {socket} of callers) {
+			socket.write(request);
+		}
+
+		stall();
+	};
+
+	await close(connections);
+	await Promise.all(callers.map(async ({closed}) => closed));
+	expect(callers.map(({answers}) => answers)).toEqual(callers.map(() => 1));
+});
+
+// Guards against requests that end without an answer because the process was paused while its port closed
+test.each(pausedClosers)('a request is answered that arrives during a pause of a closing process, at $name', async ({close}) => {
 	const {connections, port} = await openPort();
 	const caller = new Caller(port);
 	caller.socket.write(request);
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -181,6 +181,8 @@
 		const startedAt = performance.now();
 		this.setClosing(true);
 		await this.#finishArrived(startedAt + Math.min(ms, maxAcceptMs));
+		// The event loop accepts one connection in a turn; those that still wait when the port stops listening are reset
+		await this.#readArrived(Math.max(startedAt + ms, performance.now() + minAnswerMs), () => this.#opened);
 		this.#stopListening();
 		await this.#finishArrived(Math.max(startedAt + ms, performance.now() + minAnswerMs));
 		if (this.#active > 0) {
@@ -216,17 +218,17 @@
 		await this.waitUntilIdle(deadline - performance.now());
 	}
 
-	/** Lets the event loop accept and read until nothing more has arrived. */
-	async #readArrived(deadline: number): Promise<void> {
+	/** Lets the event loop accept and read until nothing more has arrived, which `count` tells. */
+	async #readArrived(deadline: number, count = () => this.#received): Promise<void> {
 		let before: number;
 		do {
-			before = this.#received;
+			before = count();
 			// A whole poll phase lies between two turns
 			// eslint-disable-next-line no-await-in-loop
 			await nextTurn();
 			// eslint-disable-next-line no-await-in-loop
 			await nextTurn();
-		} while (this.#received !== before && performance.now() < deadline);
+		} while (count() !== before && performance.now() < deadline);
 	}
 
 	/** Changes with each connection that is accepted and each byte that is read. */
