--- a/packages/daemon/src/__tests__/unit/late-requests.test.ts
+++ b/packages/daemon/src/__tests__/unit/late-requests.test.ts
@@ -14,6 +14,7 @@
 const answerMs = 20;
 /** Longer than a drained port is quiet, and than a closing one accepts connections. */
 const stallMs = 500;
+/** Connections that wait at once: more than a closing port accepts in two turns of the event loop. */
 const waitingCallers = 20;
 const request = 'GET / HTTP/1.1\r\nhost: a.example\r\n\r\n';
 
