Name each call that a stop leaves without a complete response, with its cause

Callers saw: resumable streams closed after their heads around SIGTERM. The last lines of a stop counted only what the end of the drain had cut, so a stream that ended for another reason was in none of them; the line of the call itself was one of 300 a second at most, and of the lowest level.

A call that is broken off or cut short is logged as a warning with its cause and the time since the signal; warnings keep a part of the bound of log lines for themselves. The last line of a stop counts calls broken off beside those cut short, and names each by id, cause and time.

--- a/packages/daemon/src/__tests__/unit/listener-stop.test.ts
+++ b/packages/daemon/src/__tests__/unit/listener-stop.test.ts
@@ -205,7 +205,9 @@
 	await listener.close(1000);
 	expect(parseResponses(connection.text)).toMatchObject([{status, isComplete}]);
 	expect(fields.filter(field => !connection.text.toLowerCase().includes(field))).toEqual([]);
-	expect(listener.drainEffects).toEqual({refused: '', cutShort: `${path.split('/')[1]!} 1`});
+	const [, kind] = path.split('/');
+	expect(listener.drainEffects).toEqual({refused: '', cutShort: `${kind} 1`, brokenOff: ''});
+	expect(listener.unfinishedCalls).toMatch(new RegExp(String.raw`^cutShort ${kind} r: \S.*, after \d+ ms$`, 'v'));
 });
 
 test.each([
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -21,7 +21,7 @@
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {PlainRoute} from './plain-route.js';
 import {forwardableHeaders} from './raw-headers.js';
-import {errorReply} from './reply.js';
+import {detailOf, errorReply} from './reply.js';
 import {digestRequest} from './request-digest.js';
 import type {Reply} from './reply.js';
 import type {StartupGate} from './startup-gate.js';
@@ -99,11 +99,16 @@
 		return this.#openScopes.size === 0 && this.#connections.active === 0;
 	}
 
-	/** Calls of each kind of route that a stop refused, and that it ended before their deadline. */
+	/** Calls of each kind of route that a stop refused, that it ended before their deadline, and that were broken off during it. */
 	get drainEffects(): Readonly<Record<DrainEffect, string>> {
 		return this.#drain.effects;
 	}
 
+	/** The calls that got no complete response during a stop, with their causes. */
+	get unfinishedCalls(): string {
+		return this.#drain.unfinished;
+	}
+
 	/** TCP port of the listener. */
 	get port(): number {
 		return (this.#server.address() as AddressInfo).port;
@@ -243,20 +248,24 @@
 			const reply = toFinalReply(routed, res, scope);
 			this.#writeReply(call, req, res, reply, scope);
 			const outcome = this.#findOutcome(reply, res, scope);
-			log('A call ended.', {
-				requestId: call.requestId, route: call.route.name, service, outcome, status: res.statusCode, ms: Math.round(clock.now() - call.arrivedAt), ended: scope.reason,
+			const cause = detailOf(reply) ?? scope.reason;
+			const write = outcome === 'brokenOff' || outcome === 'cutShort' ? log.warn : log;
+			write('A call ended.', {
+				requestId: call.requestId, route: call.route.name, service, outcome, cause, status: res.statusCode, ms: Math.round(clock.now() - call.arrivedAt), ended: scope.reason, stoppingMs: this.#drain.elapsedMs,
 			});
 			metrics.observeCall(call.route.kind, outcome, clock.now() - call.arrivedAt);
-			this.#recordForDrain(call, outcome);
+			this.#recordForDrain(call, outcome, cause);
 		} finally {
 			scope.close();
 			this.#openScopes.delete(scope);
 		}
 	}
 
-	#recordForDrain({route, arrivedAt}: Call, outcome: string): void {
-		if (outcome === 'cutShort') {
-			this.#drain.countEffect('cutShort', route.kind);
+	#recordForDrain({route, arrivedAt, requestId}: Call, outcome: string, cause = 'unknown'): void {
+		if (outcome === 'cutShort' || outcome === 'brokenOff') {
+			this.#drain.recordUnfinished({
+				requestId, kind: route.kind, effect: outcome, cause,
+			});
 		} else if (outcome !== 'callerGone' && !(isErrorKind(outcome) && errorResponses[outcome].run === 'no')) {
 			this.#drain.recordDuration(route.name, this.parts.clock.now() - arrivedAt);
 		}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -309,7 +309,9 @@
 		metricsServer.closeAllConnections();
 		metricsServer.close();
 		await Promise.all([transport.close(), peers.close()]);
-		log('The entry instance stopped.', callerListener.drainEffects);
+		const {unfinishedCalls} = callerListener;
+		const write = unfinishedCalls === '' ? log : log.warn;
+		write('The entry instance stopped.', {...callerListener.drainEffects, unfinished: unfinishedCalls});
 	};
 
 	const drain = async (): Promise<void> => {
--- a/packages/daemon/src/gateway/reply.ts
+++ b/packages/daemon/src/gateway/reply.ts
@@ -7,7 +7,29 @@
 	/** A server's response, forwarded unchanged. */
 	| {readonly kind: 'relay'; readonly head: ResponseHead; readonly body: Uint8Array}
 	| {readonly kind: 'error'; readonly error: RouterError}
-	/** Nothing is left to send: the response was streamed or was cut off. */
-	| {readonly kind: 'streamed'};
+	/** Nothing is left to send: the response was streamed or was cut off, for a reason that the log names. */
+	| {readonly kind: 'streamed'; readonly detail?: string};
 
 export const errorReply = (error: RouterError): Reply => ({kind: 'error', error});
+
+/**
+ * Why a call got no response of a server, or not all of it; undefined where the reply names no reason.
+ *
+ * @example
+ * detailOf(errorReply(routerError('timeout'))); // 'timeout'
+ */
+export const detailOf = (reply: Reply): string | undefined => {
+	switch (reply.kind) {
+		case 'error': {
+			return reply.error.detail ?? reply.error.kind;
+		}
+
+		case 'streamed': {
+			return reply.detail;
+		}
+
+		case 'relay': {
+			return undefined;
+		}
+	}
+};
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -17,7 +17,7 @@
 import type {StreamPlacement, StreamPlacements} from './stream-placements.js';
 import {PrefillClient} from './prefill-client.js';
 import type {PrefillResult} from './prefill-client.js';
-import {errorReply} from './reply.js';
+import {detailOf, errorReply} from './reply.js';
 import type {Reply} from './reply.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import {rejectedRetryAfterMs} from './stream-progress.js';
@@ -204,7 +204,7 @@
 
 	#fail({scope, out, sent}: StreamProgress, reply: Reply): Reply {
 		if (out.isStarted) {
-			return {kind: 'streamed'};
+			return {kind: 'streamed', detail: detailOf(reply) ?? scope.reason};
 		}
 
 		if (scope.reason === 'deadline') {
@@ -429,7 +429,7 @@
 	async #resumeWithLease(progress: StreamProgress): Promise<RoundResult> {
 		const reserved = await this.#leases.acquireLeastLoaded(progress);
 		if (reserved === undefined) {
-			return {isFinal: true, reply: this.#fail(progress, {kind: 'streamed'})};
+			return {isFinal: true, reply: this.#fail(progress, {kind: 'streamed', detail: 'no engine takes the rest of the stream'})};
 		}
 
 		return this.#runWithLease(progress, reserved, directPurpose(progress, reserved.lease));
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -4,8 +4,14 @@
 /** Fields of a log line. Never a prompt, a key or a secret. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** How much a line matters: a warning tells of a call that did not get what it should have. */
+export type LogLevel = 'info' | 'warn';
+
 /** A part's log. */
-export type Log = (sentence: string, fields?: LogFields) => void;
+export type Log = ((sentence: string, fields?: LogFields) => void) & {
+	/** Logs a warning. */
+	readonly warn: (sentence: string, fields?: LogFields) => void;
+};
 
 const quote = (value: string | number | boolean): string => {
 	const text = String(value);
@@ -24,7 +30,7 @@
 	.join(' ');
 
 /** Takes log lines; must not block. */
-export type LogSink = (part: string, sentence: string, fields: LogFields) => void;
+export type LogSink = (part: string, sentence: string, fields: LogFields, level: LogLevel) => void;
 
 let sink: LogSink | undefined;
 
@@ -42,15 +48,18 @@
  * @example
  * const log = createLog('entry');
  * log('Request finished.', {requestId, outcome: 'complete'});
+ * log.warn('A call got no complete response.', {requestId});
  */
 export const createLog = (part: string): Log => {
 	const debug = createDebug(`baobabpier:${part}`);
-	return (sentence, fields = {}) => {
+	const createWriter = (level: LogLevel) => (sentence: string, fields: LogFields = {}): void => {
 		if (sink !== undefined) {
-			sink(part, sentence, fields);
+			sink(part, sentence, fields, level);
 			return;
 		}
 
 		debug('%s %s', sentence, formatFields(fields));
 	};
+
+	return Object.assign(createWriter('info'), {warn: createWriter('warn')});
 };
--- a/packages/daemon/src/structured-log.ts
+++ b/packages/daemon/src/structured-log.ts
@@ -1,12 +1,14 @@
 /** Structured log lines on standard output: JSON, bounded in number, written without blocking. */
 import {pino} from 'pino';
 import {registerLogSink} from './log.js';
-import type {LogFields} from './log.js';
+import type {LogFields, LogLevel} from './log.js';
 
 /** Lines a second at most, on average: some lines for each call of a busy instance. */
 const linesPerSecond = 300;
 /** Lines saved up at most for a moment with many. */
 const burstLines = 1200;
+/** Part of these lines that only warnings may use: a busy moment is when they are needed. */
+const warningLines = 200;
 /** Bytes that wait for a slow reader of standard output; beyond them lines are dropped. */
 const maxWaitingBytes = 1024 * 1024;
 /** Lines are written together once they have this many bytes. */
@@ -33,11 +35,11 @@
 	const logger = pino({base, timestamp: pino.stdTimeFunctions.isoTime, messageKey: 'event'}, destination);
 	let balance = burstLines;
 	let filledAt = performance.now();
-	const teardown = registerLogSink((part: string, sentence: string, fields: LogFields) => {
+	const teardown = registerLogSink((part: string, sentence: string, fields: LogFields, level: LogLevel) => {
 		const now = performance.now();
 		balance = Math.min(burstLines, balance + ((now - filledAt) * linesPerSecond / 1000));
 		filledAt = now;
-		if (balance < 1) {
+		if (balance < 1 + (level === 'warn' ? 0 : warningLines)) {
 			dropped += 1;
 			return;
 		}
@@ -48,7 +50,7 @@
 			dropped = 0;
 		}
 
-		logger.info({part, ...fields}, sentence);
+		logger[level]({part, ...fields}, sentence);
 	});
 	const timer = setInterval(() => {
 		destination.flush();
