Keep a silent run when the engine beside it fails

Callers saw: a stream that may be resumed was cut although its engine went on after a silence; before the first event, a failure of the second engine was passed on although the first engine's run still served the call.

Cause: a run that was started beside a silent one ended it as soon as its response was no stream. A failure delivers nothing, so the caller lost what it had for it.

A response other than a stream takes over only if no other run is in progress. The run that goes on decides the outcome.

--- a/packages/daemon/src/__tests__/unit/silent-engines.test.ts
+++ b/packages/daemon/src/__tests__/unit/silent-engines.test.ts
@@ -65,6 +65,11 @@
 	socket.write(refusal(id));
 };
 
+/** Fails with a response of its own. */
+const failing: Respond = ({socket, id}) => {
+	socket.write(`${head(id, 'content-length: 6\r\n', '500 Internal Server Error')}failed`);
+};
+
 const breaking = (run: string, pauseMs: number): Respond => async ({socket, id}) => {
 	socket.write(streamHead(id) + chunk(`id: 1\ndata: ${run}\n\n`) + chunk(`id: 2\ndata: ${run}\n\n`));
 	await sleep(pauseMs);
@@ -107,6 +112,12 @@
 	{
 		name: 'an engine is silent between events, the other one delivers', first: pausing('a', 2800), second: resuming('b'), status: '200', events: '1a 2a 3b 4b end', runs: [1, 1],
 	},
+	{
+		name: 'an engine is silent between events and goes on, the other one fails', first: pausing('a', 1900), second: failing, status: '200', events: '1a 2a 3a 4a end', runs: [1, 2],
+	},
+	{
+		name: 'an engine is silent between events and breaks off, the other one fails', first: breaking('a', 1500), second: failing, status: '200', events: '1a 2a', runs: [1, 2],
+	},
 	{
 		name: 'an engine is silent between events and breaks off, the other one is silent and delivers', first: breaking('a', 1500), second: resuming('b', 700), status: '200', events: '1a 2a 3b 4b end', runs: [1, 1],
 	},
@@ -119,6 +130,9 @@
 	{
 		name: 'an engine is silent before its head and goes on, the other one is full', first: late('a', beforeHeadMs), second: full, status: '200', events: '1a 2a 3a 4a end', runs: [1, 1],
 	},
+	{
+		name: 'an engine is silent before its head and goes on, the other one fails', first: late('a', 2700), second: failing, status: '200', events: '1a 2a 3a 4a end', runs: [1, 2],
+	},
 	{
 		name: 'an engine is silent before its head, the other one delivers', first: late('a', 2900), second: late('b', 0), status: '200', events: '1b 2b 3b 4b end', runs: [1, 1],
 	},
--- a/packages/daemon/src/gateway/stream-run.ts
+++ b/packages/daemon/src/gateway/stream-run.ts
@@ -196,7 +196,11 @@
 				return body;
 			}
 
-			this.#takeOver();
+			// A failure serves the caller no better than a run that is silent for a moment
+			if (this.progress.runs.size === 1) {
+				this.#takeOver();
+			}
+
 			return {kind: 'relay', head, body};
 		}
 
