Read what has arrived before a timeout ends its wait

Callers saw, after a pause of their instance's process: calls ended by their deadline or by the end of a drain although their response had arrived, prompts read twice, and sound servers that counted as silent or unreachable.

Cause: timers run before the event loop polls.

A timeout of a wait lets a whole poll phase pass before it expires. Reports, liveness checks, orders and the list have the same; they ended their calls by signals whose timers have that order too.

--- a/packages/daemon/src/control-node/engine-liveness.ts
+++ b/packages/daemon/src/control-node/engine-liveness.ts
@@ -1,6 +1,7 @@
 /** Checks whether an engine has ended since a point in time. */
 import {toId} from '@baobabpier/core';
 import type {BackendId, EngineId} from '@baobabpier/core';
+import {createPolledSignal} from '../polled-timeout.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {OrderDialect} from './role-task.js';
 
@@ -45,7 +46,7 @@
 	async check(engine: EngineId, address: string, since: number): Promise<EngineState> {
 		const {transport, dialect} = this.parts;
 		const response = await transport.sendRequest({
-			kind: 'liveness', binding: {kind: 'ownConnection'}, server: toId<BackendId>(engine), address, ...dialect.statusCall(toId<BackendId>(engine)), signal: AbortSignal.timeout(checkTimeoutMs),
+			kind: 'liveness', binding: {kind: 'ownConnection'}, server: toId<BackendId>(engine), address, ...dialect.statusCall(toId<BackendId>(engine)), signal: createPolledSignal(checkTimeoutMs),
 		});
 		if (response.kind !== 'head') {
 			return response.kind === 'unsent' && response.isRefused === true ? 'ended' : 'unknown';
--- a/packages/daemon/src/control-node/engine-reports.ts
+++ b/packages/daemon/src/control-node/engine-reports.ts
@@ -3,6 +3,7 @@
 import type {
 	BackendId, Clock, EngineEntry, EngineId, EngineReport, EngineIncarnation,
 } from '@baobabpier/core';
+import {createPolledSignal} from '../polled-timeout.js';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import {pieceTokens} from '../gateway/model-services.js';
@@ -32,7 +33,7 @@
 	async fetchReport(engine: EngineEntry): Promise<EngineReport | 'unreachable' | undefined> {
 		const {transport, dialect} = this.parts;
 		const answer = await transport.sendRequest({
-			kind: 'report', binding: {kind: 'interchangeable', lane: 'report'}, server: toId<BackendId>(engine.id), address: engine.address, ...dialect.statusCall(toId<BackendId>(engine.id)), signal: AbortSignal.timeout(reportTimeoutMs),
+			kind: 'report', binding: {kind: 'interchangeable', lane: 'report'}, server: toId<BackendId>(engine.id), address: engine.address, ...dialect.statusCall(toId<BackendId>(engine.id)), signal: createPolledSignal(reportTimeoutMs),
 		});
 		if (answer.kind === 'unsent' && answer.isHeldBack === true) {
 			return undefined;
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -3,6 +3,7 @@
 import type {
 	BackendId, Clock, EngineId, EngineRole, EngineStart, FencingToken, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, ExpectedMix,
 } from '@baobabpier/core';
+import {createPolledSignal} from '../polled-timeout.js';
 import {createLog} from '../log.js';
 import type {NoticeDialect} from '../gateway/types.js';
 import type {ServerTransport} from '../transport/server-transport.js';
@@ -205,7 +206,7 @@
 
 	async #call(server: ListedServer, kind: 'order' | 'report', call: EngineCall): Promise<{readonly status: number; readonly body: Uint8Array} | undefined> {
 		const answer = await this.parts.transport.sendRequest({
-			kind, binding: {kind: 'ownConnection'}, server: server.id, address: server.address, ...call, signal: AbortSignal.timeout(callTimeoutMs),
+			kind, binding: {kind: 'ownConnection'}, server: server.id, address: server.address, ...call, signal: createPolledSignal(callTimeoutMs),
 		});
 		const body = answer.kind === 'head' ? await this.parts.transport.readBody(answer) : answer;
 		if (answer.kind !== 'head' || 'kind' in body) {
--- a/packages/daemon/src/gateway/call-scope.ts
+++ b/packages/daemon/src/gateway/call-scope.ts
@@ -1,5 +1,7 @@
 /** Cancellation scope of one call: aborts its work when the caller disconnects, the deadline passes or the instance stops. */
 import type {Clock, Instant} from '@baobabpier/core';
+import {startPolledTimeout} from '../polled-timeout.js';
+import type {PolledTimeout} from '../polled-timeout.js';
 
 /** Why a call, or a part of its work, ended early: `superseded` ends only a part, whose result is not needed any more. */
 export type EndReason = 'callerGone' | 'deadline' | 'quarantined' | 'superseded';
@@ -14,13 +16,13 @@
  */
 export class CallScope {
 	readonly #abortController = new AbortController();
-	#timer: NodeJS.Timeout | undefined;
+	#timeout: PolledTimeout | undefined;
 	#reason: EndReason | undefined;
 	#isLimited = false;
 	#detach: (() => void) | undefined;
 
 	constructor(private readonly clock: Clock, private deadlineAt: Instant, private readonly parent?: CallScope) {
-		this.#timer = parent === undefined ? this.#startTimer() : undefined;
+		this.#timeout = parent === undefined ? this.#startTimeout() : undefined;
 	}
 
 	/** Why the call ended early; undefined when it has not. */
@@ -66,8 +68,8 @@
 		if (deadlineAt < this.deadlineAt && this.#reason === undefined) {
 			this.deadlineAt = deadlineAt;
 			this.#isLimited = true;
-			clearTimeout(this.#timer);
-			this.#timer = this.#startTimer();
+			this.#timeout?.clear();
+			this.#timeout = this.#startTimeout();
 		}
 	}
 
@@ -75,14 +77,14 @@
 	end(reason: EndReason): void {
 		if (this.#reason === undefined) {
 			this.#reason = reason;
-			clearTimeout(this.#timer);
+			this.#timeout?.clear();
 			this.#abortController.abort(new Error(`the call ended: ${reason}`));
 		}
 	}
 
 	/** Clears the deadline timer once the call has its response, or the part nothing left to abort. */
 	close(): void {
-		clearTimeout(this.#timer);
+		this.#timeout?.clear();
 		this.#detach?.();
 	}
 
@@ -95,7 +97,7 @@
 			abortController.abort(new Error('the server did not respond in time'));
 		};
 
-		let timer = setTimeout(expire, ms);
+		let timeout = startPolledTimeout(ms, expire);
 		const abortWithCall = (): void => {
 			abortController.abort(this.#abortController.signal.reason);
 		};
@@ -109,19 +111,19 @@
 			signal: abortController.signal,
 			hasExpired: () => hasExpired,
 			extend(extensionMs) {
-				clearTimeout(timer);
-				timer = setTimeout(expire, extensionMs);
+				timeout.clear();
+				timeout = startPolledTimeout(extensionMs, expire);
 			},
 			release: () => {
-				clearTimeout(timer);
+				timeout.clear();
 				this.#abortController.signal.removeEventListener('abort', abortWithCall);
 			},
 		};
 	}
 
-	#startTimer(): NodeJS.Timeout {
-		return setTimeout(() => {
+	#startTimeout(): PolledTimeout {
+		return startPolledTimeout(this.remainingMs(), () => {
 			this.end('deadline');
-		}, this.remainingMs());
+		});
 	}
 }
--- a/packages/daemon/src/gateway/plain-attempt.ts
+++ b/packages/daemon/src/gateway/plain-attempt.ts
@@ -1,5 +1,7 @@
 /** One attempt of a plain call at a server. */
 import {createLog} from '../log.js';
+import {startPolledTimeout} from '../polled-timeout.js';
+import type {PolledTimeout} from '../polled-timeout.js';
 import type {CallScope} from './call-scope.js';
 
 const log = createLog('plain');
@@ -35,20 +37,20 @@
 		};
 
 		scope.signal.addEventListener('abort', abortWithCall, {once: true});
-		let timer: NodeJS.Timeout | undefined;
+		let timeout: PolledTimeout | undefined;
 		this.silence = new Promise(resolve => {
-			timer = silenceMs === undefined
+			timeout = silenceMs === undefined
 				? undefined
-				: setTimeout(() => {
+				: startPolledTimeout(silenceMs, () => {
 					this.#isSilent = true;
 					resolve(undefined);
-				}, silenceMs);
+				});
 		});
 		const run = async (): Promise<{readonly attempt: PlainAttempt<Outcome>; readonly outcome: Outcome}> => {
 			try {
 				return {attempt: this, outcome: await send({signal: this.#abort.signal, isSuperseded: () => this.#isSuperseded, isSilent: () => this.#isSilent})};
 			} finally {
-				clearTimeout(timer);
+				timeout?.clear();
 				scope.signal.removeEventListener('abort', abortWithCall);
 			}
 		};
--- a/packages/daemon/src/gateway/server-list-poller.ts
+++ b/packages/daemon/src/gateway/server-list-poller.ts
@@ -1,5 +1,6 @@
 /** Polls the platform's paginated list of servers. */
 import type {Clock, ListedServer} from '@baobabpier/core';
+import {createPolledSignal} from '../polled-timeout.js';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {ListDialect} from './types.js';
@@ -104,7 +105,7 @@
 	async #readPage(pageToken: string | undefined) {
 		const {address, dialect, transport} = this.options;
 		const response = await transport.sendRequest({
-			kind: 'list', binding: {kind: 'ownConnection'}, address, method: 'GET', target: dialect.pagePath(pageToken), headers: [], body: undefined, signal: AbortSignal.timeout(pageTimeoutMs),
+			kind: 'list', binding: {kind: 'ownConnection'}, address, method: 'GET', target: dialect.pagePath(pageToken), headers: [], body: undefined, signal: createPolledSignal(pageTimeoutMs),
 		});
 		if (response.kind !== 'head') {
 			return response.detail;
--- a/packages/daemon/src/gateway/stream-run.ts
+++ b/packages/daemon/src/gateway/stream-run.ts
@@ -5,6 +5,8 @@
 	Clock, EngineId, ListedServer, RunPhase,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import {startPolledTimeout} from '../polled-timeout.js';
+import type {PolledTimeout} from '../polled-timeout.js';
 import {OutputPace} from '../requests/output-pace.js';
 import {failureOf} from '../transport/exchange.js';
 import type {ServerTransport} from '../transport/server-transport.js';
@@ -71,7 +73,7 @@
 	readonly #startedAt: number;
 	readonly #pace: OutputPace;
 	readonly #waiters: Array<() => void> = [];
-	#silenceTimer: NodeJS.Timeout | undefined;
+	#silenceTimeout: PolledTimeout | undefined;
 	#settleTimer: NodeJS.Timeout | undefined;
 	#silentSince: number | undefined;
 	#isSuperseded = false;
@@ -312,18 +314,18 @@
 
 	/** Restarts the time after which the engine counts as silent; a stream that can't be resumed has no other engine to go to. */
 	#awaitEvent(ms: number): void {
-		clearTimeout(this.#silenceTimer);
+		this.#silenceTimeout?.clear();
 		if (!this.progress.call.route.resumable) {
 			return;
 		}
 
-		this.#silenceTimer = setTimeout(() => {
+		this.#silenceTimeout = startPolledTimeout(ms, () => {
 			this.#silentSince = this.parts.clock.now() - ms;
 			log('An engine is silent.', {
 				requestId: this.progress.call.requestId, engine: this.request.server.id, silentMs: Math.round(ms), events: this.progress.events,
 			});
 			this.#notify();
-		}, ms);
+		});
 	}
 
 	#silentMs(): number | undefined {
@@ -333,7 +335,7 @@
 	#end(): void {
 		this.#isOver = true;
 		this.progress.runs.delete(this);
-		clearTimeout(this.#silenceTimer);
+		this.#silenceTimeout?.clear();
 		clearTimeout(this.#settleTimer);
 		this.#notify();
 	}
--- a/packages/daemon/src/rpc/rpc-client.ts
+++ b/packages/daemon/src/rpc/rpc-client.ts
@@ -3,6 +3,7 @@
 import type {RpcMethod} from '@baobabpier/core';
 import {createJSONRPCRequest} from 'json-rpc-2.0';
 import type {JSONRPCResponse} from 'json-rpc-2.0';
+import {startPolledTimeout} from '../polled-timeout.js';
 import {traceHeaders} from '../observability/tracing.js';
 import {readIssuedId, requestIdHeader, RequestIdSource} from '../transport/request-id.js';
 import {ServerTransport} from '../transport/server-transport.js';
@@ -50,7 +51,7 @@
 		};
 
 		// Ends with the call; a timeout signal would keep the answer in memory until its time is up
-		const timer = setTimeout(giveUp, Math.ceil(timeoutMs));
+		const timeout = startPolledTimeout(Math.ceil(timeoutMs), giveUp);
 		signal?.addEventListener('abort', giveUp, {once: true});
 		if (signal?.aborted) {
 			giveUp();
@@ -59,7 +60,7 @@
 		try {
 			return await this.#exchange(command, params, abort.signal);
 		} finally {
-			clearTimeout(timer);
+			timeout.clear();
 			signal?.removeEventListener('abort', giveUp);
 		}
 	}
--- a/packages/daemon/src/timed-connect.ts
+++ b/packages/daemon/src/timed-connect.ts
@@ -2,6 +2,7 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import type {buildConnector} from 'undici';
+import {startPolledTimeout} from './polled-timeout.js';
 
 /** Code of the error of a connection that its peer reset. */
 const resetCode = 'ERR_CONNECTION_RESET';
@@ -25,11 +26,11 @@
 		return;
 	}
 
-	const timer = setTimeout(() => {
+	const timeout = startPolledTimeout(timeoutMs, () => {
 		socket.destroy(Object.assign(new Error(`no connection to ${options.hostname}:${options.port} within ${timeoutMs} ms`), {code: 'UND_ERR_CONNECT_TIMEOUT'}));
-	}, timeoutMs);
+	});
 	const fail = (error: Error): void => {
-		clearTimeout(timer);
+		timeout.clear();
 		callback(error, null);
 	};
 
@@ -48,7 +49,7 @@
 	});
 	socket.once('error', fail);
 	socket.once('connect', () => {
-		clearTimeout(timer);
+		timeout.clear();
 		socket.off('error', fail);
 		callback(null, socket);
 	});
