Bound the entries that a control instance keeps for followers by their content

Cause: the last 2,000 to 4,000 entries of the control log stay in memory for instances that follow it, whatever their size; an entry of a configuration holds its whole text.

The entries kept hold 8 Mi characters at most. A follower that lacks an older one gets the whole state, as before.

--- a/packages/daemon/src/control/applied-log.ts
+++ b/packages/daemon/src/control/applied-log.ts
@@ -15,6 +15,8 @@
 const retentionMs = 24 * 60 * 60 * 1000;
 const maxRecords = 100_000;
 const keptEntries = 2000;
+/** Bound of the content of the entries that are kept, in characters: some of the largest configurations. */
+const keptContent = 8 * 1024 * 1024;
 const maxEntriesPerUpdate = 500;
 
 type Waiter = {
@@ -30,6 +32,8 @@
 	readonly state = new ControlState({retentionMs, maxRecords});
 	readonly #listeners = new Set<AppliedListener>();
 	#entries: LogEntry[] = [];
+	/** Content of these entries, in characters. */
+	#content = 0;
 	#waiters: Waiter[] = [];
 	#isOpen = false;
 
@@ -68,6 +72,7 @@
 
 		this.state.restore(capture);
 		this.#entries = [];
+		this.#content = 0;
 		this.#notifyReplaced();
 		this.#wake();
 	}
@@ -103,8 +108,9 @@
 	#applyOne(entry: LogEntry, onResult?: ResultListener): void {
 		const result = this.state.applyEntry(entry);
 		this.#entries.push(entry);
-		if (this.#entries.length > keptEntries * 2) {
-			this.#entries = this.#entries.slice(-keptEntries);
+		this.#content += contentOf(entry);
+		if (this.#entries.length > keptEntries * 2 || this.#content > keptContent) {
+			this.#dropOldest();
 		}
 
 		onResult?.(entry, result);
@@ -113,6 +119,24 @@
 		}
 	}
 
+	/** Keeps the newest entries within half of both bounds, and the last one in any case; followers that lack the others get the whole state. */
+	#dropOldest(): void {
+		let first = this.#entries.length - 1;
+		let content = contentOf(this.#entries[first]!);
+		while (first > 0 && this.#entries.length - first < keptEntries) {
+			const next = content + contentOf(this.#entries[first - 1]!);
+			if (next > keptContent / 2) {
+				break;
+			}
+
+			content = next;
+			first -= 1;
+		}
+
+		this.#entries = this.#entries.slice(first);
+		this.#content = content;
+	}
+
 	#notifyReplaced(): void {
 		if (this.#isOpen) {
 			this.#notify(undefined);
@@ -139,5 +163,14 @@
 	}
 }
 
+/** Length of all texts and buffers within an entry. */
+const contentOf = (value: unknown): number => {
+	if (typeof value === 'string' || value instanceof Uint8Array) {
+		return value.length;
+	}
+
+	return typeof value === 'object' && value !== null ? Object.values(value).reduce<number>((sum, part) => sum + contentOf(part), 0) : 0;
+};
+
 /** The index before the first entry. */
 export const noIndex = toId<LogIndex>(0);
