Count a run as an attempt from its beginning

Callers saw nothing; engines ran one request more often than its route allows.

Cause: a run counted once its response head came. Beside a run that was silent before its head, the attempts of the route had one to spare, and since a failure of the second engine let the search go on.

A run counts from its beginning, and no longer if it was never sent.

--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -78,7 +78,7 @@
 	avoided: readonly EngineId[];
 	/** Addresses to which the call was sent, for any purpose. */
 	readonly sentTo: Set<string>;
-	/** Number of sends that may have been executed. */
+	/** Number of sends that may have been executed, with those in progress. */
 	sent: number;
 	/** Number of prefills that were sent. */
 	prefills: number;
--- a/packages/daemon/src/gateway/stream-run.ts
+++ b/packages/daemon/src/gateway/stream-run.ts
@@ -144,11 +144,13 @@
 		}
 
 		const endCall = fleet.begin(server.id);
+		progress.sent += 1;
+		const attempt = progress.sent;
 		const response = await transport.sendRequest({
 			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, purpose, this.#scope.remainingMs()), body: call.body, signal: this.#abort.signal, isRepeat: progress.sentTo.has(server.address), isUrgent: isUrgent(call),
 		});
 		progress.sentTo.add(server.address);
-		progress.sent += response.kind === 'unsent' ? 0 : 1;
+		progress.sent -= response.kind === 'unsent' ? 1 : 0;
 		const ended = response.kind === 'head' ? await this.#relay(response) : response;
 		const outcome: DecodeOutcome = this.#isSuperseded ? {kind: 'superseded', detail: 'another run of the stream delivered first'} : ended;
 		this.#end();
@@ -170,7 +172,7 @@
 
 		const {firstAt, sample} = this.#pace;
 		log('A stream got an outcome at an engine.', {
-			requestId: call.requestId, engine: server.id, segments: call.sharedSegments.slice(0, maxLoggedSegments).join(' '), purpose: purpose.kind, attempt: progress.sent, outcome: outcome.kind, status: response.kind === 'head' ? response.status : undefined,
+			requestId: call.requestId, engine: server.id, segments: call.sharedSegments.slice(0, maxLoggedSegments).join(' '), purpose: purpose.kind, attempt, outcome: outcome.kind, status: response.kind === 'head' ? response.status : undefined,
 			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, firstEventMs: firstAt === undefined ? undefined : Math.round(firstAt - this.#startedAt), longestPauseMs: sample === undefined ? undefined : Math.round(sample.longestMs ?? 0), silentMs: this.#silentMs(), ms: Math.round(clock.now() - this.#startedAt), ended: this.#scope.reason,
 		});
 		return outcome;
