Charge a retry beside a silent run once

Callers saw nothing; retry budgets were used up by runs that no engine got, so that a stream that broke off later could lack its retry.

Cause: the failure of a run beside a silent one took a retry for the next round, which takes its own when it has a place.

Evidence: found by review; silent-retries failed before (3 charges for 2 retries that engines got) and passes.

--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -485,7 +485,9 @@
 		// A stream that has begun can take no other response than the rest of its events
 		const mayHaveRun = outcome.kind !== 'notRun';
 		const detail = outcome.kind === 'relay' ? `an engine answered a resumed stream with status ${outcome.head.status}` : outcome.detail;
-		const mayRetry = scope.reason === undefined && progress.sent < call.route.maxAttempts && (!mayHaveRun || call.route.resumable) && this.parts.retryBudgets.tryAcquire(service);
+		const isBesideSilentRun = progress.silent !== undefined && progress.silent.run !== run;
+		// A round beside a silent run takes its retry when it has a place
+		const mayRetry = !isBesideSilentRun && scope.reason === undefined && progress.sent < call.route.maxAttempts && (!mayHaveRun || call.route.resumable) && this.parts.retryBudgets.tryAcquire(service);
 		const reply = errorReply(mayHaveRun ? routerError(scope.reason === 'deadline' ? 'timeout' : 'answerLost', detail) : routerError('overloaded', 'the engine had no free capacity', rejectedRetryAfterMs));
 		return mayRetry ? {isFinal: false, reply} : {isFinal: true, reply: this.#fail(progress, reply)};
 	}
