--- a/packages/daemon/src/__tests__/unit/listener-stop.test.ts
+++ b/packages/daemon/src/__tests__/unit/listener-stop.test.ts
@@ -96,6 +96,11 @@
 				}
 
 				const failure = await work(call, scope);
+				if (call.target.endsWith('torn/begun')) {
+					out.abort();
+					return {kind: 'streamed', detail: 'the engine closed the connection'};
+				}
+
 				if (call.target.endsWith('silent')) {
 					return {kind: 'streamed'};
 				}
@@ -181,21 +186,21 @@
 
 test.each([
 	{
-		name: 'a non-idempotent call that was sent', path: '/unsafe/long/sent', status: 504, isComplete: true, fields: ['connection: close'],
+		name: 'a non-idempotent call that was sent', path: '/unsafe/long/sent', status: 504, isComplete: true, fields: ['connection: close'], cause: 'timeout',
 	},
 	{
-		name: 'a call that waits for a place', path: '/stream/long/waiting', status: 503, isComplete: true, fields: ['retry-after: 0.1', 'connection: close', '"run":"no"'],
+		name: 'a call that waits for a place', path: '/stream/long/waiting', status: 503, isComplete: true, fields: ['retry-after: 0.1', 'connection: close', '"run":"no"'], cause: 'shuttingDown',
 	},
 	{
-		name: 'a stream without an event', path: '/stream/long/sent', status: 504, isComplete: true, fields: ['"run":"unknown"'],
+		name: 'a stream without an event', path: '/stream/long/sent', status: 504, isComplete: true, fields: ['"run":"unknown"'], cause: 'timeout',
 	},
 	{
-		name: 'a stream whose route determined no response', path: '/stream/long/silent', status: 502, isComplete: true, fields: ['"run":"unknown"'],
+		name: 'a stream whose route determined no response', path: '/stream/long/silent', status: 502, isComplete: true, fields: ['"run":"unknown"'], cause: 'the stream ended without a response',
 	},
 	{
-		name: 'a stream that has begun', path: '/stream/long/begun', status: 200, isComplete: false, fields: ['first '],
+		name: 'a stream that has begun', path: '/stream/long/begun', status: 200, isComplete: false, fields: ['first '], cause: 'deadline',
 	},
-])('$name gets its outcome at the end of the drain', async ({path, status, isComplete, fields}) => {
+])('$name gets its outcome at the end of the drain', async ({path, status, isComplete, fields, cause}) => {
 	await start();
 	const connection = await Connection.open();
 	connection.send(path);
@@ -207,7 +212,19 @@
 	expect(fields.filter(field => !connection.text.toLowerCase().includes(field))).toEqual([]);
 	const [, kind] = path.split('/');
 	expect(listener.drainEffects).toEqual({refused: '', cutShort: `${kind} 1`, brokenOff: ''});
-	expect(listener.unfinishedCalls).toMatch(new RegExp(String.raw`^cutShort ${kind} r: \S.*, after \d+ ms$`, 'v'));
+	expect(listener.unfinishedCalls).toMatch(new RegExp(String.raw`^cutShort ${kind} r: ${cause}, after \d+ ms$`, 'v'));
+});
+
+test('a stream that breaks off during a stop is named with its cause, not with the end of the drain', async () => {
+	await start();
+	const connection = await Connection.open();
+	connection.send('/stream/short/torn/begun');
+	await until('the call is served', () => served.length === 1);
+	beginStop(1000);
+	await until('the stream has broken off', () => connection.isClosed);
+	await until('the call is recorded', () => listener.inProgress === 0);
+	expect(listener.drainEffects).toEqual({refused: '', cutShort: '', brokenOff: 'stream 1'});
+	expect(listener.unfinishedCalls).toMatch(/^brokenOff stream r: the engine closed the connection, after \d+ ms$/v);
 });
 
 test.each([
