Log the software version at which a stream runs, and the request whose stream a caller takes up

Three ways could lead to streams of two versions: a broken stream resumes anywhere, a caller takes its stream up at an instance that knows nothing of it, a prompt is read at one version and decoded at another. No log line could tell them apart: the version stood on the list only. Nothing decides by it yet.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -33,6 +33,8 @@
 export type RoutingVersion = Branded<number, 'RoutingVersion'>;
 /** The id of an operator's order, the same across resends. */
 export type OrderId = Branded<string, 'OrderId'>;
+/** The version of an engine's software, not of the weights that it serves. */
+export type SoftwareVersion = Branded<string, 'SoftwareVersion'>;
 /** A segment of a prompt, by the hash of its content; requests with the same segment share its KV cache. */
 export type SegmentId = Branded<string, 'SegmentId'>;
 /** Identifies one run of an engine process; a restart changes it. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -56,6 +56,7 @@
 	RoutingVersion,
 	SegmentId,
 	ServiceName,
+	SoftwareVersion,
 } from './ids.js';
 export {CrashEvidence} from './quarantine/crash-evidence.js';
 export type {CrashVerdicts, ReportedCrash} from './quarantine/crash-evidence.js';
--- a/packages/core/src/server-list.ts
+++ b/packages/core/src/server-list.ts
@@ -1,6 +1,8 @@
 /** The platform's list of the servers of all services. */
 import type {EngineRole} from './catalogue/types.js';
-import type {BackendId, DataCentreId, ServiceName} from './ids.js';
+import type {
+	BackendId, DataCentreId, ServiceName, SoftwareVersion,
+} from './ids.js';
 
 /** A plain server or an engine of the server list. */
 export type ListedServer = {
@@ -15,6 +17,8 @@
 	readonly leaving: boolean;
 	/** Role of an engine in its service; undefined for a plain server. */
 	readonly role: EngineRole | undefined;
+	/** Version of its software; absent where the list states none. */
+	readonly softwareVersion?: SoftwareVersion | undefined;
 };
 
 /**
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -76,9 +76,9 @@
 		const byService = new Map<ServiceName, ListedServer[]>();
 		for (const server of servers) {
 			const previous = missing.get(server.id);
-			if (previous?.leaving !== server.leaving || previous.role !== server.role) {
+			if (previous?.leaving !== server.leaving || previous.role !== server.role || previous.softwareVersion !== server.softwareVersion) {
 				log('A server is listed.', {
-					server: server.id, address: server.address, service: server.service, leaving: server.leaving, role: server.role,
+					server: server.id, address: server.address, service: server.service, leaving: server.leaving, role: server.role, softwareVersion: server.softwareVersion,
 				});
 			}
 
--- a/packages/daemon/src/gateway/prefill-client.ts
+++ b/packages/daemon/src/gateway/prefill-client.ts
@@ -71,7 +71,7 @@
 		endCall(result);
 		recordResult(progress, server, result);
 		log('A prompt was read.', {
-			requestId: call.requestId, engine: server.id, tokens: call.promptTokens, ms: Math.round(this.parts.clock.now() - startedAt), isRead: handle !== undefined,
+			requestId: call.requestId, engine: server.id, softwareVersion: server.softwareVersion, tokens: call.promptTokens, ms: Math.round(this.parts.clock.now() - startedAt), isRead: handle !== undefined,
 			status: response.kind === 'head' ? response.status : undefined, detail: 'detail' in response ? response.detail : undefined,
 		});
 		return handle === undefined ? {error: routerError('overloaded', 'the prefill failed', rejectedRetryAfterMs)} : {server: server.id, address: server.address, handle};
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -76,6 +76,10 @@
 	/** Serves a call; resolves once its response is sent or determined. */
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
 		this.parts.retryBudgets.recordCall(service);
+		if (call.resumes !== undefined || call.lastEventId !== undefined) {
+			log('A caller takes up a stream.', {requestId: call.requestId, resumes: call.resumes, lastEventId: call.lastEventId});
+		}
+
 		const progress: StreamProgress = {
 			call, service, scope, out, runs: new Set(), silent: undefined, mayHaveRun: false, isRetryDue: false, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined, avoided: [], sentTo: new Set(),
 		};
--- a/packages/daemon/src/gateway/stream-run.ts
+++ b/packages/daemon/src/gateway/stream-run.ts
@@ -172,7 +172,7 @@
 
 		const {firstAt, sample} = this.#pace;
 		log('A stream got an outcome at an engine.', {
-			requestId: call.requestId, engine: server.id, segments: call.sharedSegments.slice(0, maxLoggedSegments).join(' '), purpose: purpose.kind, attempt, outcome: outcome.kind, status: response.kind === 'head' ? response.status : undefined,
+			requestId: call.requestId, resumes: call.resumes, engine: server.id, softwareVersion: server.softwareVersion, segments: call.sharedSegments.slice(0, maxLoggedSegments).join(' '), purpose: purpose.kind, attempt, outcome: outcome.kind, status: response.kind === 'head' ? response.status : undefined,
 			detail: 'detail' in outcome ? outcome.detail : undefined, load: outcome.kind === 'notRun' ? outcome.load : undefined, lastEventId: progress.lastEventId, firstEventMs: firstAt === undefined ? undefined : Math.round(firstAt - this.#startedAt), longestPauseMs: sample === undefined ? undefined : Math.round(sample.longestMs ?? 0), silentMs: this.#silentMs(), ms: Math.round(clock.now() - this.#startedAt), ended: this.#scope.reason,
 		});
 		return outcome;
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -14,6 +14,8 @@
 	readonly maxTokens: number;
 	/** Id of the last stream event that the caller received; undefined when the stream starts from the beginning. */
 	readonly lastEventId: string | undefined;
+	/** Request that brought the first event of the stream which the caller takes up again; absent for a new stream. */
+	readonly resumes?: RequestId | undefined;
 	/** What other requests may have in common with it: segments of its prompt, without repetitions, or else the digest of the whole request. */
 	readonly sharedSegments: readonly SegmentId[];
 };
