Keep a stream at the software version that began it

Cause: nothing knew a version. The list's version was dropped on reading, a placement took any engine, and an instance at which a caller takes a stream up knew nothing of it. Class of fault: a run passes to another engine without all that the engines must have in common. Why this works: StreamBinding alone decides where a stream may go on; placements, leases, prefill results, silent runs and every send ask it, and the pool places a request on engines of one version. The version that began a stream is recorded under its request's id at three control instances, chosen by the id, before the first event is passed on; an instance that is asked for the stream finds it there. Unknown means refused as not run, unless the list has named one version for longer than a stream lives. Requests of streams that have begun are decided before new ones and hold up none. Roles are planned by version.

--- a/packages/core/src/catalogue/types.ts
+++ b/packages/core/src/catalogue/types.ts
@@ -1,6 +1,6 @@
 /** The catalogue of services and their servers, which operators edit and every instance applies. */
 import type {
-	BackendId, DataCentreId, EngineId, OrderId, OwnerName, Revision, ServiceName,
+	BackendId, DataCentreId, EngineId, OrderId, OwnerName, Revision, ServiceName, SoftwareVersion,
 } from '../ids.js';
 import type {TomlFault} from '../toml/check-toml.js';
 
@@ -45,6 +45,8 @@
 	readonly pieces: number;
 	/** Whether the engine rejects orders with a stale fencing token. */
 	readonly fencesOrders: boolean;
+	/** Version of its software; engines without one count as one version. */
+	readonly softwareVersion?: SoftwareVersion | undefined;
 };
 
 /** One plain backend server of a service. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -102,7 +102,7 @@
 } from './request/request-events.js';
 export {err, ok} from './result.js';
 export type {Err, Ok, Result} from './result.js';
-export {hashText, pickRendezvous} from './shares/rendezvous.js';
+export {hashText, pickRendezvous, rankRendezvous} from './shares/rendezvous.js';
 export type {Share, ShareId, ShareMap} from './shares/share-map.js';
 export {StaticShareMap} from './shares/static-share-map.js';
 export type {InstanceLocation} from './shares/static-share-map.js';
@@ -312,8 +312,12 @@
 	RoutingTable,
 } from './routing/types.js';
 export {isServerAddress} from './server-address.js';
-export {digestServerList} from './server-list.js';
+export {digestServerList, softwareVersionOf, unstatedVersion} from './server-list.js';
 export type {ListedServer} from './server-list.js';
+export {StreamOrigins} from './streams/stream-origins.js';
+export type {StreamOrigin} from './streams/stream-origins.js';
+export {ORIGIN_FIND, ORIGIN_RECORD} from './rpc/origin-methods.js';
+export type {OriginRecordResponse} from './rpc/origin-methods.js';
 export {CONTROL_WATCH} from './rpc/watch-method.js';
 export type {WatchResponse, WatchParams} from './rpc/watch-method.js';
 export type {ForecastOptions} from './placement/forecast.js';
--- a/packages/core/src/placement/engine-pool.ts
+++ b/packages/core/src/placement/engine-pool.ts
@@ -7,11 +7,13 @@
 } from '../ids.js';
 import type {EngineHold, EngineReport} from '../engine/engine-client.js';
 import type {Instant} from '../time.js';
-import {BucketedEngineIndex} from './engine-index.js';
+import {unstatedVersion} from '../server-list.js';
+import {chooseDecision} from './choose-decision.js';
 import {HoldTable} from './hold-table.js';
 import type {Grant, HeldPlacement, PoolTimings} from './hold-table.js';
 import type {LearnedEstimates} from './learned-estimates.js';
-import {PlacementQueue} from './placement-queue.js';
+import {isBound, PlacementQueue} from './placement-queue.js';
+import {VersionedEngineIndex} from './versioned-engine-index.js';
 import type {
 	EngineAddress, EngineView, MemoryDemand, Placement, PlacementDecision, PlacementPolicy, PlacementRequest, StreamOutcome,
 } from './types.js';
@@ -86,7 +88,7 @@
 	readonly #views = new Map<EngineId, EngineView>();
 	/** Engines on which nothing may be granted now; checked again on every refresh. */
 	readonly #nonGrantable = new Set<EngineId>();
-	readonly #index = new BucketedEngineIndex();
+	readonly #index = new VersionedEngineIndex();
 	readonly #queue = new PlacementQueue();
 
 	constructor(
@@ -231,6 +233,7 @@
 			maxStreams: this.policy.maxStreams?.(id) ?? Number.POSITIVE_INFINITY,
 			leaving,
 			isClosed: !this.admission.isOpen(id),
+			softwareVersion: entry.softwareVersion,
 		};
 		if (grantable && view.isClosed !== true) {
 			this.#nonGrantable.delete(id);
@@ -257,7 +260,7 @@
 			return [{kind: 'refused', hold: req, error: routerError('promptTooLong', `${req.promptTokens} tokens need ${req.pieces} pieces`)}];
 		}
 
-		const admission = this.#queue.length >= this.limits.queue ? {kind: 'refuse' as const, error: routerError('overloaded')} : this.policy.admit?.(req, this.#queue, now);
+		const admission = this.#queue.length >= this.limits.queue ? {kind: 'refuse' as const, error: routerError('overloaded')} : (isBound(req) ? undefined : this.policy.admit?.(req, this.#queue, now));
 		if (admission?.kind === 'refuse') {
 			return [{kind: 'refused', hold: req, error: admission.error}];
 		}
@@ -270,10 +273,10 @@
 		return this.#processQueue(now);
 	}
 
-	/** Places broken streams as far as engines can take them, then the other requests in queue order until one must wait. */
+	/** Places the requests of streams that have begun as far as engines can take them, then the other requests in queue order until one must wait. */
 	#processQueue(now: Instant): PoolEffect[] {
 		const effects: PoolEffect[] = [];
-		for (const req of this.#queue.brokenStreams()) {
+		for (const req of this.#queue.boundRequests()) {
 			const decision = this.#decide(req, now);
 			effects.push(...decision.kind === 'wait' ? [] : this.#applyDecision(decision, req, now));
 		}
@@ -310,7 +313,9 @@
 
 	#decide(req: PlacementRequest, now: Instant): PlacementDecision {
 		this.#refreshChangedEngines(now);
-		return this.policy.decide(req, this.#index, now, this.#queue.isDeferred(req));
+		const isLate = isBound(req) || this.#queue.isDeferred(req);
+		const versions = req.softwareVersion === undefined ? this.#index.versions : [req.softwareVersion];
+		return chooseDecision((versions.length > 0 ? versions : [unstatedVersion]).map(version => this.policy.decide(req, this.#index.of(version), now, isLate)));
 	}
 
 	#applyDecision(decision: Exclude<PlacementDecision, {kind: 'wait'}>, req: PlacementRequest, now: Instant): PoolEffect[] {
@@ -332,7 +337,7 @@
 		}
 	}
 
-	#grant(req: PlacementRequest, decode: EngineAddress, prefill: EngineAddress, now: Instant): PoolEffect {
+	#grant(req: PlacementRequest, decode: EngineView, prefill: EngineView, now: Instant): PoolEffect {
 		const grant: Grant = {
 			requestId: req.requestId,
 			attempt: req.attempt,
@@ -341,6 +346,7 @@
 			prefill: {id: prefill.id, address: prefill.address},
 			pieces: req.pieces,
 			promptTokens: req.promptTokens,
+			softwareVersion: decode.softwareVersion,
 		};
 		this.#holds.grant(grant, now);
 		for (const id of new Set([decode.id, prefill.id])) {
@@ -358,7 +364,7 @@
 			kind: 'placed',
 			hold: grant,
 			placement: {
-				decode: grant.decode, prefill: grant.prefill ?? grant.decode, pieces: grant.pieces, grantedBy: this.self,
+				decode: grant.decode, prefill: grant.prefill ?? grant.decode, pieces: grant.pieces, softwareVersion: grant.softwareVersion, grantedBy: this.self,
 			},
 		};
 	}
--- a/packages/core/src/placement/hold-table.ts
+++ b/packages/core/src/placement/hold-table.ts
@@ -2,7 +2,7 @@
 import type {EngineHold, EngineReport, ReportedHold} from '../engine/engine-client.js';
 import {toId} from '../ids.js';
 import type {
-	AttemptNumber, EngineId, EngineIncarnation, InstanceId, RequestId,
+	AttemptNumber, EngineId, EngineIncarnation, InstanceId, RequestId, SoftwareVersion,
 } from '../ids.js';
 import {addMs} from '../time.js';
 import type {Instant} from '../time.js';
@@ -35,6 +35,7 @@
 	/** Undefined for a placement adopted from an earlier owner. */
 	readonly prefill: EngineAddress | undefined;
 	readonly promptTokens: number;
+	readonly softwareVersion?: SoftwareVersion | undefined;
 };
 
 /** Memory that must be freed on its engine. */
--- a/packages/core/src/placement/placement-queue.ts
+++ b/packages/core/src/placement/placement-queue.ts
@@ -11,15 +11,18 @@
 /** Maximum number of urgent requests placed in a row while a patient one waits. */
 const maxConsecutiveUrgent = 9;
 
-type Lane = 'broken' | 'urgent' | 'patient' | 'deferred';
+type Lane = 'bound' | 'urgent' | 'patient' | 'deferred';
 
-const allLanes: readonly Lane[] = ['broken', 'urgent', 'patient', 'deferred'];
-/** Lanes in order of priority; broken streams are decided on one by one instead. */
+const allLanes: readonly Lane[] = ['bound', 'urgent', 'patient', 'deferred'];
+/** Lanes in order of priority; bound requests are decided on one by one instead. */
 const priorityOrder: readonly Lane[] = ['urgent', 'patient', 'deferred'];
 
+/** Whether a request is for a stream that has begun, and only some engines may serve it. */
+export const isBound = ({readsDirectly, softwareVersion}: Pick<PlacementRequest, 'readsDirectly' | 'softwareVersion'>): boolean => readsDirectly === true || softwareVersion !== undefined;
+
 /**
- * A queue with one lane per class, one for requests that can no longer meet their latency target, and one for broken streams
- * that resume on another engine. Broken streams had a placement before, and each may wait for its own engine without blocking the others.
+ * A queue with one lane per class, one for requests that can no longer meet their latency target, and one for streams that have
+ * begun and go on at another engine. These had a placement before, and each may wait for its own engine without blocking the others.
  *
  * @example
  * const queue = new PlacementQueue();
@@ -28,11 +31,11 @@
  */
 export class PlacementQueue implements QueueView {
 	readonly #lanes: Readonly<Record<Lane, Map<string, PlacementRequest>>> = {
-		broken: new Map(), urgent: new Map(), patient: new Map(), deferred: new Map(),
+		bound: new Map(), urgent: new Map(), patient: new Map(), deferred: new Map(),
 	};
 
 	readonly #queuedTokens: Record<Lane, number> = {
-		broken: 0, urgent: 0, patient: 0, deferred: 0,
+		bound: 0, urgent: 0, patient: 0, deferred: 0,
 	};
 
 	#consecutiveUrgent = 0;
@@ -47,12 +50,12 @@
 	}
 
 	push(req: PlacementRequest): void {
-		this.#add(req.readsDirectly === true ? 'broken' : req.class, req);
+		this.#add(isBound(req) ? 'bound' : req.class, req);
 	}
 
-	/** Returns the broken streams that wait for an engine, oldest first. */
-	brokenStreams(): readonly PlacementRequest[] {
-		return [...this.#lanes.broken.values()];
+	/** Returns the bound requests that wait for an engine, oldest first. */
+	boundRequests(): readonly PlacementRequest[] {
+		return [...this.#lanes.bound.values()];
 	}
 
 	/** Moves a request behind all that can still meet their target. */
@@ -65,7 +68,7 @@
 		return this.#lanes.deferred.has(holdKey(hold));
 	}
 
-	/** Returns the request to place next, apart from broken streams. */
+	/** Returns the request to place next, apart from bound ones. */
 	peek(): PlacementRequest | undefined {
 		const isPatientTurn = this.#consecutiveUrgent >= maxConsecutiveUrgent && this.#lanes.patient.size > 0;
 		const order: readonly Lane[] = isPatientTurn ? ['patient', 'urgent', 'deferred'] : priorityOrder;
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -2,7 +2,7 @@
 import type {EngineRole, ServiceClass} from '../catalogue/types.js';
 import type {RouterError} from '../errors.js';
 import type {
-	AttemptNumber, DataCentreId, EngineId, EngineIncarnation, InstanceId, RequestId, ServiceName,
+	AttemptNumber, DataCentreId, EngineId, EngineIncarnation, InstanceId, RequestId, ServiceName, SoftwareVersion,
 } from '../ids.js';
 import type {EngineHold} from '../engine/engine-client.js';
 import type {RandomSource} from '../random.js';
@@ -35,6 +35,8 @@
 	readonly steadyGapMs?: number;
 	/** Whether the decode engine must read the prompt itself, as for a broken stream that resumes there. */
 	readonly readsDirectly?: boolean;
+	/** The only software version whose engines may serve it, as for a stream that has begun; undefined for any one version. */
+	readonly softwareVersion?: SoftwareVersion | undefined;
 	/** Engines on which this request has just failed. */
 	readonly excluded: readonly EngineId[];
 };
@@ -64,6 +66,7 @@
 	readonly leaving: boolean;
 	/** Whether the engine takes no further request now, by a limit of its own. */
 	readonly isClosed?: boolean;
+	readonly softwareVersion?: SoftwareVersion | undefined;
 };
 
 /** An engine and its network address. */
@@ -78,6 +81,8 @@
 	readonly decode: EngineAddress;
 	readonly prefill: EngineAddress;
 	readonly pieces: number;
+	/** Version of the engines' software as the owner knows it. */
+	readonly softwareVersion?: SoftwareVersion | undefined;
 	/** The instance that granted the placement and must be notified of its release. */
 	readonly grantedBy: InstanceId;
 };
--- a/packages/core/src/rpc/rpc-methods.ts
+++ b/packages/core/src/rpc/rpc-methods.ts
@@ -15,7 +15,7 @@
 import type {EngineHold} from '../engine/engine-client.js';
 import type {RouterError} from '../errors.js';
 import type {
-	AttemptNumber, ClaimKey, DataCentreId, EngineId, InstanceId, OrderId, RequestId, Revision, ServiceName,
+	AttemptNumber, ClaimKey, DataCentreId, EngineId, InstanceId, OrderId, RequestId, Revision, ServiceName, SoftwareVersion,
 } from '../ids.js';
 import type {ClaimRecord} from '../ledger/claim-ledger.js';
 import type {HeldPlacement} from '../placement/hold-table.js';
@@ -62,6 +62,8 @@
 	readonly readsDirectly?: boolean;
 	/** Longest predicted wait that the requester accepts; undefined for as long as the target allows. */
 	readonly acceptWaitMs?: number;
+	/** The only software version whose engines may serve the stream; undefined for a new one. */
+	readonly softwareVersion?: SoftwareVersion | undefined;
 	readonly excluded: readonly EngineId[];
 };
 
@@ -140,7 +142,7 @@
 		readonly service: ServiceName;
 		readonly dataCentre: DataCentreId;
 		readonly grants: number;
-		readonly engines: ReadonlyArray<{readonly id: EngineId; readonly role: string; readonly pieces: number; readonly freePieces: number; readonly leaving: boolean}>;
+		readonly engines: ReadonlyArray<{readonly id: EngineId; readonly role: string; readonly pieces: number; readonly freePieces: number; readonly leaving: boolean; readonly softwareVersion?: SoftwareVersion | undefined}>;
 	}>;
 };
 
--- a/packages/core/src/server-list.ts
+++ b/packages/core/src/server-list.ts
@@ -1,5 +1,6 @@
 /** The platform's list of the servers of all services. */
 import type {EngineRole} from './catalogue/types.js';
+import {toId} from './ids.js';
 import type {
 	BackendId, DataCentreId, ServiceName, SoftwareVersion,
 } from './ids.js';
@@ -21,6 +22,12 @@
 	readonly softwareVersion?: SoftwareVersion | undefined;
 };
 
+/** Stands for the software version of engines for which none is stated. */
+export const unstatedVersion: SoftwareVersion = toId<SoftwareVersion>('');
+
+/** Returns the software version of an engine; those without a stated one have the same. */
+export const softwareVersionOf = ({softwareVersion = unstatedVersion}: {readonly softwareVersion?: SoftwareVersion | undefined}): SoftwareVersion => softwareVersion;
+
 /**
  * Returns a digest of a server list, so that only changes are forwarded.
  *
@@ -29,8 +36,8 @@
  */
 export const digestServerList = (servers: readonly ListedServer[]): string => {
 	let hash = 5381;
-	for (const {id, service, address, leaving, role, slots} of servers) {
-		for (const character of `${id}|${service}|${address}|${leaving}|${role ?? ''}|${slots};`) {
+	for (const {id, service, address, leaving, role, slots, softwareVersion} of servers) {
+		for (const character of `${id}|${service}|${address}|${leaving}|${role ?? ''}|${slots}|${softwareVersion ?? ''};`) {
 			hash = ((hash * 33) ^ character.codePointAt(0)!) >>> 0; // eslint-disable-line no-bitwise
 		}
 	}
--- a/packages/core/src/shares/rendezvous.ts
+++ b/packages/core/src/shares/rendezvous.ts
@@ -37,3 +37,15 @@
 
 	return best;
 };
+
+/**
+ * Returns the `count` members with the highest weights for `key`. A member that joins or leaves changes one of them at most.
+ *
+ * @example
+ * rankRendezvous('r-1', ['c1', 'c2', 'c3', 'c4'], 3); // The same members on every instance
+ */
+export const rankRendezvous = <Member extends string>(key: string, members: readonly Member[], count: number): readonly Member[] => members
+	.map(member => ({member, weight: hashText(`${key}\u0000${member}`)}))
+	.toSorted((a, b) => b.weight - a.weight || (a.member < b.member ? -1 : 1))
+	.slice(0, count)
+	.map(({member}) => member);
--- a/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
+++ b/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
@@ -11,6 +11,7 @@
 } from '@baobabpier/core';
 import {HttpEngineClient} from '../../engine/http-engine-client.js';
 import {CallScope} from '../../gateway/call-scope.js';
+import {StreamBinding} from '../../gateway/stream-binding.js';
 import {StreamRun} from '../../gateway/stream-run.js';
 import {FleetView} from '../../gateway/fleet-view.js';
 import {headerValue} from '../../gateway/raw-headers.js';
@@ -202,7 +203,7 @@
 	} as unknown as Call;
 	const scope = new CallScope(monotonicClock, call.deadlineAt);
 	const progress = {
-		call, scope, runs: new Set(), sentTo: new Set(), sent: 0, events: 0, failed: [], served: [], lastEventId: undefined, out: {
+		call, scope, binding: new StreamBinding(undefined, async () => undefined), runs: new Set(), sentTo: new Set(), sent: 0, events: 0, failed: [], served: [], lastEventId: undefined, out: {
 			isStarted: false, start: () => undefined, write: () => undefined, end: () => undefined, abort: () => undefined,
 		},
 	} as unknown as StreamProgress;
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -23,6 +23,7 @@
 import {RpcServer} from '../rpc/rpc-server.js';
 import type {EngineEstimates} from '../settings/engine-estimates.js';
 import {LeaderRateLimits} from '../server-rate-limits/leader-rate-limits.js';
+import {OriginHost} from '../streams/origin-host.js';
 import {EngineReports} from './engine-reports.js';
 import {EngineLiveness} from './engine-liveness.js';
 import {LearnedEstimatesRecorder} from './learned-estimates-recorder.js';
@@ -194,8 +195,8 @@
 		engines: reports,
 		admission: limits,
 		mayGrant: () => shares.isSettled(clock.now()) || control.status.role !== 'leader',
-		onPlaced(service, promptTokens) {
-			roles.recordGrant(service, promptTokens);
+		onPlaced(service, promptTokens, version) {
+			roles.recordGrant(service, promptTokens, version);
 		},
 		timings: placementLeaseTimings,
 	});
@@ -243,6 +244,7 @@
 			watchServer.wake();
 		},
 	});
+	const origins = new OriginHost(clock);
 	const watchServer: WatchServer = new WatchServer({
 		dataCentre: first.dataCentre, control, clock, listAgeMs: () => list.ageMs, suspects: () => quarantine.suspects, limits: () => limits.snapshot,
 	});
@@ -274,6 +276,7 @@
 	metrics.registerGauge('control_members', 'Voters and learners of the control log, as this instance knows them', () => control.status.members.length);
 	metrics.registerGauge('storage_failed_seconds', 'How long the storage of the replica has been failed; 0 while it runs', () => (control.status.failedForMs ?? 0) / 1000);
 	metrics.registerGauge('storage_reopenings', 'How often a failed storage was opened again', () => control.status.reopenings);
+	metrics.registerGauge('stream_origins', 'Streams whose software version entry instances have recorded here', () => origins.size);
 	metrics.registerGauge('entries', 'Entry instances that follow this instance', () => watchServer.entries);
 	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
 	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
@@ -285,6 +288,7 @@
 		metrics.registerGauge(`quarantine_${name}`, help, () => quarantine.counts[name]);
 	}
 
+	origins.start(rpc);
 	watchServer.start(rpc);
 	quarantine.start(rpc);
 	limits.start(rpc);
--- a/packages/daemon/src/control-node/role-task.ts
+++ b/packages/daemon/src/control-node/role-task.ts
@@ -1,7 +1,7 @@
 /** Orders engines to change their roles according to the role planner while this instance leads. */
-import {RolePlanner, toId} from '@baobabpier/core';
+import {RolePlanner, softwareVersionOf, toId} from '@baobabpier/core';
 import type {
-	BackendId, Clock, EngineId, EngineRole, EngineStart, FencingToken, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, ExpectedMix,
+	BackendId, Clock, EngineId, EngineRole, EngineStart, FencingToken, Instant, InstanceId, InstanceStatus, ListedServer, RequestId, RoleChange, ServiceName, SoftwareVersion, ExpectedMix,
 } from '@baobabpier/core';
 import {createPolledSignal} from '../polled-timeout.js';
 import {createLog} from '../log.js';
@@ -76,7 +76,8 @@
 
 /** Samples the pools and orders the changes, one engine after another. */
 export class RoleTask {
-	readonly #planners = new Map<ServiceName, RolePlanner>();
+	/** By service and software version: a prompt is read and decoded at one version. */
+	readonly #planners = new Map<string, RolePlanner>();
 	readonly #changing = new Map<EngineId, {readonly role: EngineRole; readonly until: number}>();
 	#timer: NodeJS.Timeout | undefined;
 	#leadingSince: Instant | undefined;
@@ -100,8 +101,8 @@
 	}
 
 	/** Counts a prompt that was placed on an engine. */
-	recordGrant(service: ServiceName, promptTokens: number): void {
-		this.#planners.get(service)?.recordGrant(promptTokens);
+	recordGrant(service: ServiceName, promptTokens: number, version: SoftwareVersion): void {
+		this.#planners.get(plannerKey(service, version))?.recordGrant(promptTokens);
 	}
 
 	#sample(): void {
@@ -118,19 +119,31 @@
 
 		this.#leadingSince ??= now;
 		this.#dropChanged(now);
-		for (const pool of this.parts.pools()) {
-			this.#plan(pool, fencing, now);
+		const planned = new Set<string>();
+		for (const {service, engines} of this.parts.pools()) {
+			for (const version of new Set(engines.map(engine => softwareVersionOf(engine)))) {
+				planned.add(plannerKey(service, version));
+				this.#plan(service, version, engines.filter(engine => softwareVersionOf(engine) === version), fencing, now);
+			}
+		}
+
+		for (const key of this.#planners.keys()) {
+			if (!planned.has(key)) {
+				this.#planners.delete(key);
+			}
 		}
 	}
 
-	#plan({service, engines}: InstanceStatus['pools'][number], fencing: FencingToken, now: Instant): void {
+	// eslint-disable-next-line max-params
+	#plan(service: ServiceName, version: SoftwareVersion, engines: InstanceStatus['pools'][number]['engines'], fencing: FencingToken, now: Instant): void {
 		const pieces = this.parts.piecesOf(service);
 		if (pieces === undefined) {
 			return;
 		}
 
-		const planner = this.#planners.get(service) ?? new RolePlanner({pieces}, this.parts.expectedMix);
-		this.#planners.set(service, planner);
+		const key = plannerKey(service, version);
+		const planner = this.#planners.get(key) ?? new RolePlanner({pieces}, this.parts.expectedMix);
+		this.#planners.set(key, planner);
 		const used = engines.filter(({role}) => role === 'decode').reduce((sum, engine) => sum + engine.pieces - engine.freePieces, 0);
 		planner.setPrefillRate(this.parts.prefillTokensPerMs(service));
 		planner.recordMemoryUse(used, now);
@@ -143,7 +156,7 @@
 		}));
 		for (const change of planner.plan(candidates, now)) {
 			log('An engine is to change its role.', {
-				engine: change.engine, role: change.role, service, prefillPart: Number((planner.prefillFraction ?? 0).toFixed(3)), prefilling: candidates.filter(({role}) => role === 'prefill').length, engines: candidates.length, fencing,
+				engine: change.engine, role: change.role, service, softwareVersion: version, prefillPart: Number((planner.prefillFraction ?? 0).toFixed(3)), prefilling: candidates.filter(({role}) => role === 'prefill').length, engines: candidates.length, fencing,
 			});
 			this.#changing.set(change.engine, {role: change.role, until: now + changeTimeoutMs});
 			void this.#order(change, fencing);
@@ -217,3 +230,5 @@
 		return {status: answer.status, body};
 	}
 }
+
+const plannerKey = (service: ServiceName, version: SoftwareVersion): string => `${service}@${version}`;
--- a/packages/daemon/src/gateway/control-watch.ts
+++ b/packages/daemon/src/gateway/control-watch.ts
@@ -86,6 +86,11 @@
 		return this.#leader;
 	}
 
+	/** The control instances that are known: those of one in contact with a majority, or the seeds before the first. */
+	get controls(): readonly InstanceId[] {
+		return this.#controls.length > 0 ? this.#controls : this.parts.seeds();
+	}
+
 	/** Largest number of entry instances that a control instance reported lately; at least 1. */
 	get entryInstanceCount(): number {
 		return this.#entryCount.value;
--- a/packages/daemon/src/gateway/engine-leases.ts
+++ b/packages/daemon/src/gateway/engine-leases.ts
@@ -9,7 +9,7 @@
 import type {FleetView} from './fleet-view.js';
 import {isUrgent} from './plain-route.js';
 import type {ReservedEngine, StreamProgress} from './stream-progress.js';
-import type {Call, ServerDialect} from './types.js';
+import type {Call, KvSource, ServerDialect} from './types.js';
 
 const log = createLog('rooms');
 /** Duration of a lease on an engine's memory, in milliseconds: covers a prefill and the network time of the request. */
@@ -34,23 +34,25 @@
 export class EngineLeases {
 	constructor(private readonly parts: EngineLeasesParts) {}
 
-	/** Returns the engine's entry in the server list; undefined when it is not listed, is leaving or asked for time. */
-	findListed({id}: EngineAddress): ListedServer | undefined {
-		return this.parts.fleet.findUsable(toId<BackendId>(id));
+	/** Returns the engine's entry in the server list; undefined when it is not listed, is leaving, asked for time, or may not serve the stream. */
+	findListed({binding}: StreamProgress, {id}: EngineAddress): ListedServer | undefined {
+		const server = this.parts.fleet.findUsable(toId<BackendId>(id));
+		return server !== undefined && binding.admits(server) ? server : undefined;
 	}
 
-	/** Returns the decode engine with the fewest requests of this instance. */
-	leastLoaded({service, excluded, rejectedBy}: StreamProgress): ListedServer | undefined {
+	/** Returns the decode engine with the fewest requests of this instance among those that may serve the stream, from memory that another engine wrote where `source` is given. */
+	leastLoaded({service, excluded, rejectedBy, binding}: StreamProgress, source?: KvSource): ListedServer | undefined {
 		const {fleet} = this.parts;
-		const loads = fleet.loads(service).filter(({id}) => fleet.get(id)?.role === 'decode' && !excluded.has(toId<EngineId>(id)) && !rejectedBy.includes(toId<EngineId>(id)));
+		const mayServe = (server: ListedServer | undefined): boolean => server?.role === 'decode' && binding.admits(server, source);
+		const loads = fleet.loads(service).filter(({id}) => mayServe(fleet.get(id)) && !excluded.has(toId<EngineId>(id)) && !rejectedBy.includes(toId<EngineId>(id)));
 		const [least] = loads.toSorted((a, b) => a.inFlight + a.failing - b.inFlight - b.failing);
 		return least === undefined ? undefined : fleet.get(least.id);
 	}
 
 	/** Acquires a lease on one of the least loaded decode engines; undefined when none of those tried grants one. */
-	async acquireLeastLoaded(progress: StreamProgress): Promise<ReservedEngine | undefined> {
+	async acquireLeastLoaded(progress: StreamProgress, source?: KvSource): Promise<ReservedEngine | undefined> {
 		for (let attempts = 0; attempts < maxLeaseAttempts && progress.scope.reason === undefined; attempts++) {
-			const server = this.leastLoaded(progress);
+			const server = this.leastLoaded(progress, source);
 			// Engines are tried in sequence
 			// eslint-disable-next-line no-await-in-loop
 			const lease = server === undefined ? undefined : await this.acquire(progress, server);
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -1,6 +1,7 @@
 /** The servers that this instance may call, with statistics of its own calls to them. */
+import {softwareVersionOf} from '@baobabpier/core';
 import type {
-	BackendId, Clock, EngineRole, ListedServer, RequestId, ServerLoad, ServiceName,
+	BackendId, Clock, EngineRole, Instant, ListedServer, RequestId, ServerLoad, ServiceName, SoftwareVersion,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {AvailabilityGate} from './availability-gate.js';
@@ -15,6 +16,9 @@
 /** Maximum backoff, in milliseconds; the list drops a lost server after some seconds. */
 const maxBackoffMs = 5000;
 
+/** Time for which a software version is remembered after its last engine left the list, in milliseconds: longer than a stream can go on. */
+const versionMemoryMs = 60_000;
+
 /** Statistics of the calls to one server. */
 type ServerStats = {
 	inFlight: number;
@@ -58,7 +62,11 @@
 	#byService = new Map<ServiceName, readonly ListedServer[]>();
 	#hasList = false;
 
-	constructor(private readonly clock: Clock, private readonly availability: AvailabilityView = alwaysAvailable) {}
+	readonly #formerVersions = new Map<ServiceName, Map<SoftwareVersion, Instant>>();
+	#listedSince = Number.POSITIVE_INFINITY;
+
+	/** `isFirstStart`: whether no engine can have served before; `isListFresh`: whether the list is not older than a few seconds. */
+	constructor(private readonly clock: Clock, private readonly availability: AvailabilityView = alwaysAvailable, private readonly isFirstStart = false, private readonly isListFresh: () => boolean = () => true) {}
 
 	/** Whether a list has been read since the start. */
 	get hasList(): boolean {
@@ -72,6 +80,7 @@
 	/** Replaces the list. */
 	replace(servers: readonly ListedServer[]): void {
 		this.#hasList = true;
+		this.#recordVersions(servers);
 		const missing = new Map(this.#servers.map(server => [server.id, server]));
 		const byService = new Map<ServiceName, ListedServer[]>();
 		for (const server of servers) {
@@ -98,6 +107,21 @@
 		this.availability.retain(new Set(servers.map(({id}) => id)));
 	}
 
+	/**
+	 * The one software version of a service's engines, as long as no other one was listed for so long that no stream of it can go on;
+	 * undefined otherwise, and while the list is too old or too short a time known to tell.
+	 */
+	soleVersion(service: ServiceName): SoftwareVersion | undefined {
+		const now = this.clock.now();
+		if (now - this.#listedSince < versionMemoryMs || !this.isListFresh()) {
+			return undefined;
+		}
+
+		const former = [...this.#formerVersions.get(service) ?? []].filter(([, goneAt]) => now - goneAt < versionMemoryMs).map(([version]) => version);
+		const versions = new Set([...this.#versionsOf(service), ...former]);
+		return versions.size === 1 ? [...versions][0] : undefined;
+	}
+
 	/** The servers of a service that may get new work. */
 	usable(service: ServiceName, isUrgent = true): readonly ListedServer[] {
 		return (this.#byService.get(service) ?? []).filter(server => this.#isUsable(server, isUrgent));
@@ -162,6 +186,30 @@
 		}
 	}
 
+	#versionsOf(service: ServiceName): ReadonlySet<SoftwareVersion> {
+		return new Set((this.#byService.get(service) ?? []).filter(({role}) => role !== undefined).map(server => softwareVersionOf(server)));
+	}
+
+	/** Remembers which versions were listed until now. */
+	#recordVersions(servers: readonly ListedServer[]): void {
+		const now = this.clock.now();
+		this.#listedSince = Math.min(this.#listedSince, this.isFirstStart ? Number.NEGATIVE_INFINITY : now);
+		for (const service of new Set([...this.#byService.keys(), ...servers.map(server => server.service)])) {
+			const former = this.#formerVersions.get(service) ?? new Map<SoftwareVersion, Instant>();
+			for (const version of this.#versionsOf(service)) {
+				former.set(version, now);
+			}
+
+			for (const [version, goneAt] of former) {
+				if (now - goneAt >= versionMemoryMs) {
+					former.delete(version);
+				}
+			}
+
+			this.#formerVersions.set(service, former);
+		}
+	}
+
 	#isUsable({id, leaving}: ListedServer, isUrgent = true): boolean {
 		return !leaving && this.availability.isAvailable(id, isUrgent);
 	}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import {Peers} from '../rpc/peers.js';
 import {ServerConnections} from '../server-connections.js';
 import {RemoteRateLimits} from '../server-rate-limits/remote-rate-limits.js';
+import {OriginDirectory} from '../streams/origin-directory.js';
 import {AvailabilityGate} from './availability-gate.js';
 import {CallerListener} from './caller-listener.js';
 import {ControlWatch, isListStale} from './control-watch.js';
@@ -136,7 +137,8 @@
 			places.handleAvailabilityChange();
 		},
 	});
-	const fleet = new FleetView(clock, availability);
+	const fleet: FleetView = new FleetView(clock, availability, initialSettings.isFirstStart, () => !isListStale(controlWatch.listAgeMs));
+	const origins: OriginDirectory = new OriginDirectory({peers, clock, hosts: () => controlWatch.controls});
 	/** Engines that leave by the list or their own word, those that asked for time, and those that have used up their limit. */
 	const unavailableEngines = (): ReadonlySet<EngineId> => new Set([...leavingEngines(fleet.servers), ...[...availability.unavailable].filter(id => fleet.get(id)?.role !== undefined).map(id => toId<EngineId>(id))]);
 	let appliedUnavailable = '';
@@ -266,7 +268,7 @@
 			dataCentre: initialSettings.dataCentre, fleet, transport, dialect: dialect.server, retryBudgets, guard, clock, random,
 		}),
 		streams: new StreamRoute({
-			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, clock, random,
+			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, origins, clock, random,
 		}),
 		metrics,
 		gate,
@@ -279,6 +281,7 @@
 	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
 	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
 	metrics.registerServerGauge('server_rate_limit', 'Limits that servers name, in requests a second', () => limits.inForce);
+	metrics.registerGauge('stream_origins', 'Streams of this instance whose software version it knows', () => origins.size);
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => guard.quarantined);
 	metrics.registerGauge('quarantine_refusals', 'Calls refused for quarantined segments', () => guard.counts.refused);
 	metrics.registerGauge('quarantine_trials', 'Calls that tried suspected segments', () => guard.counts.trials);
@@ -300,6 +303,7 @@
 		places.stop();
 		client.stop();
 		guard.stop();
+		origins.stop();
 		localPool.stop();
 		controlWatch.stop();
 		listPoller.stop();
--- a/packages/daemon/src/gateway/model-services.ts
+++ b/packages/daemon/src/gateway/model-services.ts
@@ -25,6 +25,7 @@
 	role: server.role ?? 'decode',
 	pieces: piecesOfEngine(service),
 	fencesOrders: true,
+	softwareVersion: server.softwareVersion,
 });
 
 /**
--- a/packages/daemon/src/gateway/prefill-client.ts
+++ b/packages/daemon/src/gateway/prefill-client.ts
@@ -1,6 +1,6 @@
 /** Runs prefills on prefill engines. */
 import {Buffer} from 'node:buffer';
-import {routerError} from '@baobabpier/core';
+import {routerError, softwareVersionOf} from '@baobabpier/core';
 import type {BackendId, Clock, RouterError} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {ServerTransport} from '../transport/server-transport.js';
@@ -44,9 +44,9 @@
 	/** Runs the prefill of a call's prompt on the placed engine. */
 	async prefill(progress: StreamProgress, placement: StreamPlacement): Promise<PrefillResult | {readonly error: RouterError}> {
 		const {call, service, scope} = progress;
-		const server = this.parts.leases.findListed(placement.prefill);
+		const server = this.parts.leases.findListed(progress, placement.prefill);
 		if (server === undefined) {
-			return {error: routerError('noBackend', 'the prefill engine is no longer listed', rejectedRetryAfterMs)};
+			return {error: routerError('noBackend', 'the prefill engine is no longer listed, or runs another version', rejectedRetryAfterMs)};
 		}
 
 		if (progress.prefills > 0 && !this.parts.retryBudgets.tryAcquire(service)) {
@@ -74,7 +74,11 @@
 			requestId: call.requestId, engine: server.id, softwareVersion: server.softwareVersion, tokens: call.promptTokens, ms: Math.round(this.parts.clock.now() - startedAt), isRead: handle !== undefined,
 			status: response.kind === 'head' ? response.status : undefined, detail: 'detail' in response ? response.detail : undefined,
 		});
-		return handle === undefined ? {error: routerError('overloaded', 'the prefill failed', rejectedRetryAfterMs)} : {server: server.id, address: server.address, handle};
+		return handle === undefined
+			? {error: routerError('overloaded', 'the prefill failed', rejectedRetryAfterMs)}
+			: {
+				server: server.id, address: server.address, handle, softwareVersion: softwareVersionOf(server),
+			};
 	}
 
 	/** Frees an unused prefill result. */
--- a/packages/daemon/src/gateway/stream-placements.ts
+++ b/packages/daemon/src/gateway/stream-placements.ts
@@ -3,7 +3,7 @@
 	countPieces, POOL_RENEW, routerError, toId,
 } from '@baobabpier/core';
 import type {
-	AttemptNumber, Clock, EngineAddress, EngineHold, EngineId, HeldPlacement, Instant, InstanceId, ModelService, PlaceResponse, Placement, PlaceParams, RouterError, ServiceName,
+	AttemptNumber, Clock, EngineAddress, EngineHold, EngineId, HeldPlacement, Instant, InstanceId, ModelService, PlaceResponse, Placement, PlaceParams, RouterError, ServiceName, SoftwareVersion,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {PlacementClient, PoolAddress, ReleaseDetails} from '../pools/placement-client.js';
@@ -87,6 +87,8 @@
 	/** Further engines to avoid. */
 	readonly avoided: readonly EngineId[];
 	readonly scope: CallScope;
+	/** The only software version whose engines may serve it; undefined for a new stream. */
+	readonly softwareVersion: SoftwareVersion | undefined;
 };
 
 /** A placement request that waits for its response. */
@@ -227,7 +229,7 @@
 
 	#paramsOf(request: StreamPlacementRequest): PlacementRequestParams {
 		const {
-			call, round, excluded, scope,
+			call, round, excluded, scope, softwareVersion,
 		} = request;
 		const {clock} = this.parts;
 		const dueMs = call.arrivedAt + call.route.targetLatencyMs - clock.now();
@@ -242,6 +244,7 @@
 			waitMs: this.maxWaitMs(call, scope),
 			firstOutputMs: Math.max(0, dueMs),
 			steadyGapMs: call.route.targetGapMs,
+			softwareVersion,
 			excluded: [...new Set([...excluded, ...this.#avoidable(request)])],
 		};
 	}
--- a/packages/daemon/src/gateway/stream-progress.ts
+++ b/packages/daemon/src/gateway/stream-progress.ts
@@ -6,6 +6,7 @@
 import type {TransportFailure} from '../transport/types.js';
 import type {CallScope} from './call-scope.js';
 import type {CallResult} from './fleet-view.js';
+import type {StreamBinding} from './stream-binding.js';
 import type {StreamRun} from './stream-run.js';
 import type {ResponseHead, Call} from './types.js';
 
@@ -65,6 +66,8 @@
 	/** Scope of the current round: that of the call, or a part of it while another run is silent. */
 	scope: CallScope;
 	readonly out: StreamOutput;
+	/** Decides at which engines the stream may go on. */
+	readonly binding: StreamBinding;
 	/** Runs in progress: one, or a silent one and the one that may take its place. */
 	readonly runs: Set<StreamRun>;
 	/** The silent run beside which rounds look for another engine. */
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -6,6 +6,7 @@
 	Clock, EngineAddress, EngineId, ErrorKind, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {OriginDirectory} from '../streams/origin-directory.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {CallScope} from './call-scope.js';
 import type {CrashGuard} from './crash-guard.js';
@@ -15,6 +16,7 @@
 import type {RunStage} from './stream-run.js';
 import type {FleetView} from './fleet-view.js';
 import type {StreamPlacement, StreamPlacements} from './stream-placements.js';
+import {StreamBinding} from './stream-binding.js';
 import {PrefillClient} from './prefill-client.js';
 import type {PrefillResult} from './prefill-client.js';
 import {detailOf, errorReply} from './reply.js';
@@ -39,6 +41,9 @@
 /** Interval at which another engine is sought for a stream whose engine stays silent, in milliseconds. */
 const seekIntervalMs = 400;
 
+/** Time beyond a call's deadline for which its origin stays known, in milliseconds. */
+const originMarginMs = 10_000;
+
 /** Errors of calls that found no engine with capacity. */
 const capacityErrors: ReadonlySet<ErrorKind> = new Set(['noBackend', 'overloaded', 'queueTimeout']);
 
@@ -50,6 +55,7 @@
 	readonly retryBudgets: RetryBudgets;
 	readonly places: StreamPlacements;
 	readonly guard: CrashGuard;
+	readonly origins: Pick<OriginDirectory, 'lookup' | 'record'>;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
@@ -76,12 +82,13 @@
 	/** Serves a call; resolves once its response is sent or determined. */
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
 		this.parts.retryBudgets.recordCall(service);
-		if (call.resumes !== undefined || call.lastEventId !== undefined) {
-			log('A caller takes up a stream.', {requestId: call.requestId, resumes: call.resumes, lastEventId: call.lastEventId});
+		const binding = await this.#bind(call, service);
+		if (binding === undefined) {
+			return errorReply(routerError('noBackend', 'the software version that began the stream is not known', call.route.timeoutMs));
 		}
 
 		const progress: StreamProgress = {
-			call, service, scope, out, runs: new Set(), silent: undefined, mayHaveRun: false, isRetryDue: false, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined, avoided: [], sentTo: new Set(),
+			call, service, scope, out, binding, runs: new Set(), silent: undefined, mayHaveRun: false, isRetryDue: false, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined, avoided: [], sentTo: new Set(),
 		};
 		const unregister = this.parts.guard.register(call, scope);
 		try {
@@ -97,6 +104,23 @@
 		}
 	}
 
+	/** Binds a stream that a caller takes up to the software version that began it; undefined where that version is not known. */
+	async #bind(call: Call, service: ServiceName): Promise<StreamBinding | undefined> {
+		const {origins, fleet, clock} = this.parts;
+		const isNew = call.resumes === undefined && call.lastEventId === undefined;
+		const found = call.resumes === undefined ? undefined : await origins.lookup(call.resumes);
+		const version = isNew ? undefined : found ?? fleet.soleVersion(service);
+		if (!isNew) {
+			log('A caller takes up a stream.', {
+				requestId: call.requestId, resumes: call.resumes, lastEventId: call.lastEventId, softwareVersion: version, isRecorded: found !== undefined,
+			});
+		}
+
+		return isNew || version !== undefined
+			? new StreamBinding(version, async softwareVersion => origins.record({requestId: call.requestId, softwareVersion, ttlMs: Math.ceil(call.deadlineAt - clock.now()) + originMarginMs}))
+			: undefined;
+	}
+
 	/** Tells a refused caller when an engine takes work again, if all of them leave, ask for time or have used up their limit. */
 	#withRetryDelay(reply: Reply, {call, service}: StreamProgress): Reply {
 		const {fleet, random} = this.parts;
@@ -234,7 +258,7 @@
 			return this.#resume(progress, round);
 		}
 
-		const placementOutcome = await this.parts.places.place({...progress, round});
+		const placementOutcome = await this.parts.places.place({...progress, round, softwareVersion: progress.binding.version});
 		if (placementOutcome.kind === 'refused') {
 			log('A stream got no place.', {
 				requestId: call.requestId, round, kind: placementOutcome.error.kind, retryAfterMs: placementOutcome.error.retryAfterMs, leftMs: Math.round(scope.remainingMs()),
@@ -306,7 +330,7 @@
 			return {isFinal: true, reply: this.#fail(progress, {kind: 'streamed'})};
 		}
 
-		const placedServer = this.#leases.findListed(placement.decode);
+		const placedServer = this.#leases.findListed(progress, placement.decode);
 		const lease = placement.isFromOwner || placedServer === undefined ? undefined : await this.#leases.acquire(progress, placedServer);
 		if (placedServer === undefined) {
 			declinePlacement(progress, placement);
@@ -333,7 +357,7 @@
 	/** Decodes from a prefill's result at the placed engine, or at another one if that engine is unavailable. */
 	async #decode(progress: StreamProgress, placement: StreamPlacement, source: PrefillResult, lease: string | undefined): Promise<RoundResult> {
 		const prefilledAt = this.parts.clock.now();
-		const placedServer = this.#leases.findListed(placement.decode);
+		const placedServer = this.#leases.findListed(progress, placement.decode);
 		let engine = placement.decode.id;
 		let outcome: RunStage = {kind: 'unsent', detail: 'the engine is no longer listed'};
 		let run: StreamRun | undefined;
@@ -354,7 +378,7 @@
 
 			const isUsable = this.parts.clock.now() - prefilledAt <= prefillResultTtlMs && this.#mayTryAnotherEngine(progress, outcome);
 			// eslint-disable-next-line no-await-in-loop
-			reserved = isUsable ? await this.#leases.acquireLeastLoaded(progress) : undefined;
+			reserved = isUsable ? await this.#leases.acquireLeastLoaded(progress, source) : undefined;
 			if (reserved === undefined) {
 				break;
 			}
@@ -406,8 +430,8 @@
 	 * and the events, which delays its other streams; the pool therefore chooses the engine and the time.
 	 */
 	async #resume(progress: StreamProgress, round: number): Promise<RoundResult> {
-		const placementOutcome = await this.parts.places.placeResumed({...progress, round}, progress);
-		const server = placementOutcome.kind === 'placed' ? this.#leases.findListed(placementOutcome.placement.decode) : undefined;
+		const placementOutcome = await this.parts.places.placeResumed({...progress, round, softwareVersion: progress.binding.version}, progress);
+		const server = placementOutcome.kind === 'placed' ? this.#leases.findListed(progress, placementOutcome.placement.decode) : undefined;
 		log('A broken stream looks for another engine.', {
 			requestId: progress.call.requestId, round, outcome: placementOutcome.kind, reason: placementOutcome.kind === 'refused' ? placementOutcome.error.kind : undefined, engine: server?.id, events: progress.events,
 		});
--- a/packages/daemon/src/gateway/stream-run.ts
+++ b/packages/daemon/src/gateway/stream-run.ts
@@ -134,6 +134,12 @@
 	async #run(): Promise<DecodeOutcome> {
 		const {progress, request: {server, purpose}, parts: {transport, dialect, fleet, guard, clock}} = this;
 		const {call} = progress;
+		if (!progress.binding.admits(server, purpose.kind === 'decode' ? purpose.source : undefined)) {
+			log('A run is withdrawn: its engine runs another software version.', {requestId: call.requestId, engine: server.id, softwareVersion: server.softwareVersion});
+			this.#end();
+			return {kind: 'unsent', detail: 'the engine runs another software version', isHeldBack: true};
+		}
+
 		const abortWithCall = (): void => {
 			this.#abort.abort(this.#scope.signal.reason);
 		};
@@ -179,7 +185,7 @@
 	}
 
 	async #relay(response: OpenResponse): Promise<DecodeOutcome> {
-		const {progress: {out}, parts: {dialect, transport}} = this;
+		const {progress: {out, binding}, parts: {dialect, transport}} = this;
 		const head = dialect.readHead(response.status, response.rawHeaders);
 		const fault = findResponseFault(head);
 		if (fault !== undefined) {
@@ -221,6 +227,11 @@
 						return {kind: 'superseded', detail: 'another run of the stream delivered first'};
 					}
 
+					if (binding.version === undefined) {
+						// Whoever takes the stream up elsewhere must find its version
+						await binding.bind(this.request.server); // eslint-disable-line no-await-in-loop
+					}
+
 					this.#relayEvent(head, event);
 				}
 
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -1,6 +1,6 @@
 /** Types of the gateway: a caller's call, the responses to it, and the translations that a platform adapter provides. */
 import type {
-	Instant, ListedServer, RequestId, Route, RouterError, RoutingFault, RoutingTable, Result, SegmentId,
+	Instant, ListedServer, RequestId, Route, RouterError, RoutingFault, RoutingTable, Result, SegmentId, SoftwareVersion,
 } from '@baobabpier/core';
 
 /** Metadata that a caller sends with a call, besides method, path and body. */
@@ -48,6 +48,8 @@
 export type KvSource = {
 	readonly address: string;
 	readonly handle: string;
+	/** Version of the software that wrote it. */
+	readonly softwareVersion: SoftwareVersion;
 };
 
 /** What a server says of itself in the head of a response. */
--- a/packages/daemon/src/pools/pool-host.ts
+++ b/packages/daemon/src/pools/pool-host.ts
@@ -1,7 +1,7 @@
 /** Runs the engine pools that this instance owns: serves placement calls, polls engine reports and frees orphaned holds. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	addMs, EnginePool, holdKey, POOL_PLACE, POOL_PREFILL_DONE, POOL_RELEASE, POOL_RENEW, POOL_TRANSFER_DONE,
+	addMs, EnginePool, holdKey, POOL_PLACE, POOL_PREFILL_DONE, POOL_RELEASE, POOL_RENEW, POOL_TRANSFER_DONE, softwareVersionOf,
 } from '@baobabpier/core';
 import type {
 	CatalogueSnapshot,
@@ -29,6 +29,7 @@
 	PoolTimings,
 	ServiceName,
 	ShareMap,
+	SoftwareVersion,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {RpcServer} from '../rpc/rpc-server.js';
@@ -76,7 +77,7 @@
 	/** Whether placements may be granted; a new owner first waits until holders have renewed the placements of its predecessor. */
 	readonly mayGrant?: () => boolean;
 	/** Called for each granted placement. */
-	readonly onPlaced?: (service: ServiceName, promptTokens: number) => void;
+	readonly onPlaced?: (service: ServiceName, promptTokens: number, version: SoftwareVersion) => void;
 	/** Lease timings of the placements; the default suits engines that report their holds. */
 	readonly timings?: PoolTimings;
 };
@@ -193,7 +194,7 @@
 				// A call may ask for many placements under one signal
 				signal.removeEventListener('abort', abandon);
 				if (response.kind === 'placed') {
-					this.parts.onPlaced?.(params.service, params.promptTokens);
+					this.parts.onPlaced?.(params.service, params.promptTokens, softwareVersionOf(response.placement));
 				}
 
 				resolve(response);
@@ -235,8 +236,8 @@
 			service,
 			dataCentre,
 			grants: pool.grants().length,
-			engines: pool.views().map(({id, role, pieces, freePieces, leaving}) => ({
-				id, role, pieces, freePieces, leaving,
+			engines: pool.views().map(({id, role, pieces, freePieces, leaving, softwareVersion}) => ({
+				id, role, pieces, freePieces, leaving, softwareVersion,
 			})),
 		}));
 	}
