--- a/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
+++ b/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
@@ -25,6 +25,7 @@
 import type {Call, ServerDialect} from '../../gateway/types.js';
 import {monotonicClock} from '../../monotonic-clock.js';
 import {createIdleGuard} from './idle-guard.js';
+import {openPath} from './open-path.js';
 import {ownOrigins} from './own-origins.js';
 
 const service = toId<ServiceName>('lm');
@@ -102,9 +103,11 @@
 			}),
 			errorHeaders: (): Record<string, string> => ({}),
 		},
-		plain: new PlainRoute({...parts, guard: createIdleGuard(), dataCentre: toId<DataCentreId>('a')}),
+		plain: new PlainRoute({
+			...parts, path: openPath, guard: createIdleGuard(), dataCentre: toId<DataCentreId>('a'),
+		}),
 		streams: new StreamRoute({
-			...parts, origins: ownOrigins, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
+			...parts, origins: ownOrigins, path: openPath, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
 		}),
 		metrics: new GatewayMetrics(),
 	});
--- a/packages/daemon/src/__tests__/unit/gateway-harness.ts
+++ b/packages/daemon/src/__tests__/unit/gateway-harness.ts
@@ -21,6 +21,7 @@
 import {monotonicClock} from '../../monotonic-clock.js';
 import {ServerTransport} from '../../transport/server-transport.js';
 import {createIdleGuard} from './idle-guard.js';
+import {openPath} from './open-path.js';
 import {ownOrigins} from './own-origins.js';
 
 const service = toId<ServiceName>('lm');
@@ -147,9 +148,11 @@
 				}),
 				errorHeaders: (): Record<string, string> => ({}),
 			},
-			plain: new PlainRoute({...parts, guard: createIdleGuard(), dataCentre: toId<DataCentreId>('a')}),
+			plain: new PlainRoute({
+				...parts, path: openPath, guard: createIdleGuard(), dataCentre: toId<DataCentreId>('a'),
+			}),
 			streams: new StreamRoute({
-				...parts, origins: ownOrigins, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
+				...parts, origins: ownOrigins, path: openPath, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
 			}),
 			metrics: this.metrics,
 		});
--- a/packages/daemon/src/__tests__/unit/sole-version.test.ts
+++ b/packages/daemon/src/__tests__/unit/sole-version.test.ts
@@ -38,7 +38,7 @@
 	},
 ])('the version of all streams: $name', ({isFirstStart = true, isStale = false, lists, agesMs, version}) => {
 	const clock = new ManualClock();
-	const fleet = new FleetView(clock, undefined, isFirstStart, () => !isStale);
+	const fleet = new FleetView(clock, undefined, {isFirstStart, isListFresh: () => !isStale});
 	for (const [index, versions] of lists.entries()) {
 		fleet.replace(versions.map((listed, number) => engine(`e${number}`, listed)));
 		clock.advance(agesMs[index]!);
--- a/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
+++ b/packages/daemon/src/__tests__/unit/unbounded-responses.test.ts
@@ -24,6 +24,7 @@
 import type {Call, ServerDialect} from '../../gateway/types.js';
 import {monotonicClock} from '../../monotonic-clock.js';
 import {createIdleGuard} from './idle-guard.js';
+import {openPath} from './open-path.js';
 
 const transport = new ServerTransport({maxConnectionsTo: () => 2, readResponseId: headers => headerValue(headers, 'x-id')});
 const servers: Server[] = [];
@@ -211,7 +212,7 @@
 		id: toId<BackendId>('e1'), address: server.address, service: toId<ServiceName>('lm'), dataCentre: toId<DataCentreId>('a'), slots: 8, leaving: false, role: 'decode',
 	};
 	const run = new StreamRun({
-		fleet: new FleetView(monotonicClock), transport, dialect, guard: createIdleGuard(), clock: monotonicClock,
+		fleet: new FleetView(monotonicClock), transport, dialect, guard: createIdleGuard(), path: openPath, clock: monotonicClock,
 	}, progress, {server: engine, purpose: {kind: 'run'}, onFirstEvent: () => undefined});
 	const {kind} = await run.nextStage();
 	run.supersede();
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -55,6 +55,16 @@
 	return isHeldBack ? 'none' : 'failed';
 };
 
+/** Settings and listeners of a fleet view. */
+export type FleetViewOptions = {
+	/** Whether no engine can have served before this instance started. */
+	readonly isFirstStart?: boolean;
+	/** Whether the list is not older than a few seconds. */
+	readonly isListFresh?: () => boolean;
+	/** Called when no connection to a server could be opened. */
+	readonly onUnreachable?: () => void;
+};
+
 /** Holds the newest server list and the statistics of this instance's own calls. */
 export class FleetView {
 	readonly #statsById = new Map<BackendId, ServerStats>();
@@ -65,8 +75,7 @@
 	readonly #formerVersions = new Map<ServiceName, Map<SoftwareVersion, Instant>>();
 	#listedSince = Number.POSITIVE_INFINITY;
 
-	/** `isFirstStart`: whether no engine can have served before; `isListFresh`: whether the list is not older than a few seconds. */
-	constructor(private readonly clock: Clock, private readonly availability: AvailabilityView = alwaysAvailable, private readonly isFirstStart = false, private readonly isListFresh: () => boolean = () => true) {}
+	constructor(private readonly clock: Clock, private readonly availability: AvailabilityView = alwaysAvailable, private readonly options: FleetViewOptions = {}) {}
 
 	/** Whether a list has been read since the start. */
 	get hasList(): boolean {
@@ -113,7 +122,7 @@
 	 */
 	soleVersion(service: ServiceName): SoftwareVersion | undefined {
 		const now = this.clock.now();
-		if (now - this.#listedSince < versionMemoryMs || !this.isListFresh()) {
+		if (now - this.#listedSince < versionMemoryMs || this.options.isListFresh?.() === false) {
 			return undefined;
 		}
 
@@ -193,7 +202,7 @@
 	/** Remembers which versions were listed until now. */
 	#recordVersions(servers: readonly ListedServer[]): void {
 		const now = this.clock.now();
-		this.#listedSince = Math.min(this.#listedSince, this.isFirstStart ? Number.NEGATIVE_INFINITY : now);
+		this.#listedSince = Math.min(this.#listedSince, this.options.isFirstStart === true ? Number.NEGATIVE_INFINITY : now);
 		for (const service of new Set([...this.#byService.keys(), ...servers.map(server => server.service)])) {
 			const former = this.#formerVersions.get(service) ?? new Map<SoftwareVersion, Instant>();
 			for (const version of this.#versionsOf(service)) {
@@ -220,6 +229,10 @@
 			return;
 		}
 
+		if (result === 'unreachable') {
+			this.options.onUnreachable?.();
+		}
+
 		const isMiss = result === 'unreachable' || result === 'misplaced';
 		const wasFailing = stats.failing > 0.5;
 		stats.failing += ewmaWeight * ((result === 'good' ? 0 : 1) - stats.failing);
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import {Peers} from '../rpc/peers.js';
 import {ServerConnections} from '../server-connections.js';
 import {RemoteRateLimits} from '../server-rate-limits/remote-rate-limits.js';
+import {PathWatch} from '../relay/path-watch.js';
 import {OriginDirectory} from '../streams/origin-directory.js';
 import {AvailabilityGate} from './availability-gate.js';
 import {CallerListener} from './caller-listener.js';
@@ -137,7 +138,16 @@
 			places.handleAvailabilityChange();
 		},
 	});
-	const fleet: FleetView = new FleetView(clock, availability, initialSettings.isFirstStart, () => !isListStale(controlWatch.listAgeMs));
+	const fleet: FleetView = new FleetView(clock, availability, {
+		isFirstStart: initialSettings.isFirstStart, isListFresh: () => !isListStale(controlWatch.listAgeMs), onUnreachable() {
+			path.recordFailure();
+		},
+	});
+	const path: PathWatch = new PathWatch({
+		clock, random, servers: () => fleet.servers, onChange() {
+			// Logged by the watch
+		},
+	});
 	const origins: OriginDirectory = new OriginDirectory({peers, clock, hosts: () => controlWatch.controls});
 	/** Engines that leave by the list or their own word, those that asked for time, and those that have used up their limit. */
 	const unavailableEngines = (): ReadonlySet<EngineId> => new Set([...leavingEngines(fleet.servers), ...[...availability.unavailable].filter(id => fleet.get(id)?.role !== undefined).map(id => toId<EngineId>(id))]);
@@ -161,7 +171,7 @@
 	const transport = new ServerTransport({
 		maxConnectionsTo: connectionLimit, readResponseId: headers => dialect.server.readResponseId(headers), onForeignResponse(kind, moment) {
 			metrics.countForeignResponse(kind, moment);
-		}, gate: availability,
+		}, gate: path.watch(availability),
 	});
 	const localPool = new PoolHost({
 		self: initialSettings.id,
@@ -265,10 +275,10 @@
 		random,
 		dialect: dialect.caller,
 		plain: new PlainRoute({
-			dataCentre: initialSettings.dataCentre, fleet, transport, dialect: dialect.server, retryBudgets, guard, clock, random,
+			dataCentre: initialSettings.dataCentre, fleet, transport, dialect: dialect.server, retryBudgets, guard, path, clock, random,
 		}),
 		streams: new StreamRoute({
-			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, origins, clock, random,
+			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, origins, path, clock, random,
 		}),
 		metrics,
 		gate,
@@ -281,6 +291,7 @@
 	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
 	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
 	metrics.registerServerGauge('server_rate_limit', 'Limits that servers name, in requests a second', () => limits.inForce);
+	metrics.registerGauge('path_cut', 'Whether no server can be reached from here', () => path.isCut ? 1 : 0);
 	metrics.registerGauge('stream_origins', 'Streams of this instance whose software version it knows', () => origins.size);
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => guard.quarantined);
 	metrics.registerGauge('quarantine_refusals', 'Calls refused for quarantined segments', () => guard.counts.refused);
@@ -289,6 +300,7 @@
 	const readinessServer = await startReadinessServer(initialSettings.listen.readiness, isReady);
 	await callerListener.listen(initialSettings.listen.callers);
 	const metricsServer = await serveMetrics(metrics.registry, initialSettings.listen.metrics);
+	path.start();
 	localPool.start();
 	client.start();
 	guard.start();
@@ -304,6 +316,7 @@
 		client.stop();
 		guard.stop();
 		origins.stop();
+		path.stop();
 		localPool.stop();
 		controlWatch.stop();
 		listPoller.stop();
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -6,6 +6,7 @@
 	BackendId, Clock, DataCentreId, EngineId, ListedServer, RandomSource, RunPhase, ServerLoad, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {PathWatch} from '../relay/path-watch.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {TransportFailure} from '../transport/types.js';
 import type {CallScope} from './call-scope.js';
@@ -42,6 +43,7 @@
 	readonly dialect: ServerDialect;
 	readonly retryBudgets: RetryBudgets;
 	readonly guard: CrashGuard;
+	readonly path: Pick<PathWatch, 'recordFailure'>;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
@@ -214,6 +216,7 @@
 	#recordBroken(call: Call, server: ListedServer, {kind}: TransportFailure, scope: CallScope, control: AttemptControl, phase: RunPhase): void {
 		const {guard} = this.parts;
 		if (kind === 'broken' && scope.reason === undefined && !control.isSuperseded()) {
+			this.parts.path.recordFailure();
 			guard.recordBroken(call, {id: toId<EngineId>(server.id), address: server.address}, phase);
 		}
 
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -6,6 +6,7 @@
 	Clock, EngineAddress, EngineId, ErrorKind, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {PathWatch} from '../relay/path-watch.js';
 import type {OriginDirectory} from '../streams/origin-directory.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {CallScope} from './call-scope.js';
@@ -56,6 +57,7 @@
 	readonly places: StreamPlacements;
 	readonly guard: CrashGuard;
 	readonly origins: Pick<OriginDirectory, 'lookup' | 'record'>;
+	readonly path: Pick<PathWatch, 'recordFailure' | 'settled' | 'state'>;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
--- a/packages/daemon/src/gateway/stream-run.ts
+++ b/packages/daemon/src/gateway/stream-run.ts
@@ -8,6 +8,7 @@
 import {startPolledTimeout} from '../polled-timeout.js';
 import type {PolledTimeout} from '../polled-timeout.js';
 import {OutputPace} from '../requests/output-pace.js';
+import type {PathWatch} from '../relay/path-watch.js';
 import {failureOf} from '../transport/exchange.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {OpenResponse, TransportFailure} from '../transport/types.js';
@@ -44,6 +45,7 @@
 	readonly transport: ServerTransport;
 	readonly dialect: ServerDialect;
 	readonly guard: CrashGuard;
+	readonly path: Pick<PathWatch, 'recordFailure'>;
 	readonly clock: Clock;
 };
 
@@ -165,6 +167,7 @@
 		if (outcome.kind === 'complete') {
 			guard.recordComplete(call);
 		} else if (outcome.kind === 'broken' && this.#scope.reason === undefined) {
+			this.parts.path.recordFailure();
 			guard.recordBroken(call, {id: toId<EngineId>(server.id), address: server.address}, phaseOf(response, this.#pace.firstAt !== undefined));
 		}
 
