Serve callers through other instances while no server can be reached

Cause: an instance had no way to a server but its own, knew no other entry instance, and drew no conclusion from all servers failing at once. Class of fault: a part that has lost what it needs goes on alone though its peers have it. A call goes to a second partner only if the first certainly did not run it. A broken resumable stream goes on at a partner under its first request's id. Failures seen while the path is in doubt are not told to the pool's owner before the verdict, and not at all if it is cut.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -314,6 +314,8 @@
 export {isServerAddress} from './server-address.js';
 export {digestServerList, softwareVersionOf, unstatedVersion} from './server-list.js';
 export type {ListedServer} from './server-list.js';
+export {choosePartners} from './relay/choose-partners.js';
+export type {RelayPartner} from './relay/choose-partners.js';
 export {PathMonitor} from './relay/path-monitor.js';
 export type {PathState, ProbeRound} from './relay/path-monitor.js';
 export {StreamOrigins} from './streams/stream-origins.js';
--- a/packages/core/src/rpc/watch-method.ts
+++ b/packages/core/src/rpc/watch-method.ts
@@ -3,6 +3,7 @@
 import type {ListedServer} from '../server-list.js';
 import type {DataCentreId, InstanceId, RoutingVersion} from '../ids.js';
 import type {RateLimitsSnapshot} from '../server-rate-limits/types.js';
+import type {RelayPartner} from '../relay/choose-partners.js';
 import type {SegmentSet} from '../quarantine/types.js';
 import type {SuspectsSnapshot} from './quarantine-methods.js';
 import {defineRpcMethod} from './rpc-methods.js';
@@ -21,6 +22,8 @@
 	readonly suspectsVersion?: string | undefined;
 	/** Version of the servers' limits that the watcher has. */
 	readonly limitsVersion?: string | undefined;
+	/** Where the watcher takes relayed calls, and whether it does now; absent where it never does. */
+	readonly relay?: Omit<RelayPartner, 'id'> & {readonly isTaking: boolean} | undefined;
 	/** Whether changes include their content; otherwise only versions are returned. */
 	readonly withContent: boolean;
 	/** Whether the routing version must be confirmed by a majority. */
@@ -53,6 +56,8 @@
 	readonly controls: readonly InstanceId[];
 	/** Number of entry instances that watch. */
 	readonly entries: number;
+	/** Entry instances that take relayed calls of the watcher. */
+	readonly partners?: readonly RelayPartner[] | undefined;
 };
 
 /** Watches the routing configuration, the server list and the control instances. */
--- a/packages/daemon/src/__tests__/unit/caller-listener.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-listener.test.ts
@@ -17,6 +17,7 @@
 import type {StreamRoute} from '../../gateway/stream-route.js';
 import type {ResponseHead, Call} from '../../gateway/types.js';
 import {monotonicClock} from '../../monotonic-clock.js';
+import {closedRelayPort, noPartners} from './no-partners.js';
 
 const service = toId<ServiceName>('desk');
 const table: RoutingTable = {
@@ -50,6 +51,7 @@
 	outputs = [];
 	gate = new StartupGate(monotonicClock);
 	listener = new CallerListener({
+		relay: noPartners, relayPort: closedRelayPort,
 		gate,
 		clock: monotonicClock,
 		random: createSeededRandom(1),
@@ -58,6 +60,7 @@
 				requestId: toId<RequestId>(String(headers['x-id'])), callerTimeoutMs: undefined, promptTokens: 0, maxTokens: 0, lastEventId: undefined, sharedSegments: [],
 			}),
 			errorHeaders: (_id, retryAfterMs): Record<string, string> => retryAfterMs === undefined ? {} : {'retry-after': String(retryAfterMs / 1000)},
+			takeUpHeaders: () => ({names: new Set(), headers: []}),
 		},
 		plain: {
 			async serve(call: Call) {
--- a/packages/daemon/src/__tests__/unit/control-watch.test.ts
+++ b/packages/daemon/src/__tests__/unit/control-watch.test.ts
@@ -87,6 +87,7 @@
 		versions: () => ({limitsVersion: undefined, quarantineRevision: undefined, suspectsVersion: undefined}),
 		onQuarantine: () => undefined,
 		onLimits: () => undefined,
+		relay: () => undefined,
 		onLeader: () => undefined,
 	});
 };
--- a/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
+++ b/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
@@ -27,6 +27,7 @@
 import {createIdleGuard} from './idle-guard.js';
 import {openPath} from './open-path.js';
 import {ownOrigins} from './own-origins.js';
+import {closedRelayPort, noPartners} from './no-partners.js';
 
 const service = toId<ServiceName>('lm');
 const table: RoutingTable = {
@@ -95,6 +96,7 @@
 	};
 	const gate = new StartupGate(monotonicClock);
 	const listener = new CallerListener({
+		relay: noPartners, relayPort: closedRelayPort,
 		...parts,
 		gate,
 		dialect: {
@@ -102,12 +104,13 @@
 				requestId: toId<RequestId>(String(headers['x-id'])), callerTimeoutMs: undefined, promptTokens: 0, maxTokens: 0, lastEventId: undefined, sharedSegments: [],
 			}),
 			errorHeaders: (): Record<string, string> => ({}),
+			takeUpHeaders: () => ({names: new Set(), headers: []}),
 		},
 		plain: new PlainRoute({
 			...parts, path: openPath, guard: createIdleGuard(), dataCentre: toId<DataCentreId>('a'),
 		}),
 		streams: new StreamRoute({
-			...parts, origins: ownOrigins, path: openPath, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
+			...parts, origins: ownOrigins, path: openPath, relay: noPartners, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
 		}),
 		metrics: new GatewayMetrics(),
 	});
--- a/packages/daemon/src/__tests__/unit/gateway-harness.ts
+++ b/packages/daemon/src/__tests__/unit/gateway-harness.ts
@@ -23,6 +23,7 @@
 import {createIdleGuard} from './idle-guard.js';
 import {openPath} from './open-path.js';
 import {ownOrigins} from './own-origins.js';
+import {closedRelayPort, noPartners} from './no-partners.js';
 
 const service = toId<ServiceName>('lm');
 
@@ -140,6 +141,7 @@
 		};
 		const gate = new StartupGate(monotonicClock);
 		const listener = new CallerListener({
+			relay: noPartners, relayPort: closedRelayPort,
 			...parts,
 			gate,
 			dialect: {
@@ -147,12 +149,13 @@
 					requestId: toId<RequestId>(String(headers['x-id'])), callerTimeoutMs: undefined, promptTokens: 0, maxTokens: 0, lastEventId: undefined, sharedSegments: [],
 				}),
 				errorHeaders: (): Record<string, string> => ({}),
+				takeUpHeaders: () => ({names: new Set(), headers: []}),
 			},
 			plain: new PlainRoute({
 				...parts, path: openPath, guard: createIdleGuard(), dataCentre: toId<DataCentreId>('a'),
 			}),
 			streams: new StreamRoute({
-				...parts, origins: ownOrigins, path: openPath, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
+				...parts, origins: ownOrigins, path: openPath, relay: noPartners, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
 			}),
 			metrics: this.metrics,
 		});
--- a/packages/daemon/src/__tests__/unit/listener-stop.test.ts
+++ b/packages/daemon/src/__tests__/unit/listener-stop.test.ts
@@ -21,6 +21,7 @@
 import type {Call, ResponseHead} from '../../gateway/types.js';
 import {monotonicClock} from '../../monotonic-clock.js';
 import {parseResponses} from './raw-responses.js';
+import {closedRelayPort, noPartners} from './no-partners.js';
 
 const service = toId<ServiceName>('desk');
 const shortMs = 20;
@@ -72,6 +73,7 @@
 	remainingMs = [];
 	const gate = new StartupGate(monotonicClock);
 	listener = new CallerListener({
+		relay: noPartners, relayPort: closedRelayPort,
 		gate,
 		clock: monotonicClock,
 		random: createSeededRandom(1),
@@ -81,6 +83,7 @@
 				callerTimeoutMs: headers.deadline === undefined ? undefined : Number(headers.deadline),
 			}),
 			errorHeaders: (_id, retryAfterMs): Record<string, string> => retryAfterMs === undefined ? {} : {'retry-after': String(retryAfterMs / 1000)},
+			takeUpHeaders: () => ({names: new Set(), headers: []}),
 		},
 		plain: {
 			async serve(call: Call, _service: ServiceName, scope: CallScope) {
--- a/packages/daemon/src/__tests__/unit/server-connections.test.ts
+++ b/packages/daemon/src/__tests__/unit/server-connections.test.ts
@@ -23,6 +23,7 @@
 import {openConnections} from '../../listen.js';
 import {monotonicClock} from '../../monotonic-clock.js';
 import {parseResponses} from './raw-responses.js';
+import {closedRelayPort, noPartners} from './no-partners.js';
 
 const headersTimeoutMs = 300;
 const waitMs = 4000;
@@ -89,12 +90,14 @@
 	};
 	const gate = new StartupGate(monotonicClock);
 	const listener = new CallerListener({
+		relay: noPartners, relayPort: closedRelayPort,
 		gate,
 		clock: monotonicClock,
 		random: createSeededRandom(1),
 		dialect: {
 			parseMetadata: () => ok(metadata),
 			errorHeaders: () => ({}),
+			takeUpHeaders: () => ({names: new Set(), headers: []}),
 		},
 		plain: {
 			async serve({target}: Call, _service: ServiceName, scope: CallScope) {
--- a/packages/daemon/src/control-node/watch-server.ts
+++ b/packages/daemon/src/control-node/watch-server.ts
@@ -1,7 +1,7 @@
 /** Serves the long polls of the entry instances that watch this control instance. */
-import {CONTROL_WATCH, digestServerList} from '@baobabpier/core';
+import {choosePartners, CONTROL_WATCH, digestServerList} from '@baobabpier/core';
 import type {
-	Clock, DataCentreId, InstanceId, ListedServer, RoutingVersion, RateLimitsSnapshot, SuspectsSnapshot, WatchResponse, WatchParams,
+	Clock, DataCentreId, InstanceId, ListedServer, RelayPartner, RoutingVersion, RateLimitsSnapshot, SuspectsSnapshot, WatchResponse, WatchParams,
 } from '@baobabpier/core';
 import type {ReplicatedControlLog} from '../control/replicated-control-log.js';
 import {createLog} from '../log.js';
@@ -27,6 +27,13 @@
 	readonly limits: () => RateLimitsSnapshot | undefined;
 };
 
+/** An entry instance that polls. */
+type EntryInstance = {
+	/** When it last did. */
+	readonly at: number;
+	readonly relay: WatchParams['relay'];
+};
+
 type Waiting = {
 	readonly params: WatchParams;
 	readonly until: number;
@@ -35,7 +42,9 @@
 
 /** Delays the responses to entry instances until a change that they don't know. */
 export class WatchServer {
-	readonly #entries = new Map<InstanceId, number>();
+	readonly #entries = new Map<InstanceId, EntryInstance>();
+	/** Partners by instance, until another instance takes relayed calls or ceases to. */
+	readonly #partners = new Map<InstanceId, readonly RelayPartner[]>();
 	readonly #waiting = new Set<Waiting>();
 	#list: readonly ListedServer[] | undefined;
 	#listDigest: string | undefined;
@@ -87,20 +96,47 @@
 
 	#forgetSilent(): void {
 		const now = this.parts.clock.now();
-		for (const [id, at] of this.#entries) {
+		for (const [id, {at}] of this.#entries) {
 			if (now - at > entryTimeoutMs) {
 				this.#entries.delete(id);
+				this.#partners.clear();
 				log('An entry instance is gone.', {entry: id, silentMs: Math.round(now - at)});
 			}
 		}
 	}
 
+	#recordEntry({instance, relay}: WatchParams): void {
+		const before = this.#entries.get(instance)?.relay;
+		if (before?.isTaking !== relay?.isTaking || before?.address !== relay?.address) {
+			this.#partners.clear();
+		}
+
+		this.#entries.set(instance, {at: this.parts.clock.now(), relay});
+	}
+
+	/** The partners of an entry instance; undefined where it takes no relayed calls itself. */
+	#partnersOf({instance, relay}: WatchParams): readonly RelayPartner[] | undefined {
+		if (relay === undefined) {
+			return undefined;
+		}
+
+		const known = this.#partners.get(instance);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const candidates = [...this.#entries].flatMap(([id, entry]) => entry.relay?.isTaking === true ? [{id, address: entry.relay.address, dataCentre: entry.relay.dataCentre}] : []);
+		const partners = choosePartners({id: instance, dataCentre: relay.dataCentre}, candidates);
+		this.#partners.set(instance, partners);
+		return partners;
+	}
+
 	async #answer(params: WatchParams): Promise<WatchResponse> {
 		if (!this.#entries.has(params.instance)) {
 			log('An entry instance follows.', {entry: params.instance, version: params.routingVersion});
 		}
 
-		this.#entries.set(params.instance, this.parts.clock.now());
+		this.#recordEntry(params);
 		const confirmed = params.confirmed && await this.#confirm();
 		if (!this.#hasNews(params) && params.waitMs > 0) {
 			await this.#wait(params);
@@ -109,9 +145,8 @@
 		return this.#compose(params, confirmed);
 	}
 
-	#compose({
-		routingVersion, listDigest, withContent, quarantineRevision, suspectsVersion, limitsVersion,
-	}: WatchParams, confirmed: boolean): WatchResponse {
+	#compose(params: WatchParams, confirmed: boolean): WatchResponse {
+		const {routingVersion, listDigest, withContent, quarantineRevision, suspectsVersion, limitsVersion} = params;
 		const {control, dataCentre} = this.parts;
 		const {revision, entries} = control.state.quarantine;
 		const suspects = this.parts.suspects();
@@ -134,6 +169,7 @@
 			limits: limits?.version === limitsVersion ? undefined : limits,
 			controls: control.replicas,
 			entries: this.entries,
+			partners: this.#partnersOf(params),
 		};
 	}
 
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -7,11 +7,14 @@
 	addMs, errorResponses, isErrorKind, pickTarget, RouteIndex, routerError, toErrorBody,
 } from '@baobabpier/core';
 import type {
-	Clock, DrainWindow, ErrorResponse, RandomSource, RouterError, RoutingTable,
+	Clock, DrainWindow, ErrorKind, ErrorResponse, RandomSource, RouterError, RoutingTable, ServiceName,
 } from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
 import {breakOff, ServerConnections} from '../server-connections.js';
+import type {RelayClient} from '../relay/relay-client.js';
+import {declinedHeader, readRelayHeaders, relayHeaderNames} from '../relay/relay-headers.js';
+import type {RelayHeaders} from '../relay/relay-headers.js';
 import {processBuffers} from '../transport/buffer-account.js';
 import {CallBodyReader} from './call-body-reader.js';
 import {CallDrain} from './call-drain.js';
@@ -39,6 +42,12 @@
 const initialLimits = {
 	headerBytes: 16 * 1024, bodyBytes: 4 * 1024 * 1024, headersTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
+/** Maximum number of relayed calls in progress: the bodies and responses of more would crowd out this instance's own callers. */
+const maxRelayedCalls = 256;
+/** Size of the headers that a relayed call has beside its caller's, in bytes. */
+const relayHeaderBytes = 1024;
+/** Errors of calls that have not run, for which servers that can't be reached may be the cause. */
+const pathErrors: ReadonlySet<ErrorKind> = new Set(['noBackend', 'overloaded', 'queueTimeout']);
 /** Maximum number of connections that wait to be accepted. */
 const backlog = 1024;
 
@@ -62,33 +71,52 @@
 	readonly metrics: GatewayMetrics;
 	/** Opens once a routing configuration and a server list are available. */
 	readonly gate: StartupGate;
+	/** Serves calls through other instances while this one reaches no server. */
+	readonly relay: Pick<RelayClient, 'becomesNeeded' | 'isNeeded' | 'send'>;
+	/** Calls that other instances relay here. */
+	readonly relayPort: RelayPortSettings;
+};
+
+/** How this instance takes relayed calls. */
+export type RelayPortSettings = {
+	readonly secret: string;
+	/** Whether this instance reaches servers; otherwise it declines relayed calls, which go through no second instance. */
+	readonly isTaking: () => boolean;
 };
 
 /** Accepts calls and serves them over plain or stream routes. */
 export class CallerListener {
 	readonly #server: Server;
 	readonly #connections: ServerConnections;
+	/** Connections of other instances, with the calls that they relay. */
+	readonly #relayConnections: ServerConnections;
 	readonly #openScopes = new Set<CallScope>();
 	readonly #bodies = new CallBodyReader(processBuffers);
 	readonly #drain: CallDrain;
 	#index: {readonly table: RoutingTable; readonly routes: RouteIndex} | undefined;
 	#isClosed = false;
+	/** Relayed calls in progress. */
+	#relayedCalls = 0;
 
 	constructor(private readonly parts: CallerListenerParts) {
-		this.#connections = new ServerConnections(createServer({
-			maxHeaderSize: initialLimits.headerBytes,
-			headersTimeout: initialLimits.headersTimeoutMs,
-			requestTimeout: 0,
-			keepAliveTimeout: initialLimits.idleTimeoutMs,
-			connectionsCheckingInterval: connectionCheckIntervalMs,
-			noDelay: true,
-		}), (req, res, waitedMs) => {
+		const options = {
+			headersTimeout: initialLimits.headersTimeoutMs, requestTimeout: 0, keepAliveTimeout: initialLimits.idleTimeoutMs, connectionsCheckingInterval: connectionCheckIntervalMs, noDelay: true,
+		};
+		this.#connections = new ServerConnections(createServer({...options, maxHeaderSize: initialLimits.headerBytes}), (req, res, waitedMs) => {
 			void this.#handle(req, res, waitedMs);
 		});
+		this.#relayConnections = new ServerConnections(createServer({...options, maxHeaderSize: initialLimits.headerBytes + relayHeaderBytes}), (req, res, waitedMs) => {
+			void this.#handleRelayed(req, res, waitedMs);
+		});
 		this.#server = this.#connections.server;
 		this.#drain = new CallDrain(parts.clock);
 	}
 
+	/** Number of calls in progress that other instances relay here. */
+	get relayedCalls(): number {
+		return this.#relayedCalls;
+	}
+
 	/** Number of calls in progress. */
 	get inProgress(): number {
 		return this.#openScopes.size;
@@ -96,7 +124,7 @@
 
 	/** Whether no call is in progress or being read, and all responses have been sent. */
 	get isIdle(): boolean {
-		return this.#openScopes.size === 0 && this.#connections.active === 0;
+		return this.#openScopes.size === 0 && this.#connections.active === 0 && this.#relayConnections.active === 0;
 	}
 
 	/** Calls of each kind of route that a stop refused, that it ended before their deadline, and that were broken off during it. */
@@ -109,6 +137,11 @@
 		return this.#drain.unfinished;
 	}
 
+	/** TCP port for relayed calls. */
+	get relayTcpPort(): number {
+		return (this.#relayConnections.server.address() as AddressInfo).port;
+	}
+
 	/** TCP port of the listener. */
 	get port(): number {
 		return (this.#server.address() as AddressInfo).port;
@@ -118,6 +151,11 @@
 		await listenOn(this.#server, address, backlog);
 	}
 
+	/** Listens for calls that other instances relay. */
+	async listenForRelays(address: string): Promise<void> {
+		await listenOn(this.#relayConnections.server, address, backlog);
+	}
+
 	/** Applies a routing table to later calls. */
 	apply(table: RoutingTable): void {
 		this.#index = {table, routes: new RouteIndex(table.routes)};
@@ -133,6 +171,7 @@
 	startClosing(window: DrainWindow): void {
 		this.#drain.begin(window);
 		this.#connections.setClosing(true);
+		this.#relayConnections.setClosing(true);
 		for (const scope of this.#openScopes) {
 			scope.limitTo(window.endsAt);
 		}
@@ -141,13 +180,14 @@
 	/** Ends the calls in progress, refuses those that still arrive and closes all connections, within `ms` milliseconds at the latest. */
 	async close(ms: number): Promise<void> {
 		this.#endCalls();
-		await this.#connections.close(ms);
+		await Promise.all([this.#connections.close(ms), this.#relayConnections.close(ms)]);
 	}
 
 	/** Ends the calls in progress and closes all connections at once. */
 	destroy(): void {
 		this.#endCalls();
 		this.#connections.destroy();
+		this.#relayConnections.destroy();
 	}
 
 	#endCalls(): void {
@@ -158,7 +198,33 @@
 		}
 	}
 
-	async #handle(req: IncomingMessage, res: ServerResponse, waitedMs: number): Promise<void> {
+	/** Serves a call of another instance like one of a caller, but never through a third one. */
+	async #handleRelayed(req: IncomingMessage, res: ServerResponse, waitedMs: number): Promise<void> {
+		const relay = readRelayHeaders(req.rawHeaders, this.parts.relayPort.secret);
+		if (relay === undefined) {
+			this.#refuse(req, res, routerError('unauthorized'));
+			return;
+		}
+
+		if (!this.parts.relayPort.isTaking() || this.#relayedCalls >= maxRelayedCalls) {
+			this.#decline(req, res, 'this instance takes no relayed calls now');
+			return;
+		}
+
+		this.#relayedCalls += 1;
+		res.once('close', () => {
+			this.#relayedCalls -= 1;
+		});
+		await this.#handle(req, res, waitedMs, relay);
+	}
+
+	/** Tells another instance that its call has not run here, and may go to a further one. */
+	#decline(req: IncomingMessage, res: ServerResponse, detail: string): void {
+		res.setHeader(...declinedHeader);
+		this.#refuse(req, res, routerError('shuttingDown', detail));
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse, waitedMs: number, relay?: RelayHeaders): Promise<void> {
 		const arrivedAt = addMs(this.parts.clock.now(), -waitedMs);
 		try {
 			const body = await this.#bodies.read(req, res, this.#index?.table.limits.bodyBytes ?? initialLimits.bodyBytes);
@@ -171,14 +237,15 @@
 				return;
 			}
 
-			await this.#route(req, res, body, arrivedAt);
+			await this.#route(req, res, body, arrivedAt, relay);
 		} catch (error) {
 			log('A call failed with an internal error.', {error: (error as Error).stack ?? String(error)});
 			this.#refuse(req, res, routerError('internal'));
 		}
 	}
 
-	async #route(req: IncomingMessage, res: ServerResponse, body: Uint8Array, arrivedAt: ReturnType<Clock['now']>): Promise<void> {
+	// eslint-disable-next-line max-params
+	async #route(req: IncomingMessage, res: ServerResponse, body: Uint8Array, arrivedAt: ReturnType<Clock['now']>, relay: RelayHeaders | undefined): Promise<void> {
 		const metadata = this.parts.dialect.parseMetadata(req.headers);
 		await this.parts.gate.wait(metadata.ok ? metadata.val.callerTimeoutMs ?? Number.POSITIVE_INFINITY : 0);
 		if (res.destroyed) {
@@ -189,6 +256,11 @@
 		const target = req.url ?? '/';
 		const path = target.split('?', 1)[0]!;
 		const index = this.#index;
+		if (relay !== undefined && (index === undefined || index.table.version < relay.routingVersion)) {
+			this.#decline(req, res, 'the routing configuration is older than the sender\'s');
+			return;
+		}
+
 		if (index === undefined) {
 			this.#refuse(req, res, routerError('shuttingDown', 'no configuration is in force yet', noTableRetryAfterMs));
 			return;
@@ -207,20 +279,78 @@
 			return;
 		}
 
-		const timeoutMs = Math.min(route.timeoutMs, metadata.val.callerTimeoutMs ?? route.timeoutMs);
+		const timeoutMs = Math.min(route.timeoutMs, relay?.remainingMs ?? metadata.val.callerTimeoutMs ?? route.timeoutMs);
 		const request = {
-			method: req.method ?? 'GET', target, rawHeaders: req.rawHeaders, body,
+			method: req.method ?? 'GET', target, rawHeaders: relay === undefined ? req.rawHeaders : forwardableHeaders(req.rawHeaders, relayHeaderNames), body,
 		};
 		const {sharedSegments} = metadata.val;
 		const call: Call = {
 			...metadata.val, ...request, route, arrivedAt, deadlineAt: addMs(arrivedAt, timeoutMs),
 			sharedSegments: route.kind === 'stream' && sharedSegments.length > 0 ? sharedSegments : [digestRequest(request)],
 		};
-		await this.#serve(call, service, req, res);
+		await this.#serve(call, service, req, res, relay !== undefined);
+	}
+
+	/** Serves a call by the servers that this instance reaches, or through another instance where it reaches none. */
+	async #findReply(call: Call, service: ServiceName, scope: CallScope, out: CallerStream): Promise<Reply> {
+		const {relay} = this.parts;
+		const relayed = relay.isNeeded ? await this.#relay(call, scope, out) : undefined;
+		if (relayed !== undefined) {
+			return relayed;
+		}
+
+		const reply = await this.#findOwnReply(call, service, scope, out);
+		const hasNotRun = reply.kind === 'error' && pathErrors.has(reply.error.kind) && !out.isStarted && scope.reason === undefined;
+		// The path may have been lost meanwhile
+		return hasNotRun && await relay.becomesNeeded() ? await this.#relay(call, scope, out) ?? reply : reply;
 	}
 
-	async #serve(call: Call, service: Parameters<PlainRoute['serve']>[1], req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const {clock, plain, streams, metrics} = this.parts;
+	async #findOwnReply(call: Call, service: ServiceName, scope: CallScope, out: CallerStream): Promise<Reply> {
+		const {plain, streams} = this.parts;
+		return call.route.kind === 'stream' ? streams.serve(call, service, scope, out) : plain.serve(call, service, scope);
+	}
+
+	/** Serves a call through another instance; undefined where none takes it. */
+	async #relay(call: Call, scope: CallScope, out: CallerStream): Promise<Reply | undefined> {
+		const outcome = await this.parts.relay.send(call, scope, {
+			start(head) {
+				out.start(head);
+			},
+			write({bytes}) {
+				out.write(bytes);
+				return scope.reason === undefined;
+			},
+			end() {
+				out.end();
+			},
+		});
+		switch (outcome.kind) {
+			case 'declined': {
+				return scope.reason === undefined ? undefined : errorReply(routerError('queueTimeout'));
+			}
+
+			case 'reply': {
+				return outcome.reply;
+			}
+
+			case 'complete': {
+				return {kind: 'streamed'};
+			}
+
+			case 'broken': {
+				if (out.isStarted) {
+					out.abort();
+					return {kind: 'streamed', detail: outcome.detail};
+				}
+
+				return errorReply(routerError(scope.reason === 'deadline' ? 'timeout' : 'answerLost', outcome.detail));
+			}
+		}
+	}
+
+	// eslint-disable-next-line max-params
+	async #serve(call: Call, service: ServiceName, req: IncomingMessage, res: ServerResponse, isRelayed: boolean): Promise<void> {
+		const {clock, metrics} = this.parts;
 		if (call.deadlineAt <= clock.now()) {
 			this.#refuse(req, res, routerError('queueTimeout'), call.requestId);
 			return;
@@ -228,6 +358,11 @@
 
 		if (this.#isClosed || !this.#drain.admits(call)) {
 			this.#drain.countEffect('refused', call.route.kind);
+			if (isRelayed) {
+				this.#decline(req, res, 'this instance stops');
+				return;
+			}
+
 			this.#refuse(req, res, routerError('shuttingDown'), call.requestId);
 			return;
 		}
@@ -244,7 +379,8 @@
 			}
 		});
 		try {
-			const routed = call.route.kind === 'stream' ? await streams.serve(call, service, scope, new CallerStream(call, res, scope)) : await plain.serve(call, service, scope);
+			const out = new CallerStream(call, res, scope);
+			const routed = isRelayed ? await this.#findOwnReply(call, service, scope, out) : await this.#findReply(call, service, scope, out);
 			const reply = toFinalReply(routed, res, scope);
 			this.#writeReply(call, req, res, reply, scope);
 			const outcome = this.#findOutcome(reply, res, scope);
--- a/packages/daemon/src/gateway/control-watch.ts
+++ b/packages/daemon/src/gateway/control-watch.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {CONTROL_WATCH} from '@baobabpier/core';
 import type {
-	Clock, DataCentreId, InstanceId, ListedServer, RoutingDocument, RoutingVersion, RateLimitsSnapshot, WatchParams, WatchResponse,
+	Clock, DataCentreId, InstanceId, ListedServer, RelayPartner, RoutingDocument, RoutingVersion, RateLimitsSnapshot, WatchParams, WatchResponse,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
@@ -45,6 +45,8 @@
 	readonly versions: () => Pick<WatchParams, 'limitsVersion' | 'quarantineRevision' | 'suspectsVersion'>;
 	readonly onQuarantine: (response: Pick<WatchResponse, 'quarantine' | 'suspects'>) => void;
 	readonly onLimits: (limits: RateLimitsSnapshot) => void;
+	/** Where this instance takes relayed calls, and whether it does now. */
+	readonly relay: () => WatchParams['relay'];
 	/** Called after the leader of the control log changed. */
 	readonly onLeader: () => void;
 };
@@ -91,6 +93,12 @@
 		return this.#controls.length > 0 ? this.#controls : this.parts.seeds();
 	}
 
+	/** Entry instances that may serve for this one, as the sources name them. */
+	get partners(): readonly RelayPartner[] {
+		const named = [...this.#sources.values()].flatMap(({response}) => response?.partners ?? []);
+		return [...new Map(named.map(partner => [partner.id, partner])).values()].filter(({id}) => id !== this.parts.self);
+	}
+
 	/** Largest number of entry instances that a control instance reported lately; at least 1. */
 	get entryInstanceCount(): number {
 		return this.#entryCount.value;
@@ -201,7 +209,7 @@
 		const {self, peers, clock} = this.parts;
 		try {
 			const response = await peers.get(source.id).call(CONTROL_WATCH, {
-				instance: self, routingVersion: this.#version, listDigest: this.#listDigest, leader: this.#leader, waitMs: pollTimeoutMs, withContent, confirmed: this.#version === undefined, ...this.parts.versions(),
+				instance: self, routingVersion: this.#version, listDigest: this.#listDigest, leader: this.#leader, waitMs: pollTimeoutMs, withContent, confirmed: this.#version === undefined, relay: this.parts.relay(), ...this.parts.versions(),
 			}, pollTimeoutMs + responseGraceMs + (this.#version === undefined ? watchTimeoutMs : 0));
 			if (!this.#isHealthy(source)) {
 				log('A control instance answers.', {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import {ServerConnections} from '../server-connections.js';
 import {RemoteRateLimits} from '../server-rate-limits/remote-rate-limits.js';
 import {PathWatch} from '../relay/path-watch.js';
+import {maxCallsPerPartner, RelayClient} from '../relay/relay-client.js';
 import {OriginDirectory} from '../streams/origin-directory.js';
 import {AvailabilityGate} from './availability-gate.js';
 import {CallerListener} from './caller-listener.js';
@@ -69,7 +70,7 @@
 	readonly id: InstanceId;
 	readonly dataCentre: DataCentreId;
 	/** Addresses to listen on. */
-	readonly listen: {readonly callers: string; readonly readiness: string; readonly metrics: string};
+	readonly listen: {readonly callers: string; readonly readiness: string; readonly metrics: string; readonly relays: string};
 	/** Peer addresses of the control instances that are contacted first. */
 	readonly seeds: readonly InstanceId[];
 	/** Address of the platform's server list. */
@@ -144,8 +145,13 @@
 		},
 	});
 	const path: PathWatch = new PathWatch({
-		clock, random, servers: () => fleet.servers, onChange() {
-			// Logged by the watch
+		clock, random, servers: () => fleet.servers, onChange(isCut) {
+			if (isCut) {
+				// Idle connections may be dead as well
+				for (const {address} of fleet.servers) {
+					transport.discardConnections(address);
+				}
+			}
 		},
 	});
 	const origins: OriginDirectory = new OriginDirectory({peers, clock, hosts: () => controlWatch.controls});
@@ -164,11 +170,15 @@
 
 	const gate = new StartupGate(clock);
 	const connectionLimit = (address: string): number => {
+		if (relay.isPartner(address)) {
+			return maxCallsPerPartner;
+		}
+
 		const service = table?.services.get(fleet.servers.find(server => server.address === address)?.service ?? toId<ServiceName>(''));
 		return service === undefined ? unlistedConnections : Math.max(minConnections, Math.floor((service.maxConnections * connectionShare) / controlWatch.entryInstanceCount));
 	};
 
-	const transport = new ServerTransport({
+	const transport: ServerTransport = new ServerTransport({
 		maxConnectionsTo: connectionLimit, readResponseId: headers => dialect.server.readResponseId(headers), onForeignResponse(kind, moment) {
 			metrics.countForeignResponse(kind, moment);
 		}, gate: path.watch(availability),
@@ -222,6 +232,7 @@
 		self: initialSettings.id, dataCentre: initialSettings.dataCentre, seeds: () => settings.seeds, peers, clock, onRouting: applyRouting, onList: applyServerList, onLeader() {
 			places.handleOwnerChange();
 		},
+		relay: () => ({address: initialSettings.listen.relays, dataCentre: initialSettings.dataCentre, isTaking: isTakingRelays()}),
 		versions: () => ({quarantineRevision: guard.quarantineRevision, suspectsVersion: guard.suspectsVersion, limitsVersion: limits.version}),
 		onLimits(snapshot) {
 			limits.apply(snapshot);
@@ -236,6 +247,11 @@
 			}
 		},
 	});
+	const relay: RelayClient = new RelayClient({
+		dataCentre: initialSettings.dataCentre, secret: initialSettings.secret, path, partners: () => controlWatch.partners, routingVersion: () => table?.version, transport, caller: dialect.caller, server: dialect.server, clock,
+	});
+	/** Whether this instance serves calls for others. */
+	const isTakingRelays = (): boolean => !path.isCut && stopping === undefined && table !== undefined;
 	const listPoller = new ServerListPoller({
 		address: initialSettings.list, dialect: dialect.list, transport, clock, intervalMs: directListIntervalMs, shouldPoll: () => isListStale(controlWatch.listAgeMs), onList(servers) {
 			controlWatch.recordList(digestServerList(servers));
@@ -278,12 +294,14 @@
 			dataCentre: initialSettings.dataCentre, fleet, transport, dialect: dialect.server, retryBudgets, guard, path, clock, random,
 		}),
 		streams: new StreamRoute({
-			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, origins, path, clock, random,
+			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, origins, path, relay, clock, random,
 		}),
 		metrics,
 		gate,
+		relay,
+		relayPort: {secret: initialSettings.secret, isTaking: () => !path.isCut},
 	});
-	const isReady = (): boolean => table !== undefined && fleet.hasList && stopping === undefined;
+	const isReady = (): boolean => table !== undefined && fleet.hasList && stopping === undefined && (!path.isCut || relay.hasPartners);
 
 	metrics.registerGauge('calls_in_progress', 'Calls in progress', () => callerListener.inProgress);
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => table?.version ?? 0);
@@ -291,6 +309,8 @@
 	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
 	metrics.registerGauge('servers_held_back', 'Servers that asked for time which is not over', () => availability.heldBackCount);
 	metrics.registerServerGauge('server_rate_limit', 'Limits that servers name, in requests a second', () => limits.inForce);
+	metrics.registerGauge('relayed_calls', 'Calls that other instances served for this one, since its start', () => relay.relayedCalls);
+	metrics.registerGauge('relayed_calls_in_progress', 'Calls in progress that this instance serves for others', () => callerListener.relayedCalls);
 	metrics.registerGauge('path_cut', 'Whether no server can be reached from here', () => path.isCut ? 1 : 0);
 	metrics.registerGauge('stream_origins', 'Streams of this instance whose software version it knows', () => origins.size);
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => guard.quarantined);
@@ -298,6 +318,7 @@
 	metrics.registerGauge('quarantine_trials', 'Calls that tried suspected segments', () => guard.counts.trials);
 	metrics.registerGauge('quarantine_reports', 'Crash reports that a leader acknowledged', () => guard.counts.reports);
 	const readinessServer = await startReadinessServer(initialSettings.listen.readiness, isReady);
+	await callerListener.listenForRelays(initialSettings.listen.relays);
 	await callerListener.listen(initialSettings.listen.callers);
 	const metricsServer = await serveMetrics(metrics.registry, initialSettings.listen.metrics);
 	path.start();
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -6,6 +6,7 @@
 	Clock, EngineAddress, EngineId, ErrorKind, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {RelayClient} from '../relay/relay-client.js';
 import type {PathWatch} from '../relay/path-watch.js';
 import type {OriginDirectory} from '../streams/origin-directory.js';
 import type {ServerTransport} from '../transport/server-transport.js';
@@ -13,10 +14,11 @@
 import type {CrashGuard} from './crash-guard.js';
 import {EngineLeases} from './engine-leases.js';
 import {EngineSeekers} from './engine-seekers.js';
+import type {StreamEvent} from './event-splitter.js';
 import {StreamRun} from './stream-run.js';
 import type {RunStage} from './stream-run.js';
 import type {FleetView} from './fleet-view.js';
-import type {StreamPlacement, StreamPlacements} from './stream-placements.js';
+import type {PlacementUsage, StreamPlacement, StreamPlacements} from './stream-placements.js';
 import {StreamBinding} from './stream-binding.js';
 import {PrefillClient} from './prefill-client.js';
 import type {PrefillResult} from './prefill-client.js';
@@ -58,6 +60,7 @@
 	readonly guard: CrashGuard;
 	readonly origins: Pick<OriginDirectory, 'lookup' | 'record'>;
 	readonly path: Pick<PathWatch, 'recordFailure' | 'settled' | 'state'>;
+	readonly relay: Pick<RelayClient, 'isNeeded' | 'send'>;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
@@ -304,7 +307,7 @@
 
 			isReleased = true;
 			const unreachable = [placement.decode, placement.prefill].map(({id}) => id).filter(id => this.parts.fleet.isUnreachable(toId<BackendId>(id)));
-			placement.release({
+			void this.#release(placement, {
 				unreachable, pace: progress.pace, events: progress.isComplete ? progress.events : undefined, failed: progress.failed.splice(0), served: progress.served.splice(0), rejectedBy: progress.rejectedBy.splice(0),
 			});
 		};
@@ -326,6 +329,13 @@
 		}
 	}
 
+	/** Releases a placement; what failed says nothing of its engines while this instance reaches no server. */
+	async #release(placement: StreamPlacement, usage: PlacementUsage): Promise<void> {
+		const hasFailures = (usage.failed?.length ?? 0) > 0 || (usage.unreachable?.length ?? 0) > 0;
+		const isPathCut = hasFailures && await this.parts.path.settled() === 'cut';
+		placement.release(isPathCut ? {...usage, failed: [], unreachable: []} : usage);
+	}
+
 	async #runPlacement(progress: StreamProgress, placement: StreamPlacement): Promise<RoundResult> {
 		const {scope} = progress;
 		if (scope.reason !== undefined) {
@@ -432,6 +442,11 @@
 	 * and the events, which delays its other streams; the pool therefore chooses the engine and the time.
 	 */
 	async #resume(progress: StreamProgress, round: number): Promise<RoundResult> {
+		const relayed = this.parts.relay.isNeeded && progress.lastEventId !== undefined ? await this.#resumeAtPartner(progress, progress.lastEventId) : undefined;
+		if (relayed !== undefined) {
+			return relayed;
+		}
+
 		const placementOutcome = await this.parts.places.placeResumed({...progress, round, softwareVersion: progress.binding.version}, progress);
 		const server = placementOutcome.kind === 'placed' ? this.#leases.findListed(progress, placementOutcome.placement.decode) : undefined;
 		log('A broken stream looks for another engine.', {
@@ -455,6 +470,48 @@
 		});
 	}
 
+	/** Resumes a stream through another instance, since this one reaches no engine; undefined where none takes it. */
+	async #resumeAtPartner(progress: StreamProgress, lastEventId: string): Promise<RoundResult | undefined> {
+		const {call, service, scope, out} = progress;
+		if (progress.isRetryDue && !this.parts.retryBudgets.tryAcquire(service)) {
+			return {isFinal: true, reply: {kind: 'streamed', detail: 'the retry budget is exhausted'}};
+		}
+
+		const outcome = await this.parts.relay.send(call, scope, {
+			start() {
+				for (const run of progress.runs) {
+					run.supersede();
+				}
+			},
+			write: event => {
+				this.#recordRelayed(progress, event);
+				return scope.reason === undefined;
+			},
+			end() {
+				progress.isComplete = true;
+				out.end();
+			},
+		}, lastEventId);
+		if (outcome.kind === 'declined') {
+			return undefined;
+		}
+
+		progress.sent += 1;
+		log('A broken stream went on at another instance.', {requestId: call.requestId, outcome: outcome.kind, events: progress.events});
+		return {isFinal: true, reply: {kind: 'streamed', detail: 'detail' in outcome ? outcome.detail : undefined}};
+	}
+
+	#recordRelayed(progress: StreamProgress, {id, bytes}: StreamEvent): void {
+		if (progress.lastEventId !== undefined && id !== undefined && Number(id) <= Number(progress.lastEventId)) {
+			return;
+		}
+
+		progress.lastEventId = id ?? progress.lastEventId;
+		progress.lastEventAt = this.parts.clock.now();
+		progress.events += 1;
+		progress.out.write(bytes);
+	}
+
 	/** Resumes a stream at the least loaded engine that grants a lease, without a placement of the pool's owner. */
 	async #resumeWithLease(progress: StreamProgress): Promise<RoundResult> {
 		const reserved = await this.#leases.acquireLeastLoaded(progress);
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -84,6 +84,8 @@
 	parseMetadata(headers: Readonly<Record<string, string | string[] | undefined>>): Result<CallMetadata, RouterError>;
 	/** Headers of an error response: the request's id and the time after which to retry. */
 	errorHeaders(requestId: string | undefined, retryAfterMs: number | undefined): Record<string, string>;
+	/** Headers, as alternating names and values, with which the stream of a request is taken up after an event, and the names that they replace. */
+	takeUpHeaders(requestId: RequestId, lastEventId: string): {readonly names: ReadonlySet<string>; readonly headers: string[]};
 };
 
 /** Translates what servers say of themselves. */
--- a/packages/daemon/src/relay/path-watch.ts
+++ b/packages/daemon/src/relay/path-watch.ts
@@ -59,6 +59,7 @@
 
 	stop(): void {
 		clearInterval(this.#timer);
+		this.#timer = undefined;
 		this.#wake();
 	}
 
--- a/packages/daemon/src/transport/types.ts
+++ b/packages/daemon/src/transport/types.ts
@@ -6,7 +6,7 @@
 import type {BufferAccount} from './buffer-account.js';
 
 /** What a request is for, as metrics and logs name it. */
-export type CallKind = 'run' | 'prefill' | 'lease' | 'release' | 'free' | 'order' | 'report' | 'liveness' | 'list' | 'rpc' | 'engine' | 'plain';
+export type CallKind = 'run' | 'prefill' | 'lease' | 'release' | 'free' | 'order' | 'report' | 'liveness' | 'list' | 'rpc' | 'engine' | 'plain' | 'relay';
 
 /** Where a response of another request, or of none, was found. */
 export type ForeignMoment =
