A stream that goes on through a partner beside a silent run ends once

What a caller would have seen: nothing, but the instance asked partners again for a stream whose end it had written, and an engine would have run it once more. Cause: the silent run stayed the stream's own after a partner had delivered. Now the first relayed event ends the runs and releases the silent one's placement, as a run that delivers first does. A retry that a relay has paid for isn't paid again where no partner takes the stream, and a withdrawn run gives its trial back.

--- a/packages/daemon/src/__tests__/unit/gateway-harness.ts
+++ b/packages/daemon/src/__tests__/unit/gateway-harness.ts
@@ -19,6 +19,7 @@
 import {StreamRoute} from '../../gateway/stream-route.js';
 import type {Call, SendPurpose, ServerDialect} from '../../gateway/types.js';
 import {monotonicClock} from '../../monotonic-clock.js';
+import type {RelayClient} from '../../relay/relay-client.js';
 import {ServerTransport} from '../../transport/server-transport.js';
 import {createIdleGuard} from './idle-guard.js';
 import {openPath} from './open-path.js';
@@ -81,6 +82,8 @@
 /** Engines and gateways of one test. */
 export class GatewayHarness {
 	readonly metrics = new GatewayMetrics();
+	/** Partners of the gateways, for streams that have begun. */
+	relay: Pick<RelayClient, 'isNeeded' | 'send'> = noPartners;
 	readonly #closers: Array<() => void> = [];
 
 	/** Starts an engine that answers each request by `respond`. */
@@ -155,7 +158,7 @@
 				...parts, path: openPath, guard: createIdleGuard(), dataCentre: toId<DataCentreId>('a'),
 			}),
 			streams: new StreamRoute({
-				...parts, origins: ownOrigins, path: openPath, relay: noPartners, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
+				...parts, origins: ownOrigins, path: openPath, relay: this.relay, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
 			}),
 			metrics: this.metrics,
 		});
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -477,11 +477,10 @@
 			return {isFinal: true, reply: {kind: 'streamed', detail: 'the retry budget is exhausted'}};
 		}
 
+		progress.isRetryDue = false;
 		const outcome = await this.parts.relay.send(call, scope, {
 			start() {
-				for (const run of progress.runs) {
-					run.supersede();
-				}
+				endRuns(progress);
 			},
 			write: event => {
 				this.#recordRelayed(progress, event);
@@ -580,6 +579,17 @@
 	}
 }
 
+/** Ends the runs of a stream that goes on elsewhere, and lets go of the placement of a silent one. */
+const endRuns = (progress: StreamProgress): void => {
+	for (const run of progress.runs) {
+		run.supersede();
+	}
+
+	const {silent} = progress;
+	progress.silent = undefined;
+	void silent?.run.outcome.then(silent.release);
+};
+
 /** The reply to a call of which an engine may have run a part: no refusal, since that would promise that none has. */
 const toCertainReply = (reply: Reply, {mayHaveRun}: StreamProgress): Reply => mayHaveRun && reply.kind === 'error' && errorResponses[reply.error.kind].run === 'no'
 	? errorReply(routerError('answerLost', reply.error.detail))
--- a/packages/daemon/src/gateway/stream-run.ts
+++ b/packages/daemon/src/gateway/stream-run.ts
@@ -139,6 +139,7 @@
 		if (!progress.binding.admits(server, purpose.kind === 'decode' ? purpose.source : undefined)) {
 			log('A run is withdrawn: its engine runs another software version.', {requestId: call.requestId, engine: server.id, softwareVersion: server.softwareVersion});
 			this.#end();
+			guard.endTrial(call);
 			return {kind: 'unsent', detail: 'the engine runs another software version', isHeldBack: true};
 		}
 
