--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -14,12 +14,12 @@
 import type {CrashGuard} from './crash-guard.js';
 import {EngineLeases} from './engine-leases.js';
 import {EngineSeekers} from './engine-seekers.js';
-import type {StreamEvent} from './event-splitter.js';
 import {StreamRun} from './stream-run.js';
 import type {RunStage} from './stream-run.js';
 import type {FleetView} from './fleet-view.js';
 import type {PlacementUsage, StreamPlacement, StreamPlacements} from './stream-placements.js';
-import {StreamBinding} from './stream-binding.js';
+import {PartnerResume} from './partner-resume.js';
+import {StreamBinder} from './stream-binder.js';
 import {PrefillClient} from './prefill-client.js';
 import type {PrefillResult} from './prefill-client.js';
 import {detailOf, errorReply} from './reply.js';
@@ -44,9 +44,6 @@
 /** Interval at which another engine is sought for a stream whose engine stays silent, in milliseconds. */
 const seekIntervalMs = 400;
 
-/** Time beyond a call's deadline for which its origin stays known, in milliseconds. */
-const originMarginMs = 10_000;
-
 /** Errors of calls that found no engine with capacity. */
 const capacityErrors: ReadonlySet<ErrorKind> = new Set(['noBackend', 'overloaded', 'queueTimeout']);
 
@@ -78,16 +75,20 @@
 	readonly #leases: EngineLeases;
 	readonly #prefillClient: PrefillClient;
 	readonly #seekers = new EngineSeekers();
+	readonly #binder: StreamBinder;
+	readonly #partnerResume: PartnerResume;
 
 	constructor(private readonly parts: StreamRouteParts) {
 		this.#leases = new EngineLeases({...parts, expectedTokens: (service, call) => parts.places.expectedTokens(service, call)});
 		this.#prefillClient = new PrefillClient({...parts, leases: this.#leases});
+		this.#binder = new StreamBinder(parts);
+		this.#partnerResume = new PartnerResume(parts);
 	}
 
 	/** Serves a call; resolves once its response is sent or determined. */
 	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
 		this.parts.retryBudgets.recordCall(service);
-		const binding = await this.#bind(call, service);
+		const binding = await this.#binder.bind(call, service);
 		if (binding === undefined) {
 			return errorReply(routerError('noBackend', 'the software version that began the stream is not known', call.route.timeoutMs));
 		}
@@ -109,23 +110,6 @@
 		}
 	}
 
-	/** Binds a stream that a caller takes up to the software version that began it; undefined where that version is not known. */
-	async #bind(call: Call, service: ServiceName): Promise<StreamBinding | undefined> {
-		const {origins, fleet, clock} = this.parts;
-		const isNew = call.resumes === undefined && call.lastEventId === undefined;
-		const found = call.resumes === undefined ? undefined : await origins.lookup(call.resumes);
-		const version = isNew ? undefined : found ?? fleet.soleVersion(service);
-		if (!isNew) {
-			log('A caller takes up a stream.', {
-				requestId: call.requestId, resumes: call.resumes, lastEventId: call.lastEventId, softwareVersion: version, isRecorded: found !== undefined,
-			});
-		}
-
-		return isNew || version !== undefined
-			? new StreamBinding(version, async softwareVersion => origins.record({requestId: call.requestId, softwareVersion, ttlMs: Math.ceil(call.deadlineAt - clock.now()) + originMarginMs}))
-			: undefined;
-	}
-
 	/** Tells a refused caller when an engine takes work again, if all of them leave, ask for time or have used up their limit. */
 	#withRetryDelay(reply: Reply, {call, service}: StreamProgress): Reply {
 		const {fleet, random} = this.parts;
@@ -442,9 +426,9 @@
 	 * and the events, which delays its other streams; the pool therefore chooses the engine and the time.
 	 */
 	async #resume(progress: StreamProgress, round: number): Promise<RoundResult> {
-		const relayed = this.parts.relay.isNeeded && progress.lastEventId !== undefined ? await this.#resumeAtPartner(progress, progress.lastEventId) : undefined;
+		const relayed = await this.#partnerResume.resume(progress);
 		if (relayed !== undefined) {
-			return relayed;
+			return {isFinal: true, reply: relayed};
 		}
 
 		const placementOutcome = await this.parts.places.placeResumed({...progress, round, softwareVersion: progress.binding.version}, progress);
@@ -470,47 +454,6 @@
 		});
 	}
 
-	/** Resumes a stream through another instance, since this one reaches no engine; undefined where none takes it. */
-	async #resumeAtPartner(progress: StreamProgress, lastEventId: string): Promise<RoundResult | undefined> {
-		const {call, service, scope, out} = progress;
-		if (progress.isRetryDue && !this.parts.retryBudgets.tryAcquire(service)) {
-			return {isFinal: true, reply: {kind: 'streamed', detail: 'the retry budget is exhausted'}};
-		}
-
-		progress.isRetryDue = false;
-		const outcome = await this.parts.relay.send(call, scope, {
-			start() {
-				endRuns(progress);
-			},
-			write: event => {
-				this.#recordRelayed(progress, event);
-				return scope.reason === undefined;
-			},
-			end() {
-				progress.isComplete = true;
-				out.end();
-			},
-		}, lastEventId);
-		if (outcome.kind === 'declined') {
-			return undefined;
-		}
-
-		progress.sent += 1;
-		log('A broken stream went on at another instance.', {requestId: call.requestId, outcome: outcome.kind, events: progress.events});
-		return {isFinal: true, reply: {kind: 'streamed', detail: 'detail' in outcome ? outcome.detail : undefined}};
-	}
-
-	#recordRelayed(progress: StreamProgress, {id, bytes}: StreamEvent): void {
-		if (progress.lastEventId !== undefined && id !== undefined && Number(id) <= Number(progress.lastEventId)) {
-			return;
-		}
-
-		progress.lastEventId = id ?? progress.lastEventId;
-		progress.lastEventAt = this.parts.clock.now();
-		progress.events += 1;
-		progress.out.write(bytes);
-	}
-
 	/** Resumes a stream at the least loaded engine that grants a lease, without a placement of the pool's owner. */
 	async #resumeWithLease(progress: StreamProgress): Promise<RoundResult> {
 		const reserved = await this.#leases.acquireLeastLoaded(progress);
@@ -579,17 +522,6 @@
 	}
 }
 
-/** Ends the runs of a stream that goes on elsewhere, and lets go of the placement of a silent one. */
-const endRuns = (progress: StreamProgress): void => {
-	for (const run of progress.runs) {
-		run.supersede();
-	}
-
-	const {silent} = progress;
-	progress.silent = undefined;
-	void silent?.run.outcome.then(silent.release);
-};
-
 /** The reply to a call of which an engine may have run a part: no refusal, since that would promise that none has. */
 const toCertainReply = (reply: Reply, {mayHaveRun}: StreamProgress): Reply => mayHaveRun && reply.kind === 'error' && errorResponses[reply.error.kind].run === 'no'
 	? errorReply(routerError('answerLost', reply.error.detail))
