Tests of whole streams name what came back instead

A failed run of "a killed owner's pool moves" printed only "expected [ …(6) ] to deeply equal [ 'whole', … ]", so that it could not be traced. The message now lists the answers. The expectation is unchanged.

--- a/bench/src/__tests__/process/fleet-harness.ts
+++ b/bench/src/__tests__/process/fleet-harness.ts
@@ -10,8 +10,10 @@
 import {startBackend, startEngine, startPlatformList} from '@baobabpier/stand-ins';
 import {stringify} from 'smol-toml';
 import {request} from 'undici';
+import {expect} from 'vitest';
 import type {Daemon} from '@baobabpier/daemon';
 import {startDaemon, parseSettings} from '@baobabpier/daemon';
+import type {CallResult} from '@baobabpier/bench';
 
 const secret = 'a secret for tests';
 
@@ -40,6 +42,12 @@
 	throw new Error(`not reached: ${what}`);
 };
 
+/** Expects that every answer came back whole; the message names what came back instead. */
+export const expectAllWhole = (results: readonly CallResult[]): void => {
+	const notes = results.map(({whole, note}) => whole ? 'whole' : note);
+	expect(notes, notes.join('; ')).toEqual(results.map(() => 'whole'));
+};
+
 /** Posts JSON and reads the answer. */
 export const post = async (url: string, body: unknown, headers: Record<string, string> = {}): Promise<{status: number; text: string; headers: Record<string, unknown>}> => {
 	const answer = await request(url, {method: 'POST', headers: {'content-type': 'application/json', ...headers}, body: JSON.stringify(body)});
--- a/bench/src/__tests__/process/planned-stops.test.ts
+++ b/bench/src/__tests__/process/planned-stops.test.ts
@@ -5,7 +5,7 @@
 } from 'vitest';
 import {request} from 'undici';
 import type {Fault} from '@baobabpier/stand-ins';
-import {until} from './fleet-harness.js';
+import {expectAllWhole, until} from './fleet-harness.js';
 import {
 	callPlain, Cluster, deployments, streamCompletion,
 } from '@baobabpier/bench';
@@ -46,7 +46,7 @@
 
 const expectWhole = async ({finished}: {finished: Promise<CallResult[]>}): Promise<void> => {
 	const results = await finished;
-	expect(results.map(({whole, note}) => whole ? 'whole' : note)).toEqual(results.map(() => 'whole'));
+	expectAllWhole(results);
 };
 
 const bookings = async (): Promise<Record<string, number>> => {
--- a/bench/src/__tests__/process/shares.test.ts
+++ b/bench/src/__tests__/process/shares.test.ts
@@ -2,7 +2,7 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from 'vitest';
-import {until} from './fleet-harness.js';
+import {expectAllWhole, until} from './fleet-harness.js';
 import {Cluster, deployments, streamCompletion} from '@baobabpier/bench';
 import type {ClusterInstance} from '@baobabpier/bench';
 
@@ -49,7 +49,7 @@
 
 const expectServed = async (instance: ClusterInstance, streams = 6): Promise<void> => {
 	const results = await Promise.all(Array.from({length: streams}, async () => streamCompletion(instance.callers, 'summary-llm', prompt, 20)));
-	expect(results.map(({whole, note}) => whole ? 'whole' : note)).toEqual(results.map(() => 'whole'));
+	expectAllWhole(results);
 };
 
 test('a killed owner\'s pool moves, and streams that it placed for others come whole', async () => {
@@ -58,7 +58,7 @@
 	await sleep(300);
 	owner.process.child.kill('SIGKILL');
 	const results = await Promise.all(streams);
-	expect(results.map(({whole, note}) => whole ? 'whole' : note)).toEqual(results.map(() => 'whole'));
+	expectAllWhole(results);
 	await expectServed(other);
 	await until('the pool moved', async () => ownsPool(other));
 	await expectServed(other);
