Quotas outlast the takeover of the limits of a lost instance

What callers saw: after an instance was killed, all requests for a service were refused with limitReached at another instance of its data centre, for up to 8 s. Mostly the deployment's half of a limit bridges this; where the lost instance owned that as well, nothing was left. Which instance owns it is decided by which one is first at the start.

--- a/packages/daemon/src/__tests__/unit/limit-task.test.ts
+++ b/packages/daemon/src/__tests__/unit/limit-task.test.ts
@@ -25,8 +25,8 @@
 
 type Handler = (params: never) => unknown;
 
-/** Two limit tasks that reach each other's methods directly; started without timers of their own. */
-const createTasks = (inFlight: number) => {
+/** Two limit tasks that reach each other's methods directly; started without timers of their own. `owners` may own limits. */
+const createTasks = (inFlight: number, owners = instances) => {
 	const clock = new ManualClock();
 	const handlers = new Map<InstanceId, Handler>();
 	const snapshot = catalogue(inFlight);
@@ -37,7 +37,7 @@
 			instances,
 			clock,
 			random: createSeededRandom(1),
-			shares: new StaticShareMap(self.id, instances),
+			shares: new StaticShareMap(self.id, owners),
 			peers: {get: (id: InstanceId) => ({call: async (_method: unknown, params: never) => handlers.get(id)!(params)})} as unknown as Peers,
 			catalogue: {current: () => snapshot},
 		});
@@ -56,7 +56,13 @@
 
 	const admit = async (index: number, count: number): Promise<readonly AdmissionDecision[]> =>
 		Promise.all(Array.from({length: count}, async () => tasks[index]!.admit(service, snapshot.services.get(service)!.limits, 0, clock.now())));
-	return {clock, round, admit};
+	const kill = (index: number): void => {
+		handlers.delete(instances[index]!.id);
+	};
+
+	return {
+		clock, round, admit, kill,
+	};
 };
 
 const kinds = (decisions: readonly AdmissionDecision[]): readonly string[] => decisions.map(({kind}) => kind);
@@ -86,3 +92,22 @@
 	const decisions = await admit(1, later);
 	expect(kinds(decisions).filter(kind => kind === 'admitted')).toHaveLength(expected);
 });
+
+/** The owner is suspected after 6 s, its lease is over 7.5 s later, and the new owner receives each holder's request within 1 s. */
+const takeoverMs = 14_500;
+
+// Callers of a data centre were refused while another instance took over the limits that a killed one had owned
+test.each([
+	{silentMs: 0, expected: 10},
+	{silentMs: 4000, expected: 10},
+	{silentMs: takeoverMs, expected: 10},
+	{silentMs: 20_000, expected: 0},
+])('admits $expected requests at an instance that got no grant for $silentMs ms after the last, since its limits\' owner was killed', async ({silentMs, expected}) => {
+	const {clock, round, admit, kill} = createTasks(20, instances.slice(0, 1));
+	await round();
+	await round();
+	kill(0);
+	clock.advance(silentMs);
+	const decisions = await admit(1, 12);
+	expect(kinds(decisions).filter(kind => kind === 'admitted')).toHaveLength(expected);
+});
