A taken-up stream of a split route goes on at the service that began it

What callers saw: a stream of a route that is split over services was refused when its caller took it up elsewhere, or went on at the other service. Cause: the service is drawn for each call, and the version that began the stream was then sought among the drawn service's engines. Why this works: a stream's origin is its service and version. StreamBinder, which binds a call to a version, takes the origin's service where the route still has it. Where the route has left it, the drawn service stays, as before.

--- a/packages/core/src/__tests__/unit/stream-origins.test.ts
+++ b/packages/core/src/__tests__/unit/stream-origins.test.ts
@@ -2,11 +2,16 @@
 import {
 	rankRendezvous, StreamOrigins, toId,
 } from '@baobabpier/core';
-import type {Instant, RequestId, SoftwareVersion} from '@baobabpier/core';
+import type {
+	Instant, RequestId, ServiceName, SoftwareVersion,
+} from '@baobabpier/core';
 
 const at = (ms: number): Instant => ms as Instant;
 const id = (text: string): RequestId => toId<RequestId>(text);
-const origin = (text: string, ttlMs = 1000) => ({requestId: id(text), softwareVersion: toId<SoftwareVersion>(`v of ${text}`), ttlMs});
+const service = toId<ServiceName>('lm');
+const origin = (text: string, ttlMs = 1000) => ({
+	requestId: id(text), service, softwareVersion: toId<SoftwareVersion>(`v of ${text}`), ttlMs,
+});
 
 describe('origins of streams', () => {
 	test.each([
@@ -31,7 +36,7 @@
 			origins.record(origin(text), at(0));
 		}
 
-		expect(origins.lookup(id(asked), at(atMs))).toBe(version);
+		expect(origins.lookup(id(asked), at(atMs))).toEqual(version === undefined ? undefined : {service, softwareVersion: version});
 	});
 
 	test('expired origins give their memory back', () => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -319,7 +319,7 @@
 export {PathMonitor} from './relay/path-monitor.js';
 export type {PathState, ProbeRound} from './relay/path-monitor.js';
 export {StreamOrigins} from './streams/stream-origins.js';
-export type {StreamOrigin} from './streams/stream-origins.js';
+export type {OriginRecord, StreamOrigin} from './streams/stream-origins.js';
 export {ORIGIN_FIND, ORIGIN_RECORD} from './rpc/origin-methods.js';
 export type {OriginRecordResponse} from './rpc/origin-methods.js';
 export {CONTROL_WATCH} from './rpc/watch-method.js';
--- a/packages/core/src/rpc/origin-methods.ts
+++ b/packages/core/src/rpc/origin-methods.ts
@@ -1,6 +1,6 @@
-/** Methods by which entry instances share which software version began a stream. */
-import type {RequestId, SoftwareVersion} from '../ids.js';
-import type {StreamOrigin} from '../streams/stream-origins.js';
+/** Methods by which entry instances share where streams began. */
+import type {RequestId} from '../ids.js';
+import type {OriginRecord, StreamOrigin} from '../streams/stream-origins.js';
 import {defineRpcMethod} from './rpc-methods.js';
 
 /** The result of recording origins. */
@@ -10,8 +10,8 @@
 };
 
 /* eslint-disable @typescript-eslint/naming-convention */
-/** Records which software versions began streams. */
-export const ORIGIN_RECORD = defineRpcMethod<{readonly origins: readonly StreamOrigin[]}, OriginRecordResponse>('origin.record');
-/** Reads which software version began a stream. */
-export const ORIGIN_FIND = defineRpcMethod<{readonly requestId: RequestId}, {readonly softwareVersion?: SoftwareVersion | undefined}>('origin.find');
+/** Records where streams began. */
+export const ORIGIN_RECORD = defineRpcMethod<{readonly origins: readonly OriginRecord[]}, OriginRecordResponse>('origin.record');
+/** Reads where a stream began. */
+export const ORIGIN_FIND = defineRpcMethod<{readonly requestId: RequestId}, {readonly origin?: StreamOrigin | undefined}>('origin.find');
 /* eslint-enable @typescript-eslint/naming-convention */
--- a/packages/core/src/streams/stream-origins.ts
+++ b/packages/core/src/streams/stream-origins.ts
@@ -1,19 +1,24 @@
-/** Remembers which software version began a stream, for as long as its caller may take it up again. */
-import type {RequestId, SoftwareVersion} from '../ids.js';
+/** Remembers where streams began, for as long as their callers may take them up again. */
+import type {RequestId, ServiceName, SoftwareVersion} from '../ids.js';
 import {addMs} from '../time.js';
 import type {Instant} from '../time.js';
 
-/** The software version that began a stream. */
+/** Where a stream began: at an engine of a service, of one software version. */
 export type StreamOrigin = {
+	readonly service: ServiceName;
+	readonly softwareVersion: SoftwareVersion;
+};
+
+/** The record of a stream's origin. */
+export type OriginRecord = StreamOrigin & {
 	/** The request that brought the first event. */
 	readonly requestId: RequestId;
-	readonly softwareVersion: SoftwareVersion;
 	/** How long it has to be known, in milliseconds. */
 	readonly ttlMs: number;
 };
 
 type StoredOrigin = {
-	readonly softwareVersion: SoftwareVersion;
+	readonly origin: StreamOrigin;
 	readonly until: Instant;
 };
 
@@ -25,8 +30,8 @@
  *
  * @example
  * const origins = new StreamOrigins(100_000);
- * origins.record({requestId, softwareVersion, ttlMs: 20_000}, clock.now());
- * origins.lookup(requestId, clock.now()); // The version, or undefined
+ * origins.record({requestId, service, softwareVersion, ttlMs: 20_000}, clock.now());
+ * origins.lookup(requestId, clock.now()); // {service, softwareVersion}, or undefined
  */
 export class StreamOrigins {
 	readonly #origins = new Map<RequestId, StoredOrigin>();
@@ -37,23 +42,23 @@
 		return this.#origins.size;
 	}
 
-	record({requestId, softwareVersion, ttlMs}: StreamOrigin, now: Instant): void {
+	record({requestId, ttlMs, service, softwareVersion}: OriginRecord, now: Instant): void {
 		this.#removeExpired(now);
-		this.#origins.set(requestId, {softwareVersion, until: addMs(now, ttlMs)});
+		this.#origins.set(requestId, {origin: {service, softwareVersion}, until: addMs(now, ttlMs)});
 		if (this.#origins.size > this.maxOrigins) {
 			this.#origins.delete(this.#origins.keys().next().value!);
 		}
 	}
 
-	/** Returns the version that began a stream; undefined where it is not known. */
-	lookup(requestId: RequestId, now: Instant): SoftwareVersion | undefined {
-		const origin = this.#origins.get(requestId);
-		return origin !== undefined && origin.until > now ? origin.softwareVersion : undefined;
+	/** Returns where a stream began; undefined where that is not known. */
+	lookup(requestId: RequestId, now: Instant): StreamOrigin | undefined {
+		const stored = this.#origins.get(requestId);
+		return stored !== undefined && stored.until > now ? stored.origin : undefined;
 	}
 
 	/** Returns the origins that have not expired. */
-	list(now: Instant): readonly StreamOrigin[] {
-		return [...this.#origins].filter(([, {until}]) => until > now).map(([requestId, {softwareVersion, until}]) => ({requestId, softwareVersion, ttlMs: until - now}));
+	list(now: Instant): readonly OriginRecord[] {
+		return [...this.#origins].filter(([, {until}]) => until > now).map(([requestId, {origin, until}]) => ({...origin, requestId, ttlMs: until - now}));
 	}
 
 	/** Origins of about the same lifetime expire in the order in which they were recorded. */
--- a/packages/daemon/src/__tests__/unit/origin-directory.test.ts
+++ b/packages/daemon/src/__tests__/unit/origin-directory.test.ts
@@ -2,7 +2,7 @@
 	addMs, ORIGIN_FIND, ORIGIN_RECORD, toId,
 } from '@baobabpier/core';
 import type {
-	InstanceId, RequestId, SoftwareVersion, StreamOrigin,
+	InstanceId, OriginRecord, RequestId, ServiceName, SoftwareVersion,
 } from '@baobabpier/core';
 import {
 	afterEach, expect, test,
@@ -54,7 +54,8 @@
 	return directory;
 };
 
-const origin = (text: string): StreamOrigin => ({requestId: toId<RequestId>(text), softwareVersion: toId<SoftwareVersion>('v1'), ttlMs: 20_000});
+const begun = {service: toId<ServiceName>('lm'), softwareVersion: toId<SoftwareVersion>('v1')};
+const origin = (text: string): OriginRecord => ({...begun, requestId: toId<RequestId>(text), ttlMs: 20_000});
 const downAddress = toId<InstanceId>('127.0.0.1:9');
 
 /** Waits until a host has as many origins. */
@@ -89,7 +90,7 @@
 	const startedAt = monotonicClock.now();
 	await writer.record(origin('a'));
 	expect(started.some(({host}) => host.size === 2)).toBe(true);
-	expect(await reader.lookup(toId<RequestId>('a'))).toBe('v1');
+	expect(await reader.lookup(toId<RequestId>('a'))).toEqual(begun);
 	expect(monotonicClock.now() - startedAt).toBeLessThan(withinMs);
 });
 
@@ -103,7 +104,7 @@
 	const startedAt = monotonicClock.now();
 	await directory.record(origin('a'));
 	expect(monotonicClock.now() - startedAt).toBeLessThan(300);
-	expect(await directory.lookup(toId<RequestId>('a'))).toBe('v1');
+	expect(await directory.lookup(toId<RequestId>('a'))).toEqual(begun);
 	expect(await createDirectory(known).lookup(toId<RequestId>('a'))).toBeUndefined();
 });
 
@@ -118,7 +119,7 @@
 	const second = await startHost(first.id);
 	await directory.record(origin('d'));
 	await untilSize(second.host, 4);
-	expect(await createDirectory([second.id]).lookup(toId<RequestId>('a'))).toBe('v1');
+	expect(await createDirectory([second.id]).lookup(toId<RequestId>('a'))).toEqual(begun);
 });
 
 test('a host that was down is told what it missed', async () => {
--- a/packages/daemon/src/gateway/stream-binder.ts
+++ b/packages/daemon/src/gateway/stream-binder.ts
@@ -1,6 +1,6 @@
-/** Finds the software version to which a stream is bound as its call arrives. */
+/** Finds the service and the software version to which a stream is bound as its call arrives. */
 import type {
-	Clock, RequestId, ServiceName, SoftwareVersion,
+	Clock, RequestId, ServiceName, StreamOrigin,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {OriginDirectory} from '../streams/origin-directory.js';
@@ -13,7 +13,13 @@
 const originMarginMs = 10_000;
 
 /** What a binding depends on in a call. */
-type BoundCall = Pick<Call, 'deadlineAt' | 'lastEventId' | 'requestId' | 'resumes'> & {readonly route: Pick<Call['route'], 'resumable'>};
+type BoundCall = Pick<Call, 'deadlineAt' | 'lastEventId' | 'requestId' | 'resumes'> & {readonly route: Pick<Call['route'], 'resumable' | 'targets'>};
+
+/** A stream's binding, and the service whose engines run it. */
+export type BoundStream = {
+	readonly binding: StreamBinding;
+	readonly service: ServiceName;
+};
 
 /** Dependencies of a stream binder. */
 export type StreamBinderParts = {
@@ -26,21 +32,22 @@
  * Creates the bindings of streams.
  *
  * @example
- * const binding = await new StreamBinder(parts).bind(call, service);
+ * const bound = await new StreamBinder(parts).bind(call, service); // Another service than the one drawn, where that one began the stream
  */
 export class StreamBinder {
 	constructor(private readonly parts: StreamBinderParts) {}
 
-	/** Binds a stream that a caller takes up to the software version that began it; undefined where that version is not known. */
-	async bind(call: BoundCall, service: ServiceName): Promise<StreamBinding | undefined> {
+	/** Binds a stream that a caller takes up to the service, if the route still has it, and the software version that began it; undefined where that version is not known. */
+	async bind(call: BoundCall, drawn: ServiceName): Promise<BoundStream | undefined> {
 		if (call.resumes === undefined && call.lastEventId === undefined) {
-			return new StreamBinding(undefined, async softwareVersion => this.#record(call, call.requestId, softwareVersion));
+			return {service: drawn, binding: new StreamBinding(undefined, async softwareVersion => this.#record(call, call.requestId, {service: drawn, softwareVersion}))};
 		}
 
 		const found = call.resumes === undefined ? undefined : await this.parts.origins.lookup(call.resumes);
-		const version = found ?? this.parts.fleet.soleVersion(service);
+		const service = found !== undefined && call.route.targets.some(target => target.service === found.service && target.weight > 0) ? found.service : drawn;
+		const version = found?.softwareVersion ?? this.parts.fleet.soleVersion(service);
 		log('A caller takes up a stream.', {
-			requestId: call.requestId, resumes: call.resumes, lastEventId: call.lastEventId, softwareVersion: version, isRecorded: found !== undefined,
+			requestId: call.requestId, resumes: call.resumes, lastEventId: call.lastEventId, service, softwareVersion: version, isRecorded: found !== undefined,
 		});
 		if (version === undefined) {
 			return undefined;
@@ -48,16 +55,16 @@
 
 		if (call.resumes !== undefined) {
 			// The caller may come back once more
-			void this.#record(call, call.resumes, version);
+			void this.#record(call, call.resumes, {service, softwareVersion: version});
 		}
 
-		return new StreamBinding(version, async () => undefined);
+		return {service, binding: new StreamBinding(version, async () => undefined)};
 	}
 
-	/** Records the version of the stream that a request began, for as long as its caller may come back; only a resumable stream can be taken up. */
-	async #record({route, deadlineAt}: BoundCall, requestId: RequestId, softwareVersion: SoftwareVersion): Promise<void> {
+	/** Records the origin of the stream that a request began, for as long as its caller may come back; only a resumable stream can be taken up. */
+	async #record({route, deadlineAt}: BoundCall, requestId: RequestId, origin: StreamOrigin): Promise<void> {
 		if (route.resumable) {
-			await this.parts.origins.record({requestId, softwareVersion, ttlMs: Math.ceil(deadlineAt - this.parts.clock.now()) + originMarginMs});
+			await this.parts.origins.record({...origin, requestId, ttlMs: Math.ceil(deadlineAt - this.parts.clock.now()) + originMarginMs});
 		}
 	}
 }
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -86,15 +86,15 @@
 	}
 
 	/** Serves a call; resolves once its response is sent or determined. */
-	async serve(call: Call, service: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
-		this.parts.retryBudgets.recordCall(service);
-		const binding = await this.#binder.bind(call, service);
-		if (binding === undefined) {
+	async serve(call: Call, drawn: ServiceName, scope: CallScope, out: StreamOutput): Promise<Reply> {
+		const bound = await this.#binder.bind(call, drawn);
+		this.parts.retryBudgets.recordCall(bound?.service ?? drawn);
+		if (bound === undefined) {
 			return errorReply(routerError('noBackend', 'the software version that began the stream is not known', call.route.timeoutMs));
 		}
 
 		const progress: StreamProgress = {
-			call, service, scope, out, binding, runs: new Set(), silent: undefined, mayHaveRun: false, isRetryDue: false, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined, avoided: [], sentTo: new Set(),
+			...bound, call, scope, out, runs: new Set(), silent: undefined, mayHaveRun: false, isRetryDue: false, excluded: new Set(), sent: 0, prefills: 0, lastEventId: undefined, failed: [], served: [], rejectedBy: [], events: 0, lastEventAt: undefined, isComplete: false, pace: undefined, avoided: [], sentTo: new Set(),
 		};
 		const unregister = this.parts.guard.register(call, scope);
 		try {
--- a/packages/daemon/src/streams/origin-directory.ts
+++ b/packages/daemon/src/streams/origin-directory.ts
@@ -1,7 +1,7 @@
-/** Tells an entry instance which software version began a stream, wherever that was, and tells others of its own streams. */
+/** Tells an entry instance where a stream began, at whichever instance that was, and tells others of its own streams. */
 import {ORIGIN_FIND, rankRendezvous, StreamOrigins} from '@baobabpier/core';
 import type {
-	Clock, InstanceId, RequestId, SoftwareVersion, StreamOrigin,
+	Clock, InstanceId, OriginRecord, RequestId, StreamOrigin,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
@@ -29,8 +29,8 @@
  * Finds the instances that know a stream's origin from the id of its request alone, as hashed quorum sets do for locations.
  *
  * @example
- * await origins.record({requestId, softwareVersion, ttlMs: 20_000});
- * await origins.lookup(requestId); // The same version, at any instance
+ * await origins.record({requestId, service, softwareVersion, ttlMs: 20_000});
+ * await origins.lookup(requestId); // {service, softwareVersion}, at any instance
  */
 export class OriginDirectory {
 	readonly #own = new StreamOrigins(maxOwnOrigins);
@@ -44,7 +44,7 @@
 	}
 
 	/** Resolves once another instance knows the origin, or after a short wait. */
-	async record(origin: StreamOrigin): Promise<void> {
+	async record(origin: OriginRecord): Promise<void> {
 		this.#own.record(origin, this.parts.clock.now());
 		let timer: NodeJS.Timeout | undefined;
 		const wait = new Promise<void>(resolve => {
@@ -54,8 +54,8 @@
 		clearTimeout(timer);
 	}
 
-	/** Returns the version that began a stream; undefined where no instance that answers knows it. */
-	async lookup(requestId: RequestId): Promise<SoftwareVersion | undefined> {
+	/** Returns where a stream began; undefined where no instance that answers knows it. */
+	async lookup(requestId: RequestId): Promise<StreamOrigin | undefined> {
 		const own = this.#own.lookup(requestId, this.parts.clock.now());
 		if (own !== undefined) {
 			return own;
@@ -75,13 +75,13 @@
 		}
 	}
 
-	async #ask(host: InstanceId, requestId: RequestId): Promise<SoftwareVersion> {
-		const {softwareVersion} = await this.parts.peers.get(host).call(ORIGIN_FIND, {requestId}, findTimeoutMs);
-		if (softwareVersion === undefined) {
+	async #ask(host: InstanceId, requestId: RequestId): Promise<StreamOrigin> {
+		const {origin} = await this.parts.peers.get(host).call(ORIGIN_FIND, {requestId}, findTimeoutMs);
+		if (origin === undefined) {
 			throw new Error(`${host} does not know it`);
 		}
 
-		return softwareVersion;
+		return origin;
 	}
 
 	#hostsOf(requestId: RequestId): readonly InstanceId[] {
--- a/packages/daemon/src/streams/origin-host.ts
+++ b/packages/daemon/src/streams/origin-host.ts
@@ -34,6 +34,6 @@
 
 			return {incarnation: this.#incarnation};
 		});
-		server.registerMethod(ORIGIN_FIND, ({requestId}) => ({softwareVersion: this.#origins.lookup(requestId, this.clock.now())}));
+		server.registerMethod(ORIGIN_FIND, ({requestId}) => ({origin: this.#origins.lookup(requestId, this.clock.now())}));
 	}
 }
--- a/packages/daemon/src/streams/origin-reporter.ts
+++ b/packages/daemon/src/streams/origin-reporter.ts
@@ -1,7 +1,7 @@
 /** Reports the origins of an instance's streams to one host, in batches, until it has them. */
 import {addMs, ORIGIN_RECORD} from '@baobabpier/core';
 import type {
-	Clock, InstanceId, Instant, RequestId, StreamOrigin,
+	Clock, InstanceId, Instant, RequestId, OriginRecord,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {Peers} from '../rpc/peers.js';
@@ -23,11 +23,11 @@
 	readonly peers: Peers;
 	readonly clock: Clock;
 	/** Returns the origins that the host should have; used when it has started again. */
-	readonly listAll: () => readonly StreamOrigin[];
+	readonly listAll: () => readonly OriginRecord[];
 };
 
 type Pending = {
-	readonly origin: StreamOrigin;
+	readonly origin: OriginRecord;
 	readonly until: Instant;
 	readonly resolve: () => void;
 };
@@ -49,7 +49,7 @@
 	constructor(private readonly parts: OriginReporterParts) {}
 
 	/** Resolves once the host has the origin; never for one that expires before. */
-	async report(origin: StreamOrigin): Promise<void> {
+	async report(origin: OriginRecord): Promise<void> {
 		await new Promise<void>(resolve => {
 			this.#add(origin, resolve);
 			if (this.#timer === undefined && !this.#isSending) {
@@ -63,7 +63,7 @@
 		clearTimeout(this.#timer);
 	}
 
-	#add(origin: StreamOrigin, resolve: () => void): void {
+	#add(origin: OriginRecord, resolve: () => void): void {
 		this.#pending.set(origin.requestId, {origin, until: addMs(this.parts.clock.now(), origin.ttlMs), resolve});
 		if (this.#pending.size > maxPending) {
 			this.#pending.delete(this.#pending.keys().next().value!);
