The last flush of the log is bounded

What callers saw: nothing; control processes whose standard output had lost its reader ran on for ever after SIGTERM (two were once found after 40 minutes). Cause: the stop ended with a synchronous flush of the log, which never returns once an asynchronous write has failed: the main thread waits without a limit. Why this works: the log is ended asynchronously, and the process exits once everything is written, after 500 ms at most.

--- a/packages/daemon/src/structured-log.ts
+++ b/packages/daemon/src/structured-log.ts
@@ -1,4 +1,5 @@
 /** Structured log lines on standard output: JSON, bounded in number, written without blocking. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {pino} from 'pino';
 import {registerLogSink} from './log.js';
 import type {LogFields, LogLevel} from './log.js';
@@ -15,16 +16,19 @@
 const writeBytes = 4096;
 /** Lines wait this long at most, in milliseconds. */
 const flushMs = 500;
+/** Maximum wait of the teardown until standard output has taken what is left, in milliseconds: its reader may be gone. */
+const maxTeardownMs = 500;
 const standardOutput = 1;
 
 /**
- * Sends every log line to standard output as JSON; returns the teardown, which writes what is left.
+ * Sends every log line to standard output as JSON; returns the teardown, which resolves once what is left is written, or can't be.
  * Lines over the bound are dropped and counted; the next line that fits says how many.
  *
  * @example
  * const stopLogs = startStructuredLog({instance: 'bagmati-a-1'});
+ * await stopLogs();
  */
-export const startStructuredLog = (base: Readonly<Record<string, string>>): (() => void) => {
+export const startStructuredLog = (base: Readonly<Record<string, string>>): (() => Promise<void>) => {
 	const destination = pino.destination({
 		dest: standardOutput, sync: false, minLength: writeBytes, maxLength: maxWaitingBytes,
 	});
@@ -56,9 +60,14 @@
 		destination.flush();
 	}, flushMs);
 	timer.unref();
-	return () => {
+	return async () => {
 		teardown();
 		clearInterval(timer);
-		destination.flushSync();
+		const finished = new Promise<void>(resolve => {
+			destination.once('finish', resolve);
+		});
+		destination.end();
+		// A synchronous flush never returns once a write has failed
+		await Promise.race([finished, sleep(maxTeardownMs)]);
 	};
 };
