Only a known origin is recorded anew

A stream whose route had left its service was recorded anew at the drawn one, and one whose origin was not known at a guessed one; later calls then took that for where the stream began. Cause: the call that takes a stream up recorded what it used, not what it had found. Why this works: it records what it found, and nothing else.

--- a/packages/daemon/src/__tests__/unit/stream-binder.test.ts
+++ b/packages/daemon/src/__tests__/unit/stream-binder.test.ts
@@ -51,6 +51,9 @@
 	{
 		name: 'a stream that its caller takes up', isResumable: true, call: {requestId: second, lastEventId: '3', resumes: first}, recorded: [{requestId: first, ...began}],
 	},
+	{
+		name: 'a taken-up stream whose origin is not known', isResumable: true, call: {requestId: toId<RequestId>('third'), lastEventId: '3', resumes: second}, recorded: [],
+	},
 	{
 		name: 'a stream whose caller does not name the request that began it', isResumable: true, call: {requestId: second, lastEventId: '3'}, recorded: [],
 	},
@@ -73,4 +76,5 @@
 ])('a stream that is taken up goes on at $name', async ({resumes, weight, service, version}) => {
 	const bound = await bind({requestId: toId<RequestId>('third'), lastEventId: '3', resumes}, {resumable: true, targets: [{service: drawn, weight: 1}, {service: other, weight}]});
 	expect(bound).toMatchObject({service, version});
+	expect(bound.records.every(record => record.service === began.service)).toBe(true);
 });
--- a/packages/daemon/src/gateway/stream-binder.ts
+++ b/packages/daemon/src/gateway/stream-binder.ts
@@ -53,9 +53,9 @@
 			return undefined;
 		}
 
-		if (call.resumes !== undefined) {
+		if (call.resumes !== undefined && found !== undefined) {
 			// The caller may come back once more
-			void this.#record(call, call.resumes, {service, softwareVersion: version});
+			void this.#record(call, call.resumes, found);
 		}
 
 		return {service, binding: new StreamBinding(version, async () => undefined)};
