--- a/packages/daemon/src/limits/limit-task.ts
+++ b/packages/daemon/src/limits/limit-task.ts
@@ -32,9 +32,9 @@
 const initializationTimeoutMs = 6000;
 /** Two request rounds, after which a new owner has received a request from every holder, plus one second to accumulate burst capacity. */
 const burstAccumulationMs = 3000;
-/** Outlasts the takeover of a lost owner's limits, some 14 s after its last grant, so that no holder is without a quota meanwhile. */
+/** In milliseconds. Outlasts the takeover of a lost owner's limits, some 14 s after its last grant, so that no holder is without a quota meanwhile. */
 const holderLeaseDurationMs = 20_000;
-/** Longer than the holder's lease duration by more than two clocks can drift apart, in milliseconds. */
+/** More than two clocks can drift apart during a lease, in milliseconds. */
 const clockDriftMs = 1000;
 const ownerLeaseDurationMs = holderLeaseDurationMs + clockDriftMs;
 const log = createLog('limits');
--- a/packages/daemon/src/structured-log.ts
+++ b/packages/daemon/src/structured-log.ts
@@ -67,7 +67,7 @@
 			destination.once('finish', resolve);
 		});
 		destination.end();
-		// A synchronous flush never returns once a write has failed
+		// A synchronous flush may never return where the reader is gone
 		await Promise.race([finished, sleep(maxTeardownMs)]);
 	};
 };
