Log what an instance tells the pool's owner of engines that failed a placement

Its message said neither which instance had reported what nor what it knew of its path, so that the cause could not be told.

--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -291,7 +291,7 @@
 
 			isReleased = true;
 			const unreachable = [placement.decode, placement.prefill].map(({id}) => id).filter(id => this.parts.fleet.isUnreachable(toId<BackendId>(id)));
-			void this.#release(placement, {
+			void this.#release(progress.call, placement, {
 				unreachable, pace: progress.pace, events: progress.isComplete ? progress.events : undefined, failed: progress.failed.splice(0), served: progress.served.splice(0), rejectedBy: progress.rejectedBy.splice(0),
 			});
 		};
@@ -314,10 +314,19 @@
 	}
 
 	/** Releases a placement; what failed says nothing of its engines while this instance reaches no server. */
-	async #release(placement: StreamPlacement, usage: PlacementUsage): Promise<void> {
-		const hasFailures = (usage.failed?.length ?? 0) > 0 || (usage.unreachable?.length ?? 0) > 0;
-		const isPathCut = hasFailures && await this.parts.path.settled() === 'cut';
-		placement.release(isPathCut ? {...usage, failed: [], unreachable: []} : usage);
+	async #release({requestId}: Call, placement: StreamPlacement, usage: PlacementUsage): Promise<void> {
+		const {failed = [], unreachable = []} = usage;
+		if (failed.length === 0 && unreachable.length === 0) {
+			placement.release(usage);
+			return;
+		}
+
+		const before = this.parts.path.state;
+		const path = await this.parts.path.settled();
+		log('Engines failed a placement.', {
+			requestId, failed: failed.join(' '), unreachable: unreachable.join(' '), before, path, isReported: path !== 'cut',
+		});
+		placement.release(path === 'cut' ? {...usage, failed: [], unreachable: []} : usage);
 	}
 
 	async #runPlacement(progress: StreamProgress, placement: StreamPlacement): Promise<RoundResult> {
