A lost path is noticed also right after a lost server

The pool's owner held a sound engine to fail its calls and gave it no work, because instances without a path to any server had reported their failures. Cause: a failure put the path in doubt once a second at most, whichever server had failed. Failures within a second of an earlier doubt, also one that had ended well, were believed at once: they were reported to the pool's owner, and calls that had not run were refused instead of waiting for the verdict. Why this works: the bound exists because one lost server raises a doubt with each call, so it now holds for each server. Rounds of probes of several doubts begin 100 ms apart at least. path-monitor: three new cases; the bound for one server is tested as before.

--- a/packages/core/src/__tests__/unit/path-monitor.test.ts
+++ b/packages/core/src/__tests__/unit/path-monitor.test.ts
@@ -1,11 +1,13 @@
 import {expect, test} from 'vitest';
-import {PathMonitor} from '@baobabpier/core';
-import type {Instant, ProbeRound} from '@baobabpier/core';
+import {PathMonitor, toId} from '@baobabpier/core';
+import type {BackendId, Instant, ProbeRound} from '@baobabpier/core';
 
 const at = (ms: number): Instant => ms as Instant;
 
 type Step =
-	| {readonly kind: 'send' | 'response' | 'failure'; readonly ms: number}
+	| {readonly kind: 'send' | 'response'; readonly ms: number}
+	/** A failure of a server; of the same one where none is named. */
+	| {readonly kind: 'failure'; readonly ms: number; readonly server?: string}
 	/** Servers that rounds of probes reach of four, since the probe before. */
 	| {readonly kind: 'probe'; readonly ms: number; readonly reached: number};
 
@@ -39,7 +41,7 @@
 			}
 
 			case 'failure': {
-				monitor.recordFailure(at(step.ms));
+				monitor.recordFailure(toId<BackendId>(step.server ?? 's'), at(step.ms));
 
 				break;
 			}
@@ -84,6 +86,15 @@
 	{
 		name: 'many failures of a lost server', steps: [...Array.from({length: 90}, (_, index): Step => ({kind: 'failure', ms: index * 10})), {kind: 'probe', ms: 950, reached: 4}], state: 'open', rounds: 1,
 	},
+	{
+		name: 'a path that is lost right after a lost server', steps: [{kind: 'failure', ms: 0}, {kind: 'probe', ms: 90, reached: 3}, {kind: 'failure', ms: 300, server: 'other'}, {kind: 'probe', ms: 600, reached: 0}], state: 'cut', rounds: 3,
+	},
+	{
+		name: 'a path that is lost within milliseconds of a lost server', steps: [{kind: 'failure', ms: 0}, {kind: 'probe', ms: 10, reached: 3}, {kind: 'failure', ms: 20, server: 'other'}, {kind: 'probe', ms: 400, reached: 0}], state: 'cut', rounds: 3,
+	},
+	{
+		name: 'many failures of many lost servers', steps: [...Array.from({length: 90}, (_, index): Step => ({kind: 'failure', ms: index * 10, server: `s${index}`})), {kind: 'probe', ms: 950, reached: 4}], state: 'open', rounds: 10,
+	},
 ])('$name', ({steps, state, rounds}) => {
 	expect(run(steps)).toEqual([state, rounds]);
 });
--- a/packages/core/src/relay/path-monitor.ts
+++ b/packages/core/src/relay/path-monitor.ts
@@ -1,4 +1,5 @@
 /** Tells whether an instance has lost its path to all servers, from its own connections. */
+import type {BackendId} from '../ids.js';
 import {addMs} from '../time.js';
 import type {Instant} from '../time.js';
 
@@ -13,8 +14,10 @@
 
 /** Time without any server's response to what was sent after which the path is in doubt, in milliseconds: about as long as a read of a prompt takes. */
 const overdueMs = 500;
-/** Least time between two doubts, in milliseconds: a lost server raises one with each call. */
+/** Least time between two doubts that one server's failures raise, in milliseconds: a lost server raises one with each call. */
 const doubtIntervalMs = 1000;
+/** Least time between the first rounds of two doubts, in milliseconds: many servers may be lost at once. */
+const roundIntervalMs = 100;
 /** Delay of the second round of probes, in milliseconds: a short loss of packets is over by then. */
 const secondRoundMs = 150;
 /** Rounds in which no server is reached, after which the path counts as cut. */
@@ -32,7 +35,7 @@
  *
  * @example
  * const monitor = new PathMonitor();
- * monitor.recordFailure(now);
+ * monitor.recordFailure(server, now);
  * if (monitor.isProbeDue(now)) monitor.recordProbes({tried: 4, reached: 0}, later);
  */
 export class PathMonitor {
@@ -40,7 +43,9 @@
 	#awaitingSince: Instant | undefined;
 	#probeAt: Instant | undefined;
 	#rounds = 0;
-	#doubtedAt: Instant | undefined;
+	#roundAt: Instant | undefined;
+	/** When failures of each server last raised a doubt; undefined stands for the silence of all of them. */
+	readonly #doubtedAt = new Map<BackendId | undefined, Instant>();
 
 	get state(): PathState {
 		return this.#state;
@@ -56,15 +61,15 @@
 		this.#awaitingSince = undefined;
 	}
 
-	/** Records a connection that could not be opened, or that broke. */
-	recordFailure(now: Instant): void {
-		this.#doubt(now);
+	/** Records a connection to a server that could not be opened, or that broke. */
+	recordFailure(server: BackendId, now: Instant): void {
+		this.#doubt(server, now);
 	}
 
 	/** Whether servers are to be probed now; the caller then records the result. */
 	isProbeDue(now: Instant): boolean {
 		if (this.#awaitingSince !== undefined && now - this.#awaitingSince >= overdueMs) {
-			this.#doubt(now);
+			this.#doubt(undefined, now);
 		}
 
 		if (this.#probeAt === undefined || now < this.#probeAt) {
@@ -72,6 +77,7 @@
 		}
 
 		this.#probeAt = undefined;
+		this.#roundAt = now;
 		return true;
 	}
 
@@ -90,13 +96,25 @@
 		}
 	}
 
-	#doubt(now: Instant): void {
-		if (this.#state === 'open' && (this.#doubtedAt === undefined || now - this.#doubtedAt >= doubtIntervalMs)) {
-			this.#state = 'doubtful';
-			this.#doubtedAt = now;
-			this.#rounds = 0;
-			this.#probeAt = now;
+	#doubt(server: BackendId | undefined, now: Instant): void {
+		if (this.#state !== 'open') {
+			return;
+		}
+
+		for (const [earlier, doubtedAt] of this.#doubtedAt) {
+			if (now - doubtedAt >= doubtIntervalMs) {
+				this.#doubtedAt.delete(earlier);
+			}
 		}
+
+		if (this.#doubtedAt.has(server)) {
+			return;
+		}
+
+		this.#doubtedAt.set(server, now);
+		this.#state = 'doubtful';
+		this.#rounds = 0;
+		this.#probeAt = this.#roundAt === undefined ? now : later(now, addMs(this.#roundAt, roundIntervalMs));
 	}
 
 	#settle(isCut: boolean, nextProbeAt: Instant): void {
@@ -109,3 +127,5 @@
 		}
 	}
 }
+
+const later = (a: Instant, b: Instant): Instant => a > b ? a : b;
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -62,7 +62,7 @@
 	/** Whether the list is not older than a few seconds. */
 	readonly isListFresh?: () => boolean;
 	/** Called when no connection to a server could be opened. */
-	readonly onUnreachable?: () => void;
+	readonly onUnreachable?: (id: BackendId) => void;
 };
 
 /** Holds the newest server list and the statistics of this instance's own calls. */
@@ -230,7 +230,7 @@
 		}
 
 		if (result === 'unreachable') {
-			this.options.onUnreachable?.();
+			this.options.onUnreachable?.(id);
 		}
 
 		const isMiss = result === 'unreachable' || result === 'misplaced';
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -140,8 +140,8 @@
 		},
 	});
 	const fleet: FleetView = new FleetView(clock, availability, {
-		isFirstStart: initialSettings.isFirstStart, isListFresh: () => !isListStale(controlWatch.listAgeMs), onUnreachable() {
-			path.recordFailure();
+		isFirstStart: initialSettings.isFirstStart, isListFresh: () => !isListStale(controlWatch.listAgeMs), onUnreachable(id) {
+			path.recordFailure(id);
 		},
 	});
 	const path: PathWatch = new PathWatch({
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -216,7 +216,7 @@
 	#recordBroken(call: Call, server: ListedServer, {kind}: TransportFailure, scope: CallScope, control: AttemptControl, phase: RunPhase): void {
 		const {guard} = this.parts;
 		if (kind === 'broken' && scope.reason === undefined && !control.isSuperseded()) {
-			this.parts.path.recordFailure();
+			this.parts.path.recordFailure(server.id);
 			guard.recordBroken(call, {id: toId<EngineId>(server.id), address: server.address}, phase);
 		}
 
--- a/packages/daemon/src/gateway/stream-run.ts
+++ b/packages/daemon/src/gateway/stream-run.ts
@@ -168,7 +168,7 @@
 		if (outcome.kind === 'complete') {
 			guard.recordComplete(call);
 		} else if (outcome.kind === 'broken' && this.#scope.reason === undefined) {
-			this.parts.path.recordFailure();
+			this.parts.path.recordFailure(server.id);
 			guard.recordBroken(call, {id: toId<EngineId>(server.id), address: server.address}, phaseOf(response, this.#pace.firstAt !== undefined));
 		}
 
--- a/packages/daemon/src/relay/path-watch.ts
+++ b/packages/daemon/src/relay/path-watch.ts
@@ -1,7 +1,7 @@
 /** Watches whether this instance reaches servers: probes some of them when its calls fail, and tells what follows. */
 import {PathMonitor, pickIndex} from '@baobabpier/core';
 import type {
-	Clock, ListedServer, PathState, RandomSource,
+	BackendId, Clock, Instant, ListedServer, PathState, RandomSource,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import {splitAddress} from '../listen.js';
@@ -39,7 +39,7 @@
 	#timer: NodeJS.Timeout | undefined;
 	/** Servers that the last round did not probe, in random order. */
 	#unprobed: ListedServer[] = [];
-	#cutAt: number | undefined;
+	#cutAt: Instant | undefined;
 
 	constructor(private readonly parts: PathWatchParts) {}
 
@@ -75,8 +75,8 @@
 	}
 
 	/** Records a connection to a server that could not be opened, or that broke. */
-	recordFailure(): void {
-		this.#monitor.recordFailure(this.parts.clock.now());
+	recordFailure(server: BackendId): void {
+		this.#monitor.recordFailure(server, this.parts.clock.now());
 		this.#check();
 	}
 
