A read of a prompt that breaks puts the path to servers in doubt

Cause: broken streams and plain calls put the path in doubt, broken reads of prompts did not, and were reported at once. Evidence: path-evidence, 'a read of a prompt that breaks', failed without the change. With real processes the case was not seen: the pool's owner lets an engine read few prompts at a time.

--- a/packages/daemon/src/__tests__/unit/gateway-harness.ts
+++ b/packages/daemon/src/__tests__/unit/gateway-harness.ts
@@ -84,6 +84,8 @@
 	readonly metrics = new GatewayMetrics();
 	/** Partners of the gateways, for streams that have begun. */
 	relay: Pick<RelayClient, 'isNeeded' | 'send'> = noPartners;
+	/** The gateways' path to servers. */
+	path = openPath;
 	readonly #closers: Array<() => void> = [];
 
 	/** Starts an engine that answers each request by `respond`. */
@@ -155,10 +157,10 @@
 				takeUpHeaders: () => ({names: new Set(), headers: []}),
 			},
 			plain: new PlainRoute({
-				...parts, path: openPath, guard: createIdleGuard(), dataCentre: toId<DataCentreId>('a'),
+				...parts, path: this.path, guard: createIdleGuard(), dataCentre: toId<DataCentreId>('a'),
 			}),
 			streams: new StreamRoute({
-				...parts, origins: ownOrigins, path: openPath, relay: this.relay, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
+				...parts, origins: ownOrigins, path: this.path, relay: this.relay, guard: createIdleGuard(), places: {place, placeResumed: place, maxWaitMs: () => 1000} as unknown as StreamPlacements,
 			}),
 			metrics: this.metrics,
 		});
--- a/packages/daemon/src/gateway/prefill-client.ts
+++ b/packages/daemon/src/gateway/prefill-client.ts
@@ -3,6 +3,7 @@
 import {routerError, softwareVersionOf} from '@baobabpier/core';
 import type {BackendId, Clock, RouterError} from '@baobabpier/core';
 import {createLog} from '../log.js';
+import type {PathWatch} from '../relay/path-watch.js';
 import type {ServerTransport} from '../transport/server-transport.js';
 import type {OpenResponse, TransportFailure} from '../transport/types.js';
 import type {CallScope} from './call-scope.js';
@@ -29,6 +30,7 @@
 	readonly dialect: ServerDialect;
 	readonly retryBudgets: RetryBudgets;
 	readonly leases: EngineLeases;
+	readonly path: Pick<PathWatch, 'recordFailure'>;
 	readonly clock: Clock;
 };
 
@@ -65,6 +67,10 @@
 		const body = response.kind === 'head' ? await transport.readBody(response) : response;
 		limit.release();
 		placement.prefillDone();
+		if ('kind' in body && body.kind === 'broken' && scope.reason === undefined) {
+			this.parts.path.recordFailure(server.id);
+		}
+
 		const handle = response.kind === 'head' && response.status === 200 && Buffer.isBuffer(body) ? dialect.readPrefill(body) : undefined;
 		const isMisdirected = response.kind === 'head' && dialect.readHead(response.status, response.rawHeaders).isMisdirected;
 		const result = prefillResultOf(response, handle !== undefined, isMisdirected, scope);
