Failures of a lost path are not reported after it is back

A call that hung while the path was lost and failed after it was back was reported as a failure of its engine, since only the present state of the path was asked. Why this works: what failed says nothing of an engine if the path was lost at any time since the placement was granted.

--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -3,7 +3,7 @@
 	errorResponses, routerError, spreadRetryDelay, toId,
 } from '@baobabpier/core';
 import type {
-	Clock, EngineAddress, EngineId, ErrorKind, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
+	Clock, EngineAddress, EngineId, ErrorKind, Instant, ListedServer, RandomSource, BackendId, RouterError, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {RelayClient} from '../relay/relay-client.js';
@@ -56,7 +56,7 @@
 	readonly places: StreamPlacements;
 	readonly guard: CrashGuard;
 	readonly origins: Pick<OriginDirectory, 'lookup' | 'record'>;
-	readonly path: Pick<PathWatch, 'recordFailure' | 'settled' | 'state'>;
+	readonly path: Pick<PathWatch, 'explainsFailures' | 'recordFailure' | 'state'>;
 	readonly relay: Pick<RelayClient, 'isNeeded' | 'send'>;
 	readonly clock: Clock;
 	readonly random: RandomSource;
@@ -283,6 +283,7 @@
 
 	/** Releases the placement after its use and reports the failures, successes and pace seen on its engines. A silent run keeps it. */
 	async #withPlacement(progress: StreamProgress, placement: StreamPlacement, use: () => Promise<RoundResult>): Promise<RoundResult> {
+		const placedAt = this.parts.clock.now();
 		let isReleased = false;
 		const release = (): void => {
 			if (isReleased) {
@@ -291,7 +292,7 @@
 
 			isReleased = true;
 			const unreachable = [placement.decode, placement.prefill].map(({id}) => id).filter(id => this.parts.fleet.isUnreachable(toId<BackendId>(id)));
-			void this.#release(progress.call, placement, {
+			void this.#release(progress.call, placement, placedAt, {
 				unreachable, pace: progress.pace, events: progress.isComplete ? progress.events : undefined, failed: progress.failed.splice(0), served: progress.served.splice(0), rejectedBy: progress.rejectedBy.splice(0),
 			});
 		};
@@ -313,20 +314,21 @@
 		}
 	}
 
-	/** Releases a placement; what failed says nothing of its engines while this instance reaches no server. */
-	async #release({requestId}: Call, placement: StreamPlacement, usage: PlacementUsage): Promise<void> {
+	/** Releases a placement; what failed says nothing of its engines if the path to all servers was lost since it was granted. */
+
+	async #release({requestId}: Call, placement: StreamPlacement, placedAt: Instant, usage: PlacementUsage): Promise<void> {
 		const {failed = [], unreachable = []} = usage;
 		if (failed.length === 0 && unreachable.length === 0) {
 			placement.release(usage);
 			return;
 		}
 
-		const before = this.parts.path.state;
-		const path = await this.parts.path.settled();
+		const pathBefore = this.parts.path.state;
+		const isPathCause = await this.parts.path.explainsFailures(placedAt);
 		log('Engines failed a placement.', {
-			requestId, failed: failed.join(' '), unreachable: unreachable.join(' '), before, path, isReported: path !== 'cut',
+			requestId, failed: failed.join(' '), unreachable: unreachable.join(' '), pathBefore, path: this.parts.path.state, isReported: !isPathCause,
 		});
-		placement.release(path === 'cut' ? {...usage, failed: [], unreachable: []} : usage);
+		placement.release(isPathCause ? {...usage, failed: [], unreachable: []} : usage);
 	}
 
 	async #runPlacement(progress: StreamProgress, placement: StreamPlacement): Promise<RoundResult> {
--- a/packages/daemon/src/relay/path-watch.ts
+++ b/packages/daemon/src/relay/path-watch.ts
@@ -40,6 +40,7 @@
 	/** Servers that the last round did not probe, in random order. */
 	#unprobed: ListedServer[] = [];
 	#cutAt: Instant | undefined;
+	#reopenedAt: Instant | undefined;
 
 	constructor(private readonly parts: PathWatchParts) {}
 
@@ -74,6 +75,12 @@
 		return this.#monitor.state;
 	}
 
+	/** Whether failures of what began at `since` may come from a lost path instead of their servers; resolves once the path is not in doubt. */
+	async explainsFailures(since: Instant): Promise<boolean> {
+		const state = await this.settled();
+		return state === 'cut' || (this.#reopenedAt !== undefined && this.#reopenedAt >= since);
+	}
+
 	/** Records a connection to a server that could not be opened, or that broke. */
 	recordFailure(server: BackendId): void {
 		this.#monitor.recordFailure(server, this.parts.clock.now());
@@ -118,6 +125,7 @@
 		const {state} = this.#monitor;
 		if ((state === 'cut') !== (before === 'cut')) {
 			this.#cutAt = state === 'cut' ? now : this.#cutAt;
+			this.#reopenedAt = state === 'cut' ? this.#reopenedAt : now;
 			log.warn(state === 'cut' ? 'No server can be reached from here.' : 'Servers can be reached again.', {
 				tried: servers.length, reached, listed: this.parts.servers().length, cutMs: state === 'cut' ? undefined : Math.round(now - this.#cutAt!),
 			});
