Streams in progress go on where an instance loses its path to all servers

What callers saw: resumable streams in progress at the moment of the cut were broken off, calls that had just arrived were refused. Why this works: each round after a failure waits for the verdict first, which takes one connection where the path is open; then the partner is asked before any engine. An instance whose path is in doubt takes no relayed call before the verdict, and declines one that it could not run. A silence raises a doubt like a break.

--- a/packages/core/src/relay/path-monitor.ts
+++ b/packages/core/src/relay/path-monitor.ts
@@ -61,7 +61,7 @@
 		this.#awaitingSince = undefined;
 	}
 
-	/** Records a connection to a server that could not be opened, or that broke. */
+	/** Records a connection to a server that could not be opened, that broke, or that is silent for longer than a sound server. */
 	recordFailure(server: BackendId, now: Instant): void {
 		this.#doubt(server, now);
 	}
--- a/packages/daemon/src/__tests__/unit/gateway-harness.ts
+++ b/packages/daemon/src/__tests__/unit/gateway-harness.ts
@@ -20,14 +20,19 @@
 import type {Call, SendPurpose, ServerDialect} from '../../gateway/types.js';
 import {monotonicClock} from '../../monotonic-clock.js';
 import type {RelayClient} from '../../relay/relay-client.js';
+import {relayHeaders} from '../../relay/relay-headers.js';
 import {ServerTransport} from '../../transport/server-transport.js';
 import {createIdleGuard} from './idle-guard.js';
 import {openPath} from './open-path.js';
 import {ownOrigins} from './own-origins.js';
-import {closedRelayPort, noPartners} from './no-partners.js';
+import {noPartners} from './no-partners.js';
 
 const service = toId<ServiceName>('lm');
 
+const relaySecret = 's';
+/** Header lines of a call that another instance relays. */
+const relayHeaderLines = relayHeaders({remainingMs: 2000, routingVersion: 1}, relaySecret).map((text, index) => index % 2 === 0 ? `${text}: ` : `${text}\r\n`).join('');
+
 /** Routes by their path: `stream` is resumable, `once` is a stream that is not. */
 const table: RoutingTable = {
 	version: toId<RoutingVersion>(1),
@@ -146,7 +151,7 @@
 		};
 		const gate = new StartupGate(monotonicClock);
 		const listener = new CallerListener({
-			relay: noPartners, relayPort: closedRelayPort,
+			relay: noPartners, relayPort: {secret: relaySecret, isPathLost: async () => false},
 			...parts,
 			gate,
 			dialect: {
@@ -165,6 +170,7 @@
 			metrics: this.metrics,
 		});
 		await listener.listen('127.0.0.1:0');
+		await listener.listenForRelays('127.0.0.1:0');
 		listener.apply(table);
 		gate.open();
 		this.#closers.push(() => {
@@ -189,14 +195,14 @@
 }
 
 /** Sends one request on a connection of its own and returns all bytes that come back, without the date. */
-export const exchangeRaw = async (listener: CallerListener, path: string, id: string): Promise<string> => {
-	const socket = connect(listener.port, '127.0.0.1');
+export const exchangeRaw = async (listener: CallerListener, path: string, id: string, port: 'callers' | 'relays' = 'callers'): Promise<string> => {
+	const socket = connect(port === 'callers' ? listener.port : listener.relayTcpPort, '127.0.0.1');
 	let text = '';
 	socket.on('data', (bytes: Uint8Array) => {
 		text += bytes.toString();
 	});
 	socket.on('error', () => undefined);
-	socket.write(`POST ${path} HTTP/1.1\r\nhost: a.example\r\nx-id: ${id}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+	socket.write(`POST ${path} HTTP/1.1\r\nhost: a.example\r\nx-id: ${id}\r\nconnection: close\r\ncontent-length: 0\r\n${port === 'callers' ? '' : relayHeaderLines}\r\n`);
 	await once(socket, 'close');
 	return text.replace(/date: [^\r]*\r\n/iv, '');
 };
--- a/packages/daemon/src/__tests__/unit/no-partners.ts
+++ b/packages/daemon/src/__tests__/unit/no-partners.ts
@@ -12,4 +12,4 @@
 	},
 };
 
-export const closedRelayPort: RelayPortSettings = {secret: 'unused', isTaking: () => false};
+export const closedRelayPort: RelayPortSettings = {secret: 'unused', isPathLost: async () => true};
--- a/packages/daemon/src/__tests__/unit/path-evidence.test.ts
+++ b/packages/daemon/src/__tests__/unit/path-evidence.test.ts
@@ -18,6 +18,11 @@
 	socket.resetAndDestroy();
 };
 
+/** Sends one event, and nothing more before the caller's deadline. */
+const fallSilent = ({socket, id}: EngineRequest): void => {
+	socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-stamp: s\r\ntransfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n`);
+};
+
 const refuse = ({socket, id}: EngineRequest): void => {
 	socket.write(`HTTP/1.1 500 Failed\r\nx-id: ${id}\r\nx-stamp: s\r\ncontent-length: 0\r\n\r\n`);
 };
@@ -30,6 +35,9 @@
 	{
 		name: 'a stream that breaks', prefill: reset, decode: reset, isDirect: true, failures: ['d'],
 	},
+	{
+		name: 'a stream that falls silent', prefill: reset, decode: fallSilent, isDirect: true, failures: ['d'],
+	},
 	{
 		name: 'a read of a prompt that fails', prefill: refuse, decode: refuse, isDirect: false, failures: [],
 	},
--- a/packages/daemon/src/__tests__/unit/relay-port.test.ts
+++ b/packages/daemon/src/__tests__/unit/relay-port.test.ts
@@ -46,13 +46,14 @@
 type State = {
 	/** Whether no server is reached, before a call and after it has failed. */
 	readonly isCut?: readonly [boolean, boolean];
-	readonly isTaking?: boolean;
+	/** The same, as the port for relays asks. */
+	readonly isPathLost?: readonly [boolean, boolean];
 	readonly own?: Reply;
 	readonly partner?: RelayOutcome;
 };
 
 /** Sends a call to a port; returns the answer, and how often servers and partners got it. */
-const send = async (port: 'callers' | 'relays', {isCut = [false, false], isTaking = true, own = whole, partner = {kind: 'reply', reply: whole}}: State, headers: string[] = []) => {
+const send = async (port: 'callers' | 'relays', {isCut = [false, false], isPathLost = [false, false], own = whole, partner = {kind: 'reply', reply: whole}}: State, headers: string[] = []) => {
 	const calls: Call[] = [];
 	let relayed = 0;
 	const gate = new StartupGate(monotonicClock);
@@ -83,7 +84,7 @@
 				return partner;
 			},
 		},
-		relayPort: {secret, isTaking: () => isTaking},
+		relayPort: {secret, isPathLost: async () => isPathLost[Math.min(calls.length, 1)]!},
 	});
 	listener = made;
 	await made.listen('127.0.0.1:0');
@@ -137,7 +138,13 @@
 		name: 'goes to no third instance', state: {isCut: [true, true], own: refusal('noBackend')}, status: 503, isDeclined: false, own: 1,
 	},
 	{
-		name: 'is declined by an instance that reaches no server', state: {isTaking: false}, status: 503, isDeclined: true, own: 0,
+		name: 'is declined by an instance that reaches no server', state: {isPathLost: [true, true]}, status: 503, isDeclined: true, own: 0,
+	},
+	{
+		name: 'is declined by an instance that turns out to reach no server', state: {isPathLost: [false, true], own: refusal('noBackend')}, status: 503, isDeclined: true, own: 1,
+	},
+	{
+		name: 'is not declined where it may have run', state: {isPathLost: [false, true], own: refusal('answerLost')}, status: 502, isDeclined: false, own: 1,
 	},
 	{
 		name: 'is declined under an older configuration', headers: relayHeaders({remainingMs: 700, routingVersion: 4}, secret), status: 503, isDeclined: true, own: 0,
@@ -155,6 +162,6 @@
 });
 
 test('a caller can\'t pass for another instance', async () => {
-	const sent = await send('callers', {isTaking: false}, trusted);
+	const sent = await send('callers', {isPathLost: [true, true]}, trusted);
 	expect([sent.status, sent.calls.length]).toEqual([200, 1]);
 });
--- a/packages/daemon/src/__tests__/unit/relayed-streams.test.ts
+++ b/packages/daemon/src/__tests__/unit/relayed-streams.test.ts
@@ -67,6 +67,11 @@
 	},
 });
 
+/** Resets the connection without an answer. */
+const breaking = ({socket}: EngineRequest): void => {
+	socket.resetAndDestroy();
+};
+
 const eventsOf = (answer: string): string => `${[...answer.matchAll(/id: (?<number>\d+)\ndata: (?<run>\w)/gv)].map(({groups}) => `${groups!.number}${groups!.run}`).join(' ')}${answer.endsWith(last) ? ' end' : ''}`;
 
 // Guards against streams that are written to by two runs, or go on after their end, where a partner takes them over
@@ -90,3 +95,20 @@
 	const answer = await exchangeRaw(gateway, '/stream/x', 'r');
 	expect([eventsOf(answer), relay.calls]).toEqual([events, calls]);
 });
+
+// Guards against streams that end unserved because they break before their first event
+test.each<{readonly name: string; readonly path: '/stream/x' | '/once/x'; readonly partner: Partner; readonly events: string; readonly calls: number}>([
+	{
+		name: 'is begun by a partner', path: '/stream/x', partner: {kind: 'complete', delayMs: 0}, events: '2p 3p 4p end', calls: 1,
+	},
+	{
+		name: 'is not begun anew where it may run once only', path: '/once/x', partner: {kind: 'complete', delayMs: 0}, events: '', calls: 0,
+	},
+])('a stream that breaks before its first event $name', async ({path, partner, events, calls}) => {
+	const engine = await harness.startEngine('e', 'decode', breaking);
+	const relay = createRelay(partner);
+	harness.relay = relay;
+	const gateway = await harness.startGateway([[engine, engine], undefined], 4);
+	const answer = await exchangeRaw(gateway, path, 'r');
+	expect([eventsOf(answer), relay.calls]).toEqual([events, calls]);
+});
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -80,10 +80,13 @@
 /** How this instance takes relayed calls. */
 export type RelayPortSettings = {
 	readonly secret: string;
-	/** Whether this instance reaches servers; otherwise it declines relayed calls, which go through no second instance. */
-	readonly isTaking: () => boolean;
+	/** Whether this instance reaches no server, once that is known; it then declines relayed calls, which go through no second instance. */
+	readonly isPathLost: () => Promise<boolean>;
 };
 
+/** Whether a call certainly did not run, for a reason that a lost path to servers explains. */
+const isUnreached = (reply: Reply, {reason}: CallScope, {isStarted}: CallerStream): boolean => reply.kind === 'error' && pathErrors.has(reply.error.kind) && !isStarted && reason === undefined;
+
 /** Accepts calls and serves them over plain or stream routes. */
 export class CallerListener {
 	readonly #server: Server;
@@ -206,15 +209,15 @@
 			return;
 		}
 
-		if (!this.parts.relayPort.isTaking() || this.#relayedCalls >= maxRelayedCalls) {
-			this.#decline(req, res, 'this instance takes no relayed calls now');
-			return;
-		}
-
 		this.#relayedCalls += 1;
 		res.once('close', () => {
 			this.#relayedCalls -= 1;
 		});
+		if (this.#relayedCalls > maxRelayedCalls || await this.parts.relayPort.isPathLost()) {
+			this.#decline(req, res, 'this instance takes no relayed calls now');
+			return;
+		}
+
 		await this.#handle(req, res, waitedMs, relay);
 	}
 
@@ -285,10 +288,10 @@
 		};
 		const {sharedSegments} = metadata.val;
 		const call: Call = {
-			...metadata.val, ...request, route, arrivedAt, deadlineAt: addMs(arrivedAt, timeoutMs),
+			...metadata.val, ...request, route, isRelayed: relay !== undefined, arrivedAt, deadlineAt: addMs(arrivedAt, timeoutMs),
 			sharedSegments: route.kind === 'stream' && sharedSegments.length > 0 ? sharedSegments : [digestRequest(request)],
 		};
-		await this.#serve(call, service, req, res, relay !== undefined);
+		await this.#serve(call, service, req, res);
 	}
 
 	/** Serves a call by the servers that this instance reaches, or through another instance where it reaches none. */
@@ -300,9 +303,8 @@
 		}
 
 		const reply = await this.#findOwnReply(call, service, scope, out);
-		const hasNotRun = reply.kind === 'error' && pathErrors.has(reply.error.kind) && !out.isStarted && scope.reason === undefined;
 		// The path may have been lost meanwhile
-		return hasNotRun && await relay.becomesNeeded() ? await this.#relay(call, scope, out) ?? reply : reply;
+		return isUnreached(reply, scope, out) && await relay.becomesNeeded() ? await this.#relay(call, scope, out) ?? reply : reply;
 	}
 
 	async #findOwnReply(call: Call, service: ServiceName, scope: CallScope, out: CallerStream): Promise<Reply> {
@@ -348,8 +350,7 @@
 		}
 	}
 
-	// eslint-disable-next-line max-params
-	async #serve(call: Call, service: ServiceName, req: IncomingMessage, res: ServerResponse, isRelayed: boolean): Promise<void> {
+	async #serve(call: Call, service: ServiceName, req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {clock, metrics} = this.parts;
 		if (call.deadlineAt <= clock.now()) {
 			this.#refuse(req, res, routerError('queueTimeout'), call.requestId);
@@ -358,7 +359,7 @@
 
 		if (this.#isClosed || !this.#drain.admits(call)) {
 			this.#drain.countEffect('refused', call.route.kind);
-			if (isRelayed) {
+			if (call.isRelayed === true) {
 				this.#decline(req, res, 'this instance stops');
 				return;
 			}
@@ -380,7 +381,12 @@
 		});
 		try {
 			const out = new CallerStream(call, res, scope);
-			const routed = isRelayed ? await this.#findOwnReply(call, service, scope, out) : await this.#findReply(call, service, scope, out);
+			const routed = call.isRelayed === true ? await this.#findOwnReply(call, service, scope, out) : await this.#findReply(call, service, scope, out);
+			if (call.isRelayed === true && isUnreached(routed, scope, out) && await this.parts.relayPort.isPathLost()) {
+				this.#decline(req, res, 'this instance reaches no server');
+				return;
+			}
+
 			const reply = toFinalReply(routed, res, scope);
 			this.#writeReply(call, req, res, reply, scope);
 			const outcome = this.#findOutcome(reply, res, scope);
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -299,7 +299,7 @@
 		metrics,
 		gate,
 		relay,
-		relayPort: {secret: initialSettings.secret, isTaking: () => !path.isCut},
+		relayPort: {secret: initialSettings.secret, isPathLost: async () => await path.settled() === 'cut'},
 	});
 	const isReady = (): boolean => table !== undefined && fleet.hasList && stopping === undefined && (!path.isCut || relay.hasPartners);
 
--- a/packages/daemon/src/gateway/stream-route.ts
+++ b/packages/daemon/src/gateway/stream-route.ts
@@ -56,7 +56,7 @@
 	readonly places: StreamPlacements;
 	readonly guard: CrashGuard;
 	readonly origins: Pick<OriginDirectory, 'lookup' | 'record'>;
-	readonly path: Pick<PathWatch, 'explainsFailures' | 'recordFailure' | 'state'>;
+	readonly path: Pick<PathWatch, 'explainsFailures' | 'recordFailure' | 'settled' | 'state'>;
 	readonly relay: Pick<RelayClient, 'isNeeded' | 'send'>;
 	readonly clock: Clock;
 	readonly random: RandomSource;
@@ -191,7 +191,9 @@
 		const {delayMs, end} = this.#seekers.begin(engine);
 		progress.isRetryDue = true;
 		try {
-			await run.waitWhileSilent(delayMs);
+			await this.parts.path.settled();
+			// A lost path silences every engine, so that no other one is overrun
+			await run.waitWhileSilent(this.parts.relay.isNeeded ? 0 : delayMs);
 			return progress.scope.reason === undefined ? await this.#runRound(progress, round) : {isFinal: false, reply: {kind: 'streamed'}};
 		} finally {
 			progress.isRetryDue = false;
@@ -237,6 +239,15 @@
 
 	async #runRound(progress: StreamProgress, round: number): Promise<RoundResult> {
 		const {call, scope, out} = progress;
+		if (round > 1) {
+			// What failed before may have failed for a lost path
+			await this.parts.path.settled();
+			const relayed = await this.#partnerResume.resume(progress);
+			if (relayed !== undefined) {
+				return {isFinal: true, reply: relayed};
+			}
+		}
+
 		const decision = await this.parts.guard.admit(call, scope, this.parts.places.maxWaitMs(call, scope));
 		if (decision.kind === 'quarantined' || decision.kind === 'busy') {
 			return {isFinal: true, reply: this.#fail(progress, errorReply(decision.kind === 'busy' ? routerError('overloaded', 'requests with a suspected prompt run one at a time', this.#retryAfterMs(call, routerError('overloaded'))) : quarantineError(progress.sent)))};
@@ -437,11 +448,6 @@
 	 * and the events, which delays its other streams; the pool therefore chooses the engine and the time.
 	 */
 	async #resume(progress: StreamProgress, round: number): Promise<RoundResult> {
-		const relayed = await this.#partnerResume.resume(progress);
-		if (relayed !== undefined) {
-			return {isFinal: true, reply: relayed};
-		}
-
 		const placementOutcome = await this.parts.places.placeResumed({...progress, round, softwareVersion: progress.binding.version}, progress);
 		const server = placementOutcome.kind === 'placed' ? this.#leases.findListed(progress, placementOutcome.placement.decode) : undefined;
 		log('A broken stream looks for another engine.', {
--- a/packages/daemon/src/gateway/stream-run.ts
+++ b/packages/daemon/src/gateway/stream-run.ts
@@ -341,6 +341,7 @@
 			log('An engine is silent.', {
 				requestId: this.progress.call.requestId, engine: this.request.server.id, silentMs: Math.round(ms), events: this.progress.events,
 			});
+			this.parts.path.recordFailure(this.request.server.id);
 			this.#notify();
 		});
 	}
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -29,6 +29,8 @@
 	readonly rawHeaders: readonly string[];
 	readonly body: Uint8Array;
 	readonly route: Route;
+	/** Whether another instance relays the call here; it goes through no third one. */
+	readonly isRelayed?: boolean;
 	readonly arrivedAt: Instant;
 	/** The earlier of the caller's and the route's deadline. */
 	readonly deadlineAt: Instant;
--- a/packages/daemon/src/relay/path-watch.ts
+++ b/packages/daemon/src/relay/path-watch.ts
@@ -81,7 +81,7 @@
 		return state === 'cut' || (this.#reopenedAt !== undefined && this.#reopenedAt >= since);
 	}
 
-	/** Records a connection to a server that could not be opened, or that broke. */
+	/** Records a connection to a server that could not be opened, that broke, or that is silent for longer than a sound server. */
 	recordFailure(server: BackendId): void {
 		this.#monitor.recordFailure(server, this.parts.clock.now());
 		this.#check();
