A relayed stream goes through one instance only

Calls on the port for relays are never relayed, said the design; a stream that an instance served for another one, and that broke as this instance lost its own path, went on through a third instance. Cause: the resumption at partners did not know whether its stream was a relayed one. Evidence: relayed-streams, 'a broken stream that another instance relays goes to no third one', failed without the change. The first instance is told that the stream broke off; its caller takes it up again.

--- a/packages/daemon/src/__tests__/unit/relayed-streams.test.ts
+++ b/packages/daemon/src/__tests__/unit/relayed-streams.test.ts
@@ -96,7 +96,7 @@
 	expect([eventsOf(answer), relay.calls]).toEqual([events, calls]);
 });
 
-// Guards against streams that end unserved because they break before their first event
+// Guards against streams that end unserved because they break before their first event, and against relays through a third instance
 test.each<{readonly name: string; readonly path: '/stream/x' | '/once/x'; readonly partner: Partner; readonly events: string; readonly calls: number}>([
 	{
 		name: 'is begun by a partner', path: '/stream/x', partner: {kind: 'complete', delayMs: 0}, events: '2p 3p 4p end', calls: 1,
@@ -112,3 +112,14 @@
 	const answer = await exchangeRaw(gateway, path, 'r');
 	expect([eventsOf(answer), relay.calls]).toEqual([events, calls]);
 });
+
+test('a broken stream that another instance relays goes to no third one', async () => {
+	const engine = await harness.startEngine('e', 'decode', request => {
+		void beginning('isReset', 30)(request);
+	});
+	const relay = createRelay({kind: 'complete', delayMs: 0});
+	harness.relay = relay;
+	const gateway = await harness.startGateway([[engine, engine], undefined], 4);
+	const answer = await exchangeRaw(gateway, '/stream/x', 'r', 'relays');
+	expect([eventsOf(answer), relay.calls]).toEqual(['1e 2e', 0]);
+});
--- a/packages/daemon/src/gateway/partner-resume.ts
+++ b/packages/daemon/src/gateway/partner-resume.ts
@@ -29,12 +29,12 @@
 
 	/**
 	 * Resumes a stream after its last event, or begins it anew if its caller has none; undefined where this instance reaches engines,
-	 * or no partner takes the stream.
+	 * no partner takes the stream, or another instance relays it here.
 	 */
 	async resume(progress: StreamProgress): Promise<Reply | undefined> {
 		const {relay, retryBudgets} = this.parts;
 		const {call, service, scope, out, lastEventId} = progress;
-		if (!relay.isNeeded || (out.isStarted && lastEventId === undefined)) {
+		if (!relay.isNeeded || call.isRelayed === true || (out.isStarted && lastEventId === undefined)) {
 			return undefined;
 		}
 
