A status outside 200 to 599 is no response

Callers got the answer of a failing server with status 600 or 999 as a whole answer, and waited until their deadline for one whose server had sent "HTTP/1.1 199" and nothing more, also where another server of a safe call would have answered.

Cause: every status from 200 on counted as a response and every one below as an interim response. That 000 and 101 were no answers rested on assertions inside undici.

Why it works: one function judges the status before anything else of a head is used, for calls of every kind, and what is no response ends the connection at once with an unknown outcome.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -336,3 +336,5 @@
 export type {PlannedRequest} from './transport/planned-request.js';
 export {judgeResponse} from './transport/response-binding.js';
 export type {ResponseBinding, ResponseVerdict} from './transport/response-binding.js';
+export {judgeStatus} from './transport/response-status.js';
+export type {StatusVerdict} from './transport/response-status.js';
--- a/packages/daemon/src/transport/exchange.ts
+++ b/packages/daemon/src/transport/exchange.ts
@@ -1,4 +1,5 @@
 /** One request on a connection and the response to it. */
+import {judgeStatus} from '@baobabpier/core';
 import type {ResponseVerdict} from '@baobabpier/core';
 import type {Dispatcher} from 'undici';
 import {EmbeddedHeadScanner} from './embedded-head-scanner.js';
@@ -9,9 +10,6 @@
 	ForeignMoment, OpenResponse, OutgoingRequest, SendPermit, SendRecord, ServerTransportOptions, TransportFailure,
 } from './types.js';
 
-/** Lower status codes are interim responses. */
-const minFinalStatus = 200;
-
 /** What an exchange tells its connection. */
 export type ExchangeListener = {
 	/** Called right before the request is written. */
@@ -149,7 +147,13 @@
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
-		if (status < minFinalStatus) {
+		const statusVerdict = judgeStatus(status);
+		if (statusVerdict === 'interim') {
+			return;
+		}
+
+		if (statusVerdict === 'invalid') {
+			this.#end(new Error(`no response has the status ${status}`));
 			return;
 		}
 
