A relayed call waits for its sender's configuration

Callers of an instance that reaches no server were refused right after a change of the configuration. A change reaches the instances one after another; a partner that did not have it yet declined each relayed call at once, and its sender then left that partner out for a second. With a change each second or so and one to three partners that reach servers, no partner was left.

Why it works: the partner waits for the configuration, up to 0.5 s and half of the time left, and declines only then.

--- a/packages/daemon/src/__tests__/unit/relay-port.test.ts
+++ b/packages/daemon/src/__tests__/unit/relay-port.test.ts
@@ -50,10 +50,18 @@
 	readonly isPathLost?: readonly [boolean, boolean];
 	readonly own?: Reply;
 	readonly partner?: RelayOutcome;
+	/** Versions that come into force after the first one, each 50 ms after the one before. */
+	readonly laterVersions?: readonly number[];
+	/** When the listener closes, in milliseconds after the call was sent. */
+	readonly closesAfterMs?: number;
 };
 
+const versionGapMs = 50;
+/** Time that a stop leaves for the last responses, in milliseconds: less than a call may wait for a configuration. */
+const closeMs = 60;
+
 /** Sends a call to a port; returns the answer, and how often servers and partners got it. */
-const send = async (port: 'callers' | 'relays', {isCut = [false, false], isPathLost = [false, false], own = whole, partner = {kind: 'reply', reply: whole}}: State, headers: string[] = []) => {
+const send = async (port: 'callers' | 'relays', {isCut = [false, false], isPathLost = [false, false], own = whole, partner = {kind: 'reply', reply: whole}, laterVersions = [], closesAfterMs}: State, headers: string[] = []) => {
 	const calls: Call[] = [];
 	let relayed = 0;
 	const gate = new StartupGate(monotonicClock);
@@ -91,6 +99,18 @@
 	await made.listenForRelays('127.0.0.1:0');
 	made.apply(table);
 	gate.open();
+	for (const [index, version] of laterVersions.entries()) {
+		setTimeout(() => {
+			made.apply({...table, version: toId<RoutingVersion>(version)});
+		}, (index + 1) * versionGapMs);
+	}
+
+	if (closesAfterMs !== undefined) {
+		setTimeout(() => {
+			void made.close(closeMs);
+		}, closesAfterMs);
+	}
+
 	const res = await request(`http://127.0.0.1:${port === 'callers' ? made.port : made.relayTcpPort}/unsafe/x`, {method: 'POST', headers: ['host', 'a.example', 'x-id', 'r1', ...headers], body: 'b'});
 	await res.body.text();
 	return {
@@ -149,6 +169,15 @@
 	{
 		name: 'is declined under an older configuration', headers: relayHeaders({remainingMs: 700, routingVersion: 4}, secret), status: 503, isDeclined: true, own: 0,
 	},
+	{
+		name: 'waits for the configuration of its sender', state: {laterVersions: [4, 5]}, headers: relayHeaders({remainingMs: 700, routingVersion: 5}, secret), status: 200, isDeclined: false, own: 1,
+	},
+	{
+		name: 'is declined if that does not come', state: {laterVersions: [4]}, headers: relayHeaders({remainingMs: 700, routingVersion: 5}, secret), status: 503, isDeclined: true, own: 0,
+	},
+	{
+		name: 'is declined by an instance that stops meanwhile', state: {closesAfterMs: 50}, headers: relayHeaders({remainingMs: 700, routingVersion: 5}, secret), status: 503, isDeclined: true, own: 0,
+	},
 	{
 		name: 'is refused with a wrong secret', headers: relayHeaders({remainingMs: 700, routingVersion: 3}, 'x'), status: 401, isDeclined: false, own: 0,
 	},
--- a/packages/daemon/src/__tests__/unit/relay.test.ts
+++ b/packages/daemon/src/__tests__/unit/relay.test.ts
@@ -148,6 +148,20 @@
 		expect(started.map(({calls}) => calls.length)).toEqual(Array.from({length: partners}, () => 1));
 	});
 
+	// Guards against calls that wait for one partner after the other, each of which waits for a configuration
+	test('is refused soon where each partner takes its time to decline', async () => {
+		const slow = await Promise.all(['a', 'b', 'c', 'd'].map(async id => startPartner(id, (_req, res) => {
+			setTimeout(() => {
+				decline(_req, res);
+			}, 300);
+		})));
+		const startedAt = performance.now();
+		const {outcome} = await send(createClient(slow), createCall());
+		expect(outcome.kind).toBe('declined');
+		expect(performance.now() - startedAt).toBeLessThan(1100);
+		expect(slow.filter(({calls}) => calls.length > 0)).toHaveLength(3);
+	});
+
 	test('tells its secret, what is left of its time and the version, once each', async () => {
 		let headers: string[] = [];
 		const partner = await startPartner('p', (req, res) => {
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -30,6 +30,7 @@
 import type {StartupGate} from './startup-gate.js';
 import type {StreamRoute} from './stream-route.js';
 import type {Call, CallerDialect} from './types.js';
+import {VersionGate} from './version-gate.js';
 
 const log = createLog('callers');
 const connectionCheckIntervalMs = 500;
@@ -96,6 +97,7 @@
 	readonly #openScopes = new Set<CallScope>();
 	readonly #bodies = new CallBodyReader(processBuffers);
 	readonly #drain: CallDrain;
+	readonly #versions = new VersionGate();
 	#index: {readonly table: RoutingTable; readonly routes: RouteIndex} | undefined;
 	#isClosed = false;
 	/** Relayed calls in progress. */
@@ -165,6 +167,7 @@
 		this.#server.keepAliveTimeout = table.limits.idleTimeoutMs;
 		this.#server.headersTimeout = table.limits.headersTimeoutMs;
 		this.#drain.retainRoutes(table.routes);
+		this.#versions.setVersion(table.version);
 	}
 
 	/**
@@ -196,6 +199,7 @@
 	#endCalls(): void {
 		this.#isClosed = true;
 		this.parts.gate.open();
+		this.#versions.close();
 		for (const scope of this.#openScopes) {
 			scope.limitTo(this.parts.clock.now());
 		}
@@ -251,6 +255,7 @@
 	async #route(req: IncomingMessage, res: ServerResponse, body: Uint8Array, arrivedAt: ReturnType<Clock['now']>, relay: RelayHeaders | undefined): Promise<void> {
 		const metadata = this.parts.dialect.parseMetadata(req.headers);
 		await this.parts.gate.wait(metadata.ok ? metadata.val.callerTimeoutMs ?? Number.POSITIVE_INFINITY : 0);
+		const isOutdated = relay !== undefined && !await this.#versions.reach(relay.routingVersion, relay.remainingMs - (this.parts.clock.now() - arrivedAt));
 		if (res.destroyed) {
 			log('A caller disconnected before a configuration was in force.', {requestId: this.#requestId(req)});
 			return;
@@ -259,7 +264,7 @@
 		const target = req.url ?? '/';
 		const path = target.split('?', 1)[0]!;
 		const index = this.#index;
-		if (relay !== undefined && (index === undefined || index.table.version < relay.routingVersion)) {
+		if (isOutdated) {
 			this.#decline(req, res, 'the routing configuration is older than the sender\'s');
 			return;
 		}
--- a/packages/daemon/src/relay/relay-client.ts
+++ b/packages/daemon/src/relay/relay-client.ts
@@ -26,6 +26,8 @@
 const maxOffers = 4;
 /** Maximum number of calls at one partner at a time, and of connections to it. */
 export const maxCallsPerPartner = 64;
+/** No further partner is asked this long after the first one, in milliseconds: each may wait for a configuration or be slow to connect to. */
+const maxOfferingMs = 700;
 /** Time for which a partner that declined, or could not be reached, gets no calls, in milliseconds. */
 const partnerBackoffMs = 1000;
 /** Maximum size of an error response, in bytes. */
@@ -104,7 +106,8 @@
 	/** Sends a call, or the rest of a stream behind `lastEventId`, to a partner. */
 	async send(call: Call, scope: CallScope, sink: RelaySink, lastEventId?: string): Promise<RelayOutcome> {
 		const offered = new Set<InstanceId>();
-		while (offered.size < maxOffers && scope.reason === undefined) {
+		const offeringUntil = addMs(this.parts.clock.now(), maxOfferingMs);
+		while (offered.size < maxOffers && scope.reason === undefined && this.parts.clock.now() < offeringUntil) {
 			const partner = this.#choose(offered);
 			if (partner === undefined) {
 				break;
