Servers of a dropped service keep their connections

Where an operator's configuration dropped a service, calls in progress on it that needed a connection (a decode after its prefill, a retry, a resumed stream) waited for one of four connections to each server, and their callers got no answer until the deadline.

Cause: the maximum of connections to a server was read from the newest configuration, and an address without a service in it counted as unknown.

Evidence: a trial on the transport with 6 streams open, whose maximum fell from 40 to 4: of the next three requests two were "unsent" after their whole 2 s. That it happens to callers was read, not run. connection-limits "a dropped service whose servers are listed" tells 80 connections where the code before told 4.

Why it works: the maximum of a dropped service is kept for as long as one of its servers is listed. A service that is given fewer connections still gets fewer.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
 import {CallerListener} from './caller-listener.js';
 import {ControlWatch, isListStale} from './control-watch.js';
 import {CrashGuard} from './crash-guard.js';
+import {ConnectionLimits} from './connection-limits.js';
 import {FleetView} from './fleet-view.js';
 import {GatewayMetrics, serveMetrics} from './gateway-metrics.js';
 import {ServerListPoller} from './server-list-poller.js';
@@ -53,11 +54,6 @@
 /** Fraction of that reserve in which the last responses are sent at the latest. */
 const sendReserveFraction = 0.6;
 const drainPollIntervalMs = 25;
-/** Fraction of a server's connection limit that all entry instances together may use. */
-const connectionShare = 0.8;
-const minConnections = 2;
-/** Connection limit for an address that belongs to no service of the routing table. */
-const unlistedConnections = 4;
 /** Lease durations of placements, in milliseconds; the control instance uses them for its pools. */
 export const placementLeaseTimings = {leaseMs: 4000, orphanTimeoutMs: 6000} as const;
 /** Initial options of the pools' forecasts, derived from the configured engine estimates. */
@@ -169,13 +165,13 @@
 	};
 
 	const gate = new StartupGate(clock);
+	const connectionLimits = new ConnectionLimits();
 	const connectionLimit = (address: string): number => {
 		if (relay.isPartner(address)) {
 			return maxCallsPerPartner;
 		}
 
-		const service = table?.services.get(fleet.servers.find(server => server.address === address)?.service ?? toId<ServiceName>(''));
-		return service === undefined ? unlistedConnections : Math.max(minConnections, Math.floor((service.maxConnections * connectionShare) / controlWatch.entryInstanceCount));
+		return connectionLimits.maxTo(fleet.servers.find(server => server.address === address)?.service, controlWatch.entryInstanceCount);
 	};
 
 	const transport: ServerTransport = new ServerTransport({
@@ -210,6 +206,7 @@
 
 	const applyServerList = (servers: readonly ListedServer[]): void => {
 		fleet.replace(servers);
+		connectionLimits.retain(new Set(servers.map(({service}) => service)));
 		applyServers();
 		openGateIfReady();
 	};
@@ -222,6 +219,7 @@
 		}
 
 		table = decoded.val;
+		connectionLimits.setServices(table.services);
 		callerListener.apply(table);
 		applyServers();
 		openGateIfReady();
