A connection is kept as long as its response announced

Callers whose connection had been told an idle time could find it closed earlier, where a configuration lowered that time while the response was in progress: a call that was sent in that moment got neither an answer nor a refusal.

Cause: Node.js announces the idle time that is set when a request arrives, and applies the one that is set when its response is complete.

Evidence: announced-idle-time, "is lowered during a request", failed before (3 s announced, the second request after 2.4 s got no answer), two cases passed; three pass with the change. Whether the users' report came so is not known.

Why it works: the time that was announced counts for the connection if it is the longer one.

--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -17,6 +17,8 @@
 const lingerMs = 2000;
 /** Idle timeout, while the server is closing, of a connection whose last response did not announce that, in milliseconds. */
 const closingIdleTimeoutMs = 500;
+/** An idle connection is closed this much later than its last response announced, in milliseconds, as Node.js does it. */
+const idleMarginMs = 1000;
 /** Time that a new connection has for its first request while the server closes, in milliseconds: more than the round trip to most callers. */
 const firstRequestMs = 200;
 /** Interval at which that is checked, in milliseconds. */
@@ -38,6 +40,8 @@
 	readonly req: IncomingMessage;
 	readonly res: ServerResponse;
 	readonly receivedAt: number;
+	/** Idle timeout that the response announces, in milliseconds. */
+	readonly announcedIdleMs: number;
 };
 
 type Connection = {
@@ -270,14 +274,16 @@
 			socket.setTimeout(this.#stallTimeoutMs);
 		}
 
-		const exchange = {req, res, receivedAt: performance.now()};
+		const exchange = {
+			req, res, receivedAt: performance.now(), announcedIdleMs: this.server.keepAliveTimeout,
+		};
 		connection.exchanges.push(exchange);
 		this.#count(1);
 		res.once('close', () => {
 			if (connection.exchanges[0] === exchange) {
 				connection.exchanges.shift();
 				this.#count(-1);
-				this.#advance(socket, connection, res);
+				this.#advance(socket, connection, exchange);
 			}
 		});
 		if (connection.exchanges.length === 1) {
@@ -298,7 +304,7 @@
 	}
 
 	/** Goes on with what came behind a response that is over. */
-	#advance(socket: Socket, connection: Connection, {writableFinished}: ServerResponse): void {
+	#advance(socket: Socket, connection: Connection, {res: {writableFinished}, announcedIdleMs}: Exchange): void {
 		const [next] = connection.exchanges;
 		if (!writableFinished || socket.destroyed || !socket.writable) {
 			return;
@@ -311,6 +317,9 @@
 		} else if (this.#isClosing) {
 			// The response began before the close could be announced, and its caller may send the next request already
 			socket.setTimeout(closingIdleTimeoutMs);
+		} else if (announcedIdleMs > this.server.keepAliveTimeout) {
+			// Node.js applies the timeout that is set now, which may have been lowered since
+			socket.setTimeout(announcedIdleMs + idleMarginMs);
 		}
 	}
 
