The check of a partner's path counts against the time of a relayed call

Servers of relayed calls could be told of more time than the caller waits: a partner counted the time that the sender had named from when it knew that its own path to servers was open, which takes up to the verdict on a doubt. relay-port "has no more time left for the check of its partner's path" failed before (18 others passed), 19 pass with the change. Found by reading; not seen with real processes.

--- a/packages/daemon/src/__tests__/unit/relay-port.test.ts
+++ b/packages/daemon/src/__tests__/unit/relay-port.test.ts
@@ -1,4 +1,5 @@
 /** What an instance does with calls while it reaches no server, and with those that others relay to it. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	createSeededRandom, ok, routerError, toId,
 } from '@baobabpier/core';
@@ -52,6 +53,8 @@
 	readonly partner?: RelayOutcome;
 	/** Versions that come into force after the first one, each 50 ms after the one before. */
 	readonly laterVersions?: readonly number[];
+	/** Time that the answer to that takes, in milliseconds. */
+	readonly pathCheckMs?: number;
 	/** When the listener closes, in milliseconds after the call was sent. */
 	readonly closesAfterMs?: number;
 };
@@ -61,8 +64,10 @@
 const closeMs = 60;
 
 /** Sends a call to a port; returns the answer, and how often servers and partners got it. */
-const send = async (port: 'callers' | 'relays', {isCut = [false, false], isPathLost = [false, false], own = whole, partner = {kind: 'reply', reply: whole}, laterVersions = [], closesAfterMs}: State, headers: string[] = []) => {
+const send = async (port: 'callers' | 'relays', {isCut = [false, false], isPathLost = [false, false], own = whole, partner = {kind: 'reply', reply: whole}, laterVersions = [], closesAfterMs, pathCheckMs = 0}: State, headers: string[] = []) => {
 	const calls: Call[] = [];
+	/** Time that each call had left when it was served, in milliseconds. */
+	const leftMs: number[] = [];
 	let relayed = 0;
 	const gate = new StartupGate(monotonicClock);
 	const made = new CallerListener({
@@ -79,6 +84,7 @@
 		plain: {
 			async serve(call: Call) {
 				calls.push(call);
+				leftMs.push(call.deadlineAt - monotonicClock.now());
 				return own;
 			},
 		} as unknown as PlainRoute,
@@ -92,7 +98,13 @@
 				return partner;
 			},
 		},
-		relayPort: {secret, isPathLost: async () => isPathLost[Math.min(calls.length, 1)]!},
+		relayPort: {
+			secret,
+			async isPathLost() {
+				await sleep(pathCheckMs);
+				return isPathLost[Math.min(calls.length, 1)]!;
+			},
+		},
 	});
 	listener = made;
 	await made.listen('127.0.0.1:0');
@@ -114,7 +126,7 @@
 	const res = await request(`http://127.0.0.1:${port === 'callers' ? made.port : made.relayTcpPort}/unsafe/x`, {method: 'POST', headers: ['host', 'a.example', 'x-id', 'r1', ...headers], body: 'b'});
 	await res.body.text();
 	return {
-		status: res.statusCode, isDeclined: res.headers['x-relay-declined'] === '1', calls, relayed,
+		status: res.statusCode, isDeclined: res.headers['x-relay-declined'] === '1', calls, relayed, leftMs,
 	};
 };
 
@@ -190,6 +202,13 @@
 	}
 });
 
+// Guards against servers that are handed more time than the caller waits
+test('a relayed call has no more time left for the check of its partner\'s path', async () => {
+	const {leftMs} = await send('relays', {pathCheckMs: 300}, trusted);
+	expect(leftMs).toHaveLength(1);
+	expect(leftMs[0]).toBeLessThanOrEqual(400);
+});
+
 test('a caller can\'t pass for another instance', async () => {
 	const sent = await send('callers', {isPathLost: [true, true]}, trusted);
 	expect([sent.status, sent.calls.length]).toEqual([200, 1]);
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -217,12 +217,13 @@
 		res.once('close', () => {
 			this.#relayedCalls -= 1;
 		});
+		const takenAt = this.parts.clock.now();
 		if (this.#relayedCalls > maxRelayedCalls || await this.parts.relayPort.isPathLost()) {
 			this.#decline(req, res, 'this instance takes no relayed calls now');
 			return;
 		}
 
-		await this.#handle(req, res, waitedMs, relay);
+		await this.#handle(req, res, waitedMs + (this.parts.clock.now() - takenAt), relay);
 	}
 
 	/** Tells another instance that its call has not run here, and may go to a further one. */
