A stream that breaks off as it begins reaches its caller as far as it got

On a busy machine callers of streams got nothing at all, neither an answer nor a refusal: their connection closed without a byte after the whole request had been read.

Cause: Node.js holds back what is written to a response until the end of the event loop's turn, and breaking the response off discarded that. A busy process reads an engine's first events and its broken connection in one turn; where the stream may not go on (no attempt or no retry budget left), it broke the response off in the same turn.

Why it works: what was written is handed to the connection first, so the caller has the events and sees that they are no whole stream; it can take the stream up.

--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -76,13 +76,18 @@
 };
 
 /**
- * Ends a response such that the caller detects it as incomplete. Only the end of the connection marks the end of a body
+ * Ends a response such that the caller detects it as incomplete, and gets what was written of it until now. Only the end of the connection marks the end of a body
  * without length and chunks, so that connection is reset.
  *
  * @example
  * breakOff(res);
  */
 export const breakOff = (res: ServerResponse): void => {
+	// Node.js holds back what was written in this turn of the event loop, the head included
+	while (res.socket !== null && res.socket.writableCorked > 0) {
+		res.socket.uncork();
+	}
+
 	if (res.chunkedEncoding || res.socket === null) {
 		res.destroy();
 	} else {
