Teams with keys, and quotas over all instances

Cause: configurations with teams were read, but nothing acted on them. Requests without a key or with an unknown one were served, keys reached servers, a forged team name reached them as sent, and a team with a quota of 20 requests a second could run 802 in 8 s.

Change: entry instances identify the team of each request by the digest of its key, answer 401 otherwise, and tell servers the team's name. The leader of the control log grants each request of a team with a quota from an account that starts empty with each term. While no leader answers, an instance admits by lot what its part of the window's excess allows. Faults of configurations show no key, and files that hold them are readable by their owner only. An instance that doesn't know teams gets no configuration with teams and no relayed calls of teams.

Ruled out: fixed shares and leases of a rate (less than one request for each of 77 instances), see docs/design/teams-and-load.md.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -23,6 +23,9 @@
 	unauthorized: {
 		status: 401, run: 'no', retryAfterMs: undefined, message: 'The shared secret is missing or wrong.',
 	},
+	unknownKey: {
+		status: 401, run: 'no', retryAfterMs: undefined, message: 'The API key is missing or unknown.',
+	},
 	unknownService: {
 		status: 404, run: 'no', retryAfterMs: undefined, message: 'No such service or model.',
 	},
@@ -47,6 +50,12 @@
 	limitReached: {
 		status: 429, run: 'no', retryAfterMs: 1000, message: 'A limit of the service is reached.',
 	},
+	quotaReached: {
+		status: 429, run: 'no', retryAfterMs: 1000, message: 'The quota of the team is used up.',
+	},
+	quotaUnavailable: {
+		status: 503, run: 'no', retryAfterMs: 500, message: 'The quota of the team can\'t be checked.',
+	},
 	overloaded: {
 		status: 503, run: 'no', retryAfterMs: 2000, message: 'The service is at capacity.',
 	},
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -19,6 +19,10 @@
 export type ServiceName = Branded<string, 'ServiceName'>;
 /** The owner of a catalogue entry. */
 export type OwnerName = Branded<string, 'OwnerName'>;
+/** A team of callers, as named in the routing configuration. */
+export type TeamName = Branded<string, 'TeamName'>;
+/** The digest of an API key; the key itself is not kept. */
+export type KeyDigest = Branded<string, 'KeyDigest'>;
 /** A caller's request, unique across all instances. */
 export type RequestId = Branded<string, 'RequestId'>;
 /** The number of an attempt within its request, from 1. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -49,6 +49,7 @@
 	FencingToken,
 	EngineIncarnation,
 	InstanceId,
+	KeyDigest,
 	OrderId,
 	OwnerName,
 	RequestId,
@@ -57,6 +58,7 @@
 	SegmentId,
 	ServiceName,
 	SoftwareVersion,
+	TeamName,
 } from './ids.js';
 export {CrashEvidence} from './quarantine/crash-evidence.js';
 export type {CrashVerdicts, ReportedCrash} from './quarantine/crash-evidence.js';
@@ -311,6 +313,17 @@
 	RoutingFault,
 	RoutingTable,
 } from './routing/types.js';
+export {costOf, excessOf} from './teams/types.js';
+export type {QuotaTolerance, Team, TeamQuota} from './teams/types.js';
+export {TeamIndex} from './teams/team-index.js';
+export type {CallerIdentity} from './teams/team-index.js';
+export {QuotaAccount} from './teams/quota-account.js';
+export type {QuotaDecision} from './teams/quota-account.js';
+export {QuotaTable} from './teams/quota-table.js';
+export type {QuotaAnswer} from './teams/quota-table.js';
+export {IsolatedAllowance} from './teams/isolated-allowance.js';
+export {QUOTA_REFUND, QUOTA_TAKE} from './rpc/quota-methods.js';
+export type {QuotaTakeParams} from './rpc/quota-methods.js';
 export {isServerAddress} from './server-address.js';
 export {digestServerList, softwareVersionOf, unstatedVersion} from './server-list.js';
 export type {ListedServer} from './server-list.js';
--- a/packages/core/src/relay/choose-partners.ts
+++ b/packages/core/src/relay/choose-partners.ts
@@ -12,6 +12,8 @@
 	/** `host:port` of its port for relayed calls. */
 	readonly address: string;
 	readonly dataCentre: DataCentreId;
+	/** Whether it identifies the teams of requests. */
+	readonly knowsTeams?: boolean | undefined;
 };
 
 /**
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -1,5 +1,6 @@
 /** The decoded routing configuration: which calls go to which service, within which limits. */
 import type {Branded, RoutingVersion, ServiceName} from '../ids.js';
+import type {Team} from '../teams/types.js';
 
 /** A route's name. */
 export type RouteName = Branded<string, 'RouteName'>;
@@ -35,6 +36,8 @@
 	readonly resumable: boolean;
 	/** Target for the longest gap between events, in milliseconds. */
 	readonly targetGapMs: number;
+	/** Whether callers without a key may use it where the configuration has teams. */
+	readonly isOpen?: boolean;
 };
 
 /** Capabilities of the engines of a model service. */
@@ -73,6 +76,8 @@
 	readonly routes: readonly Route[];
 	readonly services: ReadonlyMap<ServiceName, RoutedService>;
 	readonly limits: CallerLimits;
+	/** Undefined where callers need no key. */
+	readonly teams?: readonly Team[] | undefined;
 };
 
 /** A validation fault of a routing configuration. */
--- a/packages/core/src/routing/validate-routing.ts
+++ b/packages/core/src/routing/validate-routing.ts
@@ -1,14 +1,41 @@
 /** Validates a routing configuration as a whole. */
+import type {KeyDigest, TeamName} from '../ids.js';
+import type {Team} from '../teams/types.js';
 import type {RoutingFault, RoutingTable} from './types.js';
 
+/** Stands for a key in faults: keys are secrets. */
+const hiddenKey = '(hidden)';
+
+const validateTeams = (teams: readonly Team[]): readonly RoutingFault[] => {
+	const faults: RoutingFault[] = [];
+	const holders = new Map<KeyDigest, TeamName>();
+	const names = new Set<TeamName>();
+	for (const [index, {name, keys}] of teams.entries()) {
+		if (names.has(name)) {
+			faults.push({field: `teams.${index}.name`, value: name, problem: 'another team has the same name'});
+		}
+
+		names.add(name);
+		for (const [keyIndex, key] of keys.entries()) {
+			const holder = holders.get(key) ?? name;
+			holders.set(key, holder);
+			if (holder !== name) {
+				faults.push({field: `teams.${index}.keys.${keyIndex}`, value: hiddenKey, problem: `the team ${holder} has the same key`});
+			}
+		}
+	}
+
+	return faults;
+};
+
 /**
  * Lists every fault that makes a configuration unusable.
  *
  * @example
  * validateRouting(table); // [] when it is valid
  */
-export const validateRouting = ({routes, services}: RoutingTable): readonly RoutingFault[] => {
-	const faults: RoutingFault[] = [];
+export const validateRouting = ({routes, services, teams = []}: RoutingTable): readonly RoutingFault[] => {
+	const faults: RoutingFault[] = [...validateTeams(teams)];
 	const hostPrefixes = new Set<string>();
 	const names = new Set<string>();
 	for (const [index, route] of routes.entries()) {
--- a/packages/core/src/rpc/watch-method.ts
+++ b/packages/core/src/rpc/watch-method.ts
@@ -24,6 +24,8 @@
 	readonly limitsVersion?: string | undefined;
 	/** Where the watcher takes relayed calls, and whether it does now; absent where it never does. */
 	readonly relay?: Omit<RelayPartner, 'id'> & {readonly isTaking: boolean} | undefined;
+	/** Whether the watcher identifies the teams of requests; one that doesn't gets no configuration with teams. */
+	readonly knowsTeams?: boolean | undefined;
 	/** Whether changes include their content; otherwise only versions are returned. */
 	readonly withContent: boolean;
 	/** Whether the routing version must be confirmed by a majority. */
--- a/packages/daemon/src/__tests__/unit/caller-listener.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-listener.test.ts
@@ -18,6 +18,7 @@
 import type {ResponseHead, Call} from '../../gateway/types.js';
 import {monotonicClock} from '../../monotonic-clock.js';
 import {closedRelayPort, noPartners} from './no-partners.js';
+import {openQuotas} from './open-quotas.js';
 
 const service = toId<ServiceName>('desk');
 const table: RoutingTable = {
@@ -51,6 +52,7 @@
 	outputs = [];
 	gate = new StartupGate(monotonicClock);
 	listener = new CallerListener({
+		quotas: openQuotas,
 		relay: noPartners, relayPort: closedRelayPort,
 		gate,
 		clock: monotonicClock,
--- a/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
+++ b/packages/daemon/src/__tests__/unit/faulty-engines.test.ts
@@ -28,6 +28,7 @@
 import {openPath} from './open-path.js';
 import {ownOrigins} from './own-origins.js';
 import {closedRelayPort, noPartners} from './no-partners.js';
+import {openQuotas} from './open-quotas.js';
 
 const service = toId<ServiceName>('lm');
 const table: RoutingTable = {
@@ -96,6 +97,7 @@
 	};
 	const gate = new StartupGate(monotonicClock);
 	const listener = new CallerListener({
+		quotas: openQuotas,
 		relay: noPartners, relayPort: closedRelayPort,
 		...parts,
 		gate,
--- a/packages/daemon/src/__tests__/unit/gateway-harness.ts
+++ b/packages/daemon/src/__tests__/unit/gateway-harness.ts
@@ -26,6 +26,7 @@
 import {openPath} from './open-path.js';
 import {ownOrigins} from './own-origins.js';
 import {noPartners} from './no-partners.js';
+import {openQuotas} from './open-quotas.js';
 
 const service = toId<ServiceName>('lm');
 
@@ -151,6 +152,7 @@
 		};
 		const gate = new StartupGate(monotonicClock);
 		const listener = new CallerListener({
+			quotas: openQuotas,
 			relay: noPartners, relayPort: {secret: relaySecret, isPathLost: async () => false},
 			...parts,
 			gate,
--- a/packages/daemon/src/__tests__/unit/listener-stop.test.ts
+++ b/packages/daemon/src/__tests__/unit/listener-stop.test.ts
@@ -22,6 +22,7 @@
 import {monotonicClock} from '../../monotonic-clock.js';
 import {parseResponses} from './raw-responses.js';
 import {closedRelayPort, noPartners} from './no-partners.js';
+import {openQuotas} from './open-quotas.js';
 
 const service = toId<ServiceName>('desk');
 const shortMs = 20;
@@ -73,6 +74,7 @@
 	remainingMs = [];
 	const gate = new StartupGate(monotonicClock);
 	listener = new CallerListener({
+		quotas: openQuotas,
 		relay: noPartners, relayPort: closedRelayPort,
 		gate,
 		clock: monotonicClock,
--- a/packages/daemon/src/__tests__/unit/other-versions.test.ts
+++ b/packages/daemon/src/__tests__/unit/other-versions.test.ts
@@ -32,7 +32,7 @@
 		registerListener: () => () => undefined,
 	} as unknown as ReplicatedControlLog;
 	const watch = new WatchServer({
-		dataCentre: toId<DataCentreId>('a'), control, clock: monotonicClock, listAgeMs: () => undefined, suspects: () => ({epoch: 'e', version: 'e/1', sets: []}), limits: () => limits,
+		dataCentre: toId<DataCentreId>('a'), control, clock: monotonicClock, listAgeMs: () => undefined, hasTeams: () => false, suspects: () => ({epoch: 'e', version: 'e/1', sets: []}), limits: () => limits,
 	});
 	watch.start(rpc);
 	const port = await openPort(rpc.app, '127.0.0.1:0');
--- a/packages/daemon/src/__tests__/unit/relay-port.test.ts
+++ b/packages/daemon/src/__tests__/unit/relay-port.test.ts
@@ -21,6 +21,7 @@
 import {monotonicClock} from '../../monotonic-clock.js';
 import type {RelayOutcome} from '../../relay/relay-client.js';
 import {relayHeaders} from '../../relay/relay-headers.js';
+import {openQuotas} from './open-quotas.js';
 
 const secret = 's';
 const service = toId<ServiceName>('desk');
@@ -71,6 +72,7 @@
 	let relayed = 0;
 	const gate = new StartupGate(monotonicClock);
 	const made = new CallerListener({
+		quotas: openQuotas,
 		gate,
 		clock: monotonicClock,
 		random: createSeededRandom(1),
--- a/packages/daemon/src/__tests__/unit/server-connections.test.ts
+++ b/packages/daemon/src/__tests__/unit/server-connections.test.ts
@@ -24,6 +24,7 @@
 import {monotonicClock} from '../../monotonic-clock.js';
 import {parseResponses} from './raw-responses.js';
 import {closedRelayPort, noPartners} from './no-partners.js';
+import {openQuotas} from './open-quotas.js';
 
 const headersTimeoutMs = 300;
 const waitMs = 4000;
@@ -90,6 +91,7 @@
 	};
 	const gate = new StartupGate(monotonicClock);
 	const listener = new CallerListener({
+		quotas: openQuotas,
 		relay: noPartners, relayPort: closedRelayPort,
 		gate,
 		clock: monotonicClock,
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -3,7 +3,7 @@
 	countPieces, createSeededRandom, ForecastPolicy, hashText, toId,
 } from '@baobabpier/core';
 import type {
-	DataCentreId, EngineId, FencingToken, Instant, InstanceId, ListedServer, RoutingDocument, RoutingTable, RoutingReplaceResult, ShareMap,
+	DataCentreId, EngineId, FencingToken, Instant, InstanceId, ListedServer, QuotaTolerance, RoutingDocument, RoutingTable, RoutingReplaceResult, ShareMap, Team,
 } from '@baobabpier/core';
 import {ReplicatedControlLog} from '../control/replicated-control-log.js';
 import {AvailabilityGate} from '../gateway/availability-gate.js';
@@ -22,6 +22,7 @@
 import {Peers} from '../rpc/peers.js';
 import {RpcServer} from '../rpc/rpc-server.js';
 import type {EngineEstimates} from '../settings/engine-estimates.js';
+import {LeaderQuotas} from '../teams/leader-quotas.js';
 import {LeaderRateLimits} from '../server-rate-limits/leader-rate-limits.js';
 import {OriginHost} from '../streams/origin-host.js';
 import {EngineReports} from './engine-reports.js';
@@ -60,6 +61,8 @@
 	readonly secret: string;
 	/** Engine estimates that are used until measurements replace them. */
 	readonly estimates: EngineEstimates;
+	/** How far requests of a team may exceed its quota over a window; without it an account holds the burst. */
+	readonly quotaTolerance?: QuotaTolerance | undefined;
 };
 
 /** All translations that a platform adapter provides to a control instance. */
@@ -117,6 +120,9 @@
 	}
 }
 
+/** One array, so that the quotas see no change where there are none. */
+const noTeams: readonly Team[] = [];
+
 /** Figures of the quarantine that are exposed as metrics, since the start of the instance. */
 const quarantineCounters = [
 	['crashes', 'Confirmed engine crashes'], ['trials', 'Requests that tried suspected segments'], ['convictions', 'Segment sets quarantined for crashes'], ['lifted', 'Quarantines lifted'],
@@ -244,9 +250,14 @@
 			watchServer.wake();
 		},
 	});
+	const quotas = new LeaderQuotas({
+		clock, leadingTerm: () => isCertainToLead() ? control.status.term : undefined, teams: () => tableInForce()?.teams ?? noTeams, tolerance: first.quotaTolerance, countDecision(result) {
+			metrics.countQuota(result);
+		},
+	});
 	const origins = new OriginHost(clock);
 	const watchServer: WatchServer = new WatchServer({
-		dataCentre: first.dataCentre, control, clock, listAgeMs: () => list.ageMs, suspects: () => quarantine.suspects, limits: () => limits.snapshot,
+		dataCentre: first.dataCentre, control, clock, listAgeMs: () => list.ageMs, hasTeams: () => tableInForce()?.teams !== undefined, suspects: () => quarantine.suspects, limits: () => limits.snapshot,
 	});
 	const tableInForce = (): RoutingTable | undefined => {
 		const {current} = control.state.routing;
@@ -283,6 +294,7 @@
 	metrics.registerServerGauge('server_rate_limit', 'Limits that servers name, in requests a second; only while this instance leads', () => limits.inForce.map(({server, requestsPerSecond}) => ({server, value: requestsPerSecond})));
 	metrics.registerGauge('quarantined_sets', 'Prompt segment sets in quarantine', () => control.state.quarantine.entries.length);
 	metrics.registerGauge('suspected_sets', 'Prompt segment sets under suspicion at the leader', () => quarantine.suspects?.sets.length ?? 0);
+	metrics.registerGauge('quota_accounts', 'Teams with a quota that this instance decides on', () => quotas.size);
 	metrics.registerGauge('trials_waiting', 'Requests that wait for a trial of suspected segments', () => quarantine.waiting);
 	for (const [name, help] of quarantineCounters) {
 		metrics.registerGauge(`quarantine_${name}`, help, () => quarantine.counts[name]);
@@ -292,6 +304,7 @@
 	watchServer.start(rpc);
 	quarantine.start(rpc);
 	limits.start(rpc);
+	quotas.start(rpc);
 	pools.start(rpc);
 	list.start();
 	roles.start();
--- a/packages/daemon/src/control-node/watch-server.ts
+++ b/packages/daemon/src/control-node/watch-server.ts
@@ -1,7 +1,7 @@
 /** Serves the long polls of the entry instances that watch this control instance. */
 import {choosePartners, CONTROL_WATCH, digestServerList} from '@baobabpier/core';
 import type {
-	Clock, DataCentreId, InstanceId, ListedServer, RelayPartner, RoutingVersion, RateLimitsSnapshot, SuspectsSnapshot, WatchResponse, WatchParams,
+	Clock, DataCentreId, InstanceId, ListedServer, RelayPartner, RoutingDocument, RoutingVersion, RateLimitsSnapshot, SuspectsSnapshot, WatchResponse, WatchParams,
 } from '@baobabpier/core';
 import type {ReplicatedControlLog} from '../control/replicated-control-log.js';
 import {createLog} from '../log.js';
@@ -21,6 +21,8 @@
 	readonly control: ReplicatedControlLog;
 	readonly clock: Clock;
 	readonly listAgeMs: () => number | undefined;
+	/** Whether the routing configuration in force has teams. */
+	readonly hasTeams: () => boolean;
 	/** The suspected segment sets; undefined unless this instance leads. */
 	readonly suspects: () => SuspectsSnapshot | undefined;
 	/** The limits that servers name; undefined unless this instance leads. */
@@ -125,7 +127,11 @@
 			return known;
 		}
 
-		const candidates = [...this.#entries].flatMap(([id, entry]) => entry.relay?.isTaking === true ? [{id, address: entry.relay.address, dataCentre: entry.relay.dataCentre}] : []);
+		const candidates = [...this.#entries].flatMap(([id, entry]) => entry.relay?.isTaking === true
+			? [{
+				id, address: entry.relay.address, dataCentre: entry.relay.dataCentre, knowsTeams: entry.relay.knowsTeams,
+			}]
+			: []);
 		const partners = choosePartners({id: instance, dataCentre: relay.dataCentre}, candidates);
 		this.#partners.set(instance, partners);
 		return partners;
@@ -151,7 +157,7 @@
 		const {revision, entries} = control.state.quarantine;
 		const suspects = this.parts.suspects();
 		const limits = this.parts.limits();
-		const {current} = control.state.routing;
+		const current = this.#routingFor(params);
 		const {leader, hearsQuorum} = control.position;
 		const isNewer = current !== undefined && (routingVersion === undefined || current.version > routingVersion);
 		return {
@@ -173,13 +179,17 @@
 		};
 	}
 
-	#hasNews({
-		routingVersion, listDigest, leader, withContent, quarantineRevision, suspectsVersion, limitsVersion,
-	}: WatchParams): boolean {
+	/** An instance that can't identify teams would serve requests of any caller, so that it gets no configuration with teams. */
+	#routingFor({knowsTeams}: WatchParams): RoutingDocument | undefined {
+		return knowsTeams !== true && this.parts.hasTeams() ? undefined : this.parts.control.state.routing.current;
+	}
+
+	#hasNews(params: WatchParams): boolean {
+		const {routingVersion, listDigest, leader, withContent, quarantineRevision, suspectsVersion, limitsVersion} = params;
 		const {control} = this.parts;
 		const suspects = this.parts.suspects();
 		const limits = this.parts.limits();
-		const version = control.state.routing.current?.version;
+		const version = this.#routingFor(params)?.version;
 		const known: RoutingVersion | undefined = routingVersion;
 		const now = control.position;
 		return (version !== undefined && (known === undefined || version > known))
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -4,7 +4,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
-	addMs, errorResponses, isErrorKind, pickTarget, RouteIndex, routerError, toErrorBody,
+	addMs, costOf, errorResponses, isErrorKind, pickTarget, RouteIndex, routerError, TeamIndex, toErrorBody,
 } from '@baobabpier/core';
 import type {
 	Clock, DrainWindow, ErrorKind, ErrorResponse, RandomSource, RouterError, RoutingTable, ServiceName,
@@ -15,6 +15,7 @@
 import type {RelayClient} from '../relay/relay-client.js';
 import {declinedHeader, readRelayHeaders, relayHeaderNames} from '../relay/relay-headers.js';
 import type {RelayHeaders} from '../relay/relay-headers.js';
+import type {QuotaOutcome, TeamQuotas} from '../teams/team-quotas.js';
 import {processBuffers} from '../transport/buffer-account.js';
 import {CallBodyReader} from './call-body-reader.js';
 import {CallDrain} from './call-drain.js';
@@ -29,7 +30,7 @@
 import type {Reply} from './reply.js';
 import type {StartupGate} from './startup-gate.js';
 import type {StreamRoute} from './stream-route.js';
-import type {Call, CallerDialect} from './types.js';
+import type {Call, CallerDialect, CallSender} from './types.js';
 import {VersionGate} from './version-gate.js';
 
 const log = createLog('callers');
@@ -62,6 +63,15 @@
 	return reply.kind === 'error' && scope.isCutShort && errorResponses[reply.error.kind].run === 'no' ? errorReply(routerError('shuttingDown')) : reply;
 };
 
+/** The reply to a call that its team's quota does not admit. */
+const toQuotaReply = (outcome: Exclude<QuotaOutcome, {kind: 'granted'}>, scope: CallScope): Reply => {
+	if (scope.reason === 'callerGone') {
+		return {kind: 'streamed'};
+	}
+
+	return errorReply(routerError(outcome.kind === 'denied' ? 'quotaReached' : 'quotaUnavailable', undefined, outcome.retryAfterMs));
+};
+
 /** Dependencies of the caller listener. */
 export type CallerListenerParts = {
 	readonly clock: Clock;
@@ -70,6 +80,8 @@
 	readonly plain: PlainRoute;
 	readonly streams: StreamRoute;
 	readonly metrics: GatewayMetrics;
+	/** Decides on calls of teams with a quota. */
+	readonly quotas: Pick<TeamQuotas, 'acquire'>;
 	/** Opens once a routing configuration and a server list are available. */
 	readonly gate: StartupGate;
 	/** Serves calls through other instances while this one reaches no server. */
@@ -98,7 +110,7 @@
 	readonly #bodies = new CallBodyReader(processBuffers);
 	readonly #drain: CallDrain;
 	readonly #versions = new VersionGate();
-	#index: {readonly table: RoutingTable; readonly routes: RouteIndex} | undefined;
+	#index: {readonly table: RoutingTable; readonly routes: RouteIndex; readonly teams: TeamIndex | undefined} | undefined;
 	#isClosed = false;
 	/** Relayed calls in progress. */
 	#relayedCalls = 0;
@@ -163,7 +175,7 @@
 
 	/** Applies a routing table to later calls. */
 	apply(table: RoutingTable): void {
-		this.#index = {table, routes: new RouteIndex(table.routes)};
+		this.#index = {table, routes: new RouteIndex(table.routes), teams: table.teams === undefined ? undefined : new TeamIndex(table.teams)};
 		this.#server.keepAliveTimeout = table.limits.idleTimeoutMs;
 		this.#server.headersTimeout = table.limits.headersTimeoutMs;
 		this.#drain.retainRoutes(table.routes);
@@ -288,14 +300,21 @@
 			return;
 		}
 
+		const identity = index.teams?.identify(metadata.val.key, route.isOpen === true);
+		if (identity?.kind === 'rejected') {
+			this.#refuse(req, res, routerError('unknownKey'), metadata.val.requestId);
+			return;
+		}
+
+		const sender: CallSender | undefined = identity === undefined ? undefined : {team: identity.kind === 'team' ? identity.team : undefined};
 		const timeoutMs = Math.min(route.timeoutMs, relay?.remainingMs ?? metadata.val.callerTimeoutMs ?? route.timeoutMs);
 		const request = {
 			method: req.method ?? 'GET', target, rawHeaders: relay === undefined ? req.rawHeaders : forwardableHeaders(req.rawHeaders, relayHeaderNames), body,
 		};
 		const {sharedSegments} = metadata.val;
 		const call: Call = {
-			...metadata.val, ...request, route, isRelayed: relay !== undefined, arrivedAt, deadlineAt: addMs(arrivedAt, timeoutMs),
-			sharedSegments: route.kind === 'stream' && sharedSegments.length > 0 ? sharedSegments : [digestRequest(request)],
+			...metadata.val, ...request, route, sender, isRelayed: relay !== undefined, arrivedAt, deadlineAt: addMs(arrivedAt, timeoutMs),
+			sharedSegments: route.kind === 'stream' && sharedSegments.length > 0 ? sharedSegments : [digestRequest({...request, team: sender?.team?.name})],
 		};
 		await this.#serve(call, service, req, res);
 	}
@@ -313,7 +332,27 @@
 		return isUnreached(reply, scope, out) && await relay.becomesNeeded() ? await this.#relay(call, scope, out) ?? reply : reply;
 	}
 
+	/** Serves a call within its team's quota; a call that certainly was not run gets its credit back. */
 	async #findOwnReply(call: Call, service: ServiceName, scope: CallScope, out: CallerStream): Promise<Reply> {
+		const quota = call.sender?.team?.quota;
+		if (quota === undefined) {
+			return this.#serveByRoute(call, service, scope, out);
+		}
+
+		const outcome = await this.parts.quotas.acquire(call.sender!.team!.name, quota, costOf(quota, call), scope);
+		if (outcome.kind !== 'granted') {
+			return toQuotaReply(outcome, scope);
+		}
+
+		const reply = await this.#serveByRoute(call, service, scope, out);
+		if (reply.kind === 'error' && errorResponses[reply.error.kind].run === 'no' && !out.isStarted) {
+			outcome.refund();
+		}
+
+		return reply;
+	}
+
+	async #serveByRoute(call: Call, service: ServiceName, scope: CallScope, out: CallerStream): Promise<Reply> {
 		const {plain, streams} = this.parts;
 		return call.route.kind === 'stream' ? streams.serve(call, service, scope, out) : plain.serve(call, service, scope);
 	}
--- a/packages/daemon/src/gateway/control-watch.ts
+++ b/packages/daemon/src/gateway/control-watch.ts
@@ -209,7 +209,7 @@
 		const {self, peers, clock} = this.parts;
 		try {
 			const response = await peers.get(source.id).call(CONTROL_WATCH, {
-				instance: self, routingVersion: this.#version, listDigest: this.#listDigest, leader: this.#leader, waitMs: pollTimeoutMs, withContent, confirmed: this.#version === undefined, relay: this.parts.relay(), ...this.parts.versions(),
+				instance: self, routingVersion: this.#version, listDigest: this.#listDigest, leader: this.#leader, waitMs: pollTimeoutMs, withContent, confirmed: this.#version === undefined, knowsTeams: true, relay: this.parts.relay(), ...this.parts.versions(),
 			}, pollTimeoutMs + responseGraceMs + (this.#version === undefined ? watchTimeoutMs : 0));
 			if (!this.#isHealthy(source)) {
 				log('A control instance answers.', {
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -35,6 +35,10 @@
 		name: 'baobabpier_server_permits_total', help: 'Requests to servers with a limit, by whether they got a permit, and class', labelNames: ['result', 'class'], registers: [this.registry],
 	});
 
+	readonly #quotas = new Counter({
+		name: 'baobabpier_quota_decisions_total', help: 'Requests of teams with a quota, by decision', labelNames: ['result'], registers: [this.registry],
+	});
+
 	readonly #foreignResponses = new Counter({
 		name: 'baobabpier_foreign_responses_total', help: 'Responses of servers that belong to no request or to another one, by kind of call', labelNames: ['kind', 'moment'], registers: [this.registry],
 	});
@@ -58,6 +62,10 @@
 		this.#permits.inc({result, class: permitClass});
 	}
 
+	countQuota(result: string): void {
+		this.#quotas.inc({result});
+	}
+
 	/** Registers a gauge with one value a server, which are read on each scrape. */
 	registerServerGauge(name: string, help: string, read: () => ReadonlyArray<{readonly server: string; readonly value: number}>): void {
 		this.registry.registerMetric(new Gauge({
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -6,7 +6,7 @@
 	addMs, createSeededRandom, digestServerList, ForecastPolicy, hashText, StaticShareMap, toId,
 } from '@baobabpier/core';
 import type {
-	DataCentreId, FencingToken, ForecastOptions, InstanceId, ListedServer, ModelService, RoutingDocument, RoutingTable, WindowedRetryBudgetSettings, ServiceName, ShareMap, EngineId,
+	DataCentreId, FencingToken, ForecastOptions, InstanceId, ListedServer, ModelService, RoutingDocument, RoutingTable, QuotaTolerance, WindowedRetryBudgetSettings, ServiceName, ShareMap, EngineId,
 } from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
@@ -14,6 +14,7 @@
 import type {EngineEstimates} from '../settings/engine-estimates.js';
 import {PlacementClient} from '../pools/placement-client.js';
 import {PoolHost} from '../pools/pool-host.js';
+import {TeamQuotas} from '../teams/team-quotas.js';
 import {ServerTransport} from '../transport/server-transport.js';
 import {Peers} from '../rpc/peers.js';
 import {ServerConnections} from '../server-connections.js';
@@ -74,6 +75,8 @@
 	/** Shared secret that authenticates peers. */
 	readonly secret: string;
 	readonly secondTries: WindowedRetryBudgetSettings;
+	/** How far requests of a team may exceed its quota; without it no request of such a team is served while no leader decides. */
+	readonly quotaTolerance?: QuotaTolerance | undefined;
 	/** Engine speeds that are assumed until measurements replace them. */
 	readonly estimates: EngineEstimates;
 	/** Whether the deployment starts for the first time. */
@@ -219,6 +222,7 @@
 		}
 
 		table = decoded.val;
+		quotas.retain(table.teams ?? []);
 		connectionLimits.setServices(table.services);
 		callerListener.apply(table);
 		applyServers();
@@ -230,7 +234,9 @@
 		self: initialSettings.id, dataCentre: initialSettings.dataCentre, seeds: () => settings.seeds, peers, clock, onRouting: applyRouting, onList: applyServerList, onLeader() {
 			places.handleOwnerChange();
 		},
-		relay: () => ({address: initialSettings.listen.relays, dataCentre: initialSettings.dataCentre, isTaking: isTakingRelays()}),
+		relay: () => ({
+			address: initialSettings.listen.relays, dataCentre: initialSettings.dataCentre, knowsTeams: true, isTaking: isTakingRelays(),
+		}),
 		versions: () => ({quarantineRevision: guard.quarantineRevision, suspectsVersion: guard.suspectsVersion, limitsVersion: limits.version}),
 		onLimits(snapshot) {
 			limits.apply(snapshot);
@@ -283,6 +289,11 @@
 	const guard: CrashGuard = new CrashGuard({
 		self: initialSettings.id, clock, peers, leader: () => controlWatch.leader,
 	});
+	const quotas = new TeamQuotas({
+		self: initialSettings.id, clock, random, peers, leader: () => controlWatch.leader, instances: () => controlWatch.entryInstanceCount, tolerance: initialSettings.quotaTolerance, countResult(result) {
+			metrics.countQuota(result);
+		},
+	});
 	const retryBudgets = new RetryBudgets(initialSettings.secondTries, clock, initialSettings.isFirstStart, () => controlWatch.entryInstanceCount);
 	const callerListener: CallerListener = new CallerListener({
 		clock,
@@ -295,6 +306,7 @@
 			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, origins, path, relay, clock, random,
 		}),
 		metrics,
+		quotas,
 		gate,
 		relay,
 		relayPort: {secret: initialSettings.secret, isPathLost: async () => await path.settled() === 'cut'},
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -18,6 +18,7 @@
 import type {AttemptControl} from './plain-attempt.js';
 import type {Reply} from './reply.js';
 import type {RetryBudgets} from './retry-budgets.js';
+import {priorityOf} from './types.js';
 import type {ResponseHead, Call, ServerDialect} from './types.js';
 
 const log = createLog('plain');
@@ -238,7 +239,7 @@
 const maxTrialWaitMs = (call: Call, scope: CallScope): number => Math.min(scope.remainingMs() * maxTrialWaitFraction, call.route.targetLatencyMs * trialWaitTargets);
 
 /** Whether a call goes before others where not all can be served. */
-export const isUrgent = ({route}: Call): boolean => route.priority === 0;
+export const isUrgent = (call: Call): boolean => priorityOf(call) === 0;
 
 /** Why a response can't be passed on as the server's; undefined when it can. */
 export const findResponseFault = (head: ResponseHead): string | undefined => {
--- a/packages/daemon/src/gateway/stream-placements.ts
+++ b/packages/daemon/src/gateway/stream-placements.ts
@@ -12,6 +12,7 @@
 import type {CallScope} from './call-scope.js';
 import type {StreamProgress} from './stream-progress.js';
 import {pieceTokens, poolDataCentre} from './model-services.js';
+import {priorityOf} from './types.js';
 import type {Call} from './types.js';
 
 const log = createLog('places');
@@ -236,7 +237,7 @@
 		return {
 			requestId: call.requestId,
 			attempt: toId<AttemptNumber>(round),
-			class: call.route.priority === 0 ? 'urgent' : 'patient',
+			class: priorityOf(call) === 0 ? 'urgent' : 'patient',
 			promptTokens: call.promptTokens,
 			maxTokens: call.maxTokens,
 			pieces: this.#piecesOf(call.promptTokens, call.maxTokens),
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -1,6 +1,6 @@
 /** Types of the gateway: a caller's call, the responses to it, and the translations that a platform adapter provides. */
 import type {
-	Instant, ListedServer, RequestId, Route, RouterError, RoutingFault, RoutingTable, Result, SegmentId, SoftwareVersion,
+	Instant, KeyDigest, ListedServer, RequestId, Route, RouterError, RoutingFault, RoutingTable, Result, SegmentId, SoftwareVersion, Team,
 } from '@baobabpier/core';
 
 /** Metadata that a caller sends with a call, besides method, path and body. */
@@ -18,6 +18,14 @@
 	readonly resumes?: RequestId | undefined;
 	/** What other requests may have in common with it: segments of its prompt, without repetitions, or else the digest of the whole request. */
 	readonly sharedSegments: readonly SegmentId[];
+	/** Digest of the caller's key; absent where the call has none. */
+	readonly key?: KeyDigest | undefined;
+};
+
+/** Who sent a call, where the configuration has teams. */
+export type CallSender = {
+	/** Undefined for a caller without a key, on a route that is open to everyone. */
+	readonly team: Team | undefined;
 };
 
 /** A caller's call with its complete body. */
@@ -31,11 +39,21 @@
 	readonly route: Route;
 	/** Whether another instance relays the call here; it goes through no third one. */
 	readonly isRelayed?: boolean;
+	/** Who sent it; absent where the configuration has no teams. */
+	readonly sender?: CallSender;
 	readonly arrivedAt: Instant;
 	/** The earlier of the caller's and the route's deadline. */
 	readonly deadlineAt: Instant;
 };
 
+/**
+ * The priority of a call, 0 being the most urgent: that of its team, or else of its route.
+ *
+ * @example
+ * priorityOf({route, sender: {team}}); // Priority of the team, if it has one
+ */
+export const priorityOf = ({route, sender}: Pick<Call, 'route' | 'sender'>): number => sender?.team?.priority ?? route.priority;
+
 /** Purpose of a request to a backend server. */
 export type SendPurpose =
 	| {readonly kind: 'run'; readonly lease?: string | undefined}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -35,6 +35,7 @@
 export type {
 	ResponseHead, Call, CallerDialect, CallMetadata, GatewayDialect, KvSource, ListDialect, ListPage, NoticeDialect, RoutingCodec, SendPurpose, ServerDialect, ServerNotice,
 } from './gateway/types.js';
+export {digestKey} from './teams/key-digest.js';
 export {listenOn} from './listen.js';
 export {createLog} from './log.js';
 export {breakOff, ServerConnections} from './server-connections.js';
--- a/packages/daemon/src/relay/relay-client.ts
+++ b/packages/daemon/src/relay/relay-client.ts
@@ -108,7 +108,7 @@
 		const offered = new Set<InstanceId>();
 		const offeringUntil = addMs(this.parts.clock.now(), maxOfferingMs);
 		while (offered.size < maxOffers && scope.reason === undefined && this.parts.clock.now() < offeringUntil) {
-			const partner = this.#choose(offered);
+			const partner = this.#choose(offered, call.sender !== undefined);
 			if (partner === undefined) {
 				break;
 			}
@@ -127,12 +127,12 @@
 		return {kind: 'declined'};
 	}
 
-	/** Near partners before far ones, then the one with the fewest calls of this instance. */
-	#choose(offered: ReadonlySet<InstanceId>): RelayPartner | undefined {
+	/** Near partners before far ones, then the one with the fewest calls of this instance. A partner that doesn't know teams would pass the caller's key on to servers. */
+	#choose(offered: ReadonlySet<InstanceId>, needsTeams: boolean): RelayPartner | undefined {
 		const now = this.parts.clock.now();
-		const usable = this.parts.partners().filter(({id}) => {
+		const usable = this.parts.partners().filter(({id, knowsTeams}) => {
 			const {inFlight, backoffUntil} = this.#stateOf(id);
-			return !offered.has(id) && inFlight < maxCallsPerPartner && (backoffUntil === undefined || backoffUntil <= now);
+			return (!needsTeams || knowsTeams === true) && !offered.has(id) && inFlight < maxCallsPerPartner && (backoffUntil === undefined || backoffUntil <= now);
 		});
 		const isFar = ({dataCentre}: RelayPartner): number => Number(dataCentre !== this.parts.dataCentre);
 		return usable.toSorted((a, b) => isFar(a) - isFar(b) || this.#stateOf(a.id).inFlight - this.#stateOf(b.id).inFlight)[0];
--- a/packages/daemon/src/storage/file-system.ts
+++ b/packages/daemon/src/storage/file-system.ts
@@ -26,10 +26,14 @@
 	syncFolder(folder: string): Promise<void>;
 };
 
+/** Only the owner reads the files: configurations hold API keys. */
+const fileMode = 0o600;
+const folderMode = 0o700;
+
 /** The file system of the machine. */
 export const nodeFileSystem: FileSystem = {
 	async makeFolder(folder) {
-		await mkdir(folder, {recursive: true});
+		await mkdir(folder, {recursive: true, mode: folderMode});
 	},
 	async list(folder) {
 		return readdir(folder);
@@ -38,7 +42,7 @@
 		return readFile(file);
 	},
 	async openAppend(file, length) {
-		const handle = await open(file, 'a');
+		const handle = await open(file, 'a', fileMode);
 		try {
 			await handle.truncate(length);
 		} catch (error) {
