Streams are placed by priority, and by fair shares of teams

Cause: streams that waited for memory were ordered by class only, first come first served, so that one team could keep all others waiting, and the refusal of new requests counted everything that waited.

Change: each class of the placement queue orders its requests by priority, and among equals by start-time fair queueing over the teams' memory. The wait of a new request is predicted from what is placed before it. Where teams compete, streams of priority 0 wait like the others instead of being refused. Without teams nothing changes.

Tried: shares by quota.

--- a/packages/core/src/placement/placement-queue.ts
+++ b/packages/core/src/placement/placement-queue.ts
@@ -1,6 +1,7 @@
-/** Requests that wait for a placement, by class: urgent ones first, deferred ones last, and patient ones are never starved. */
+/** Requests that wait for a placement, by class: urgent ones first, deferred ones last, and patient ones are never starved. Within a class they are ordered by priority and team. */
 import type {EngineHold} from '../engine/engine-client.js';
 import type {Instant} from '../time.js';
+import {FairLane} from './fair-lane.js';
 import {holdKey} from './hold-table.js';
 import type {PlacementRequest, QueueView} from './types.js';
 
@@ -30,12 +31,8 @@
  * queue.peek(); // The request to place next
  */
 export class PlacementQueue implements QueueView {
-	readonly #lanes: Readonly<Record<Lane, Map<string, PlacementRequest>>> = {
-		bound: new Map(), urgent: new Map(), patient: new Map(), deferred: new Map(),
-	};
-
-	readonly #queuedTokens: Record<Lane, number> = {
-		bound: 0, urgent: 0, patient: 0, deferred: 0,
+	readonly #lanes: Readonly<Record<Lane, FairLane>> = {
+		bound: new FairLane(), urgent: new FairLane(), patient: new FairLane(), deferred: new FairLane(),
 	};
 
 	#consecutiveUrgent = 0;
@@ -45,8 +42,9 @@
 		return allLanes.reduce((sum, lane) => sum + this.#lanes[lane].size, 0);
 	}
 
-	tokensAhead(req: Pick<PlacementRequest, 'class'>): number {
-		return req.class === 'urgent' ? this.#queuedTokens.urgent : this.#queuedTokens.urgent + this.#queuedTokens.patient;
+	tokensAhead(req: Parameters<QueueView['tokensAhead']>[0]): number {
+		const {urgent, patient} = this.#lanes;
+		return req.class === 'urgent' ? urgent.tokensAhead(req) : urgent.tokens + patient.tokensAhead(req);
 	}
 
 	push(req: PlacementRequest): void {
@@ -73,10 +71,10 @@
 		const isPatientTurn = this.#consecutiveUrgent >= maxConsecutiveUrgent && this.#lanes.patient.size > 0;
 		const order: readonly Lane[] = isPatientTurn ? ['patient', 'urgent', 'deferred'] : priorityOrder;
 		const lane = order.find(name => this.#lanes[name].size > 0);
-		return lane === undefined ? undefined : this.#lanes[lane].values().next().value;
+		return lane === undefined ? undefined : this.#lanes[lane].first();
 	}
 
-	/** Returns a request of the same lane that needs less memory than `head` and may overtake it; undefined when there is none. */
+	/** Returns a request of the same lane and priority that needs less memory than `head` and may overtake it; undefined when there is none. */
 	findSmaller(head: PlacementRequest): PlacementRequest | undefined {
 		const key = holdKey(head);
 		const lane = allLanes.find(name => this.#lanes[name].has(key));
@@ -87,7 +85,7 @@
 		let smallest: PlacementRequest | undefined;
 		let examined = 0;
 		for (const req of this.#lanes[lane].values()) {
-			smallest = req.pieces < (smallest ?? head).pieces ? req : smallest;
+			smallest = req.priority === head.priority && req.pieces < (smallest ?? head).pieces ? req : smallest;
 			examined += 1;
 			if (examined > maxBypassScan) {
 				break;
@@ -107,17 +105,15 @@
 	dequeue(req: PlacementRequest): void {
 		const isUrgentBeforePatient = this.#lanes.urgent.has(holdKey(req)) && this.#lanes.patient.size > 0;
 		this.#consecutiveUrgent = isUrgentBeforePatient ? this.#consecutiveUrgent + 1 : 0;
-		this.remove(req);
+		for (const lane of allLanes) {
+			this.#lanes[lane].place(holdKey(req));
+		}
 	}
 
 	remove(hold: EngineHold): void {
 		const key = holdKey(hold);
 		for (const lane of allLanes) {
-			const req = this.#lanes[lane].get(key);
-			if (req !== undefined) {
-				this.#lanes[lane].delete(key);
-				this.#queuedTokens[lane] -= req.promptTokens;
-			}
+			this.#lanes[lane].remove(key);
 		}
 	}
 
@@ -132,11 +128,8 @@
 	}
 
 	#add(lane: Lane, req: PlacementRequest): void {
-		if (this.#lanes[lane].has(holdKey(req))) {
-			return;
+		if (!this.#lanes[lane].has(holdKey(req))) {
+			this.#lanes[lane].add(req);
 		}
-
-		this.#lanes[lane].set(holdKey(req), req);
-		this.#queuedTokens[lane] += req.promptTokens;
 	}
 }
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -2,7 +2,7 @@
 import type {EngineRole, ServiceClass} from '../catalogue/types.js';
 import type {RouterError} from '../errors.js';
 import type {
-	AttemptNumber, DataCentreId, EngineId, EngineIncarnation, InstanceId, RequestId, ServiceName, SoftwareVersion,
+	AttemptNumber, DataCentreId, EngineId, EngineIncarnation, InstanceId, RequestId, ServiceName, SoftwareVersion, TeamName,
 } from '../ids.js';
 import type {EngineHold} from '../engine/engine-client.js';
 import type {RandomSource} from '../random.js';
@@ -15,6 +15,10 @@
 	readonly attempt: AttemptNumber;
 	readonly service: ServiceName;
 	readonly class: ServiceClass;
+	/** Priority within the class, 0 being the most urgent; requests without one are placed as they come. */
+	readonly priority?: number | undefined;
+	/** The team that shares memory with others; undefined where there are no teams. */
+	readonly team?: TeamName | undefined;
 	/** The instance that will hold the placement. */
 	readonly holder: InstanceId;
 	/** Tokens to prefill. */
@@ -102,7 +106,7 @@
 export type QueueView = {
 	readonly length: number;
 	/** Returns the prompt tokens queued ahead of a new request of this class. */
-	tokensAhead(req: Pick<PlacementRequest, 'class'>): number;
+	tokensAhead(req: Pick<PlacementRequest, 'class' | 'priority' | 'promptTokens' | 'team'>): number;
 };
 
 /** The outcome of a decision. */
--- a/packages/core/src/rpc/rpc-methods.ts
+++ b/packages/core/src/rpc/rpc-methods.ts
@@ -15,7 +15,7 @@
 import type {EngineHold} from '../engine/engine-client.js';
 import type {RouterError} from '../errors.js';
 import type {
-	AttemptNumber, ClaimKey, DataCentreId, EngineId, InstanceId, OrderId, RequestId, Revision, ServiceName, SoftwareVersion,
+	AttemptNumber, ClaimKey, DataCentreId, EngineId, InstanceId, OrderId, RequestId, Revision, ServiceName, SoftwareVersion, TeamName,
 } from '../ids.js';
 import type {ClaimRecord} from '../ledger/claim-ledger.js';
 import type {HeldPlacement} from '../placement/hold-table.js';
@@ -48,6 +48,9 @@
 	readonly service: ServiceName;
 	readonly dataCentre: DataCentreId;
 	readonly class: ServiceClass;
+	/** Absent from instances that order by class only. */
+	readonly priority?: number | undefined;
+	readonly team?: TeamName | undefined;
 	readonly holder: InstanceId;
 	readonly promptTokens: number;
 	readonly maxTokens: number;
--- a/packages/core/src/teams/team-index.ts
+++ b/packages/core/src/teams/team-index.ts
@@ -1,5 +1,5 @@
 /** Identifies the team of a request by the digest of its key. */
-import type {KeyDigest, TeamName} from '../ids.js';
+import type {KeyDigest} from '../ids.js';
 import type {Team} from './types.js';
 
 /** Who sends a request. */
@@ -19,11 +19,9 @@
  */
 export class TeamIndex {
 	readonly #byKey = new Map<KeyDigest, Team>();
-	readonly #byName = new Map<TeamName, Team>();
 
 	constructor(teams: readonly Team[]) {
 		for (const team of teams) {
-			this.#byName.set(team.name, team);
 			for (const key of team.keys) {
 				this.#byKey.set(key, team);
 			}
@@ -39,9 +37,4 @@
 
 		return key === undefined && isOpenRoute ? {kind: 'anonymous'} : {kind: 'rejected'};
 	}
-
-	/** The team of a name; undefined where the configuration has none. */
-	get(name: TeamName): Team | undefined {
-		return this.#byName.get(name);
-	}
 }
--- a/packages/daemon/src/gateway/stream-placements.ts
+++ b/packages/daemon/src/gateway/stream-placements.ts
@@ -101,6 +101,18 @@
 
 type PlacementRequestParams = Omit<PlaceParams, 'dataCentre' | 'holder' | 'service'>;
 
+/**
+ * The place of a stream among those that wait. An urgent stream that can't begin in time is refused, and its caller may go elsewhere. Where teams compete, the
+ * streams of all priorities wait instead: what is late is worth more to its caller than a refusal, and priorities order those that wait.
+ */
+const rankOf = (call: Call): Pick<PlacementRequestParams, 'class' | 'priority' | 'team'> => {
+	const {sender} = call;
+	const priority = priorityOf(call);
+	return sender === undefined
+		? {class: priority === 0 ? 'urgent' : 'patient'}
+		: {class: 'patient', priority, team: sender.team?.name};
+};
+
 /** Requests, records and releases placements on behalf of streams. */
 export class StreamPlacements {
 	readonly #pending = new Map<AbortController, PendingRequest>();
@@ -237,7 +249,7 @@
 		return {
 			requestId: call.requestId,
 			attempt: toId<AttemptNumber>(round),
-			class: priorityOf(call) === 0 ? 'urgent' : 'patient',
+			...rankOf(call),
 			promptTokens: call.promptTokens,
 			maxTokens: call.maxTokens,
 			pieces: this.#piecesOf(call.promptTokens, call.maxTokens),
