--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,6 @@
 /** Small stand-ins for what the platform gives. */
+export {BodyCrowd} from './body-crowd.js';
+export type {CrowdPlan} from './body-crowd.js';
 export {startBackend} from './backend-server.js';
 export type {BackendServer} from './backend-server.js';
 export {EngineModel} from './engine/engine-model.js';
@@ -10,3 +12,4 @@
 export type {RunningServer} from './listen.js';
 export {startPlatformList} from './platform-list.js';
 export type {PlatformEntry} from './platform-list.js';
+export {ProcessUsage} from './process-usage.js';
