Request bodies that never end stay within the memory of the process

Cause: a body was kept as the chunks that Node.js emits, which take hundreds of bytes each, also while they wait to be read; 64 KiB of each body did not count; bodies had no time limit; and a port took any number of connections.

Change: small chunks are joined before they wait, on every port. Bodies are copied into blocks of their own that count from the first byte. Where they need more than a tenth of the machine's free memory, those that have held most for the longest time without being whole are refused (503, not run) and disconnected. A body has as long as its caller waits (30 s at most). A port keeps a number of connections that its machine's memory and descriptors allow; a further one displaces the oldest without a complete request.

Ruled out: blocks left to the garbage collector (177 to 217 MB, with a pool 166 to 170); fewer connections alone (164 to 168).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -347,6 +347,10 @@
 export {ConnectionPlan} from './transport/connection-plan.js';
 export type {ConnectionId, PlanStep} from './transport/connection-plan.js';
 export type {PlannedRequest} from './transport/planned-request.js';
+export {BodyBudget} from './transport/body-budget.js';
+export type {BodyHandle} from './transport/body-budget.js';
+export {defaultResourceLimits, resourceLimits} from './transport/resource-limits.js';
+export type {MachineResources, ResourceLimits} from './transport/resource-limits.js';
 export {judgeResponse} from './transport/response-binding.js';
 export type {ResponseBinding, ResponseVerdict} from './transport/response-binding.js';
 export {judgeStatus} from './transport/response-status.js';
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -1,9 +1,9 @@
 /** Wires the parts of a control instance: its replica, the operators' configuration, the server list and the engine pools that it owns while it leads. */
 import {
-	countPieces, createSeededRandom, ForecastPolicy, hashText, toId,
+	countPieces, createSeededRandom, defaultResourceLimits, ForecastPolicy, hashText, resourceLimits, toId,
 } from '@baobabpier/core';
 import type {
-	DataCentreId, EngineId, FencingToken, Instant, InstanceId, ListedServer, QuotaTolerance, RoutingDocument, RoutingTable, RoutingReplaceResult, ShareMap, Team,
+	DataCentreId, EngineId, FencingToken, Instant, InstanceId, ListedServer, MachineResources, QuotaTolerance, RoutingDocument, RoutingTable, RoutingReplaceResult, ShareMap, Team,
 } from '@baobabpier/core';
 import {ReplicatedControlLog} from '../control/replicated-control-log.js';
 import {AvailabilityGate} from '../gateway/availability-gate.js';
@@ -13,9 +13,10 @@
 import {
 	createModelServices, createPoolCatalogue, leavingEngines, piecesOfEngine, pieceTokens,
 } from '../gateway/model-services.js';
+import {incomingBodies} from '../transport/incoming-bodies.js';
 import {ServerTransport} from '../transport/server-transport.js';
 import type {ListDialect, RoutingCodec} from '../gateway/types.js';
-import {openPort} from '../listen.js';
+import {defaultPortLimits, openPort} from '../listen.js';
 import {createLog} from '../log.js';
 import {monotonicClock} from '../monotonic-clock.js';
 import {PoolHost} from '../pools/pool-host.js';
@@ -61,6 +62,8 @@
 	readonly secret: string;
 	/** Engine estimates that are used until measurements replace them. */
 	readonly estimates: EngineEstimates;
+	/** Memory and descriptors of the machine; undefined where they are not known. */
+	readonly resources?: MachineResources | undefined;
 	/** How far requests of a team may exceed its quota over a window; without it an account holds the burst. */
 	readonly quotaTolerance?: QuotaTolerance | undefined;
 };
@@ -277,7 +280,9 @@
 		}
 	};
 
-	const peerPort = await openPort(rpc.app, first.listen.peers);
+	const clientLimits = first.resources === undefined ? defaultResourceLimits : resourceLimits(first.resources);
+	incomingBodies.setMaxBytes(clientLimits.bodyBytes);
+	const peerPort = await openPort(rpc.app, first.listen.peers, {...defaultPortLimits, maxConnections: clientLimits.connections});
 	const metricsPort = await serveMetrics(metrics.registry, first.listen.metrics);
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => control.state.routing.current?.version ?? 0);
 	metrics.registerGauge('control_term', 'Term of the control log', () => control.status.term ?? 0);
--- a/packages/daemon/src/entry/body-reader.ts
+++ b/packages/daemon/src/entry/body-reader.ts
@@ -1,9 +1,10 @@
 /** Reads callers' bodies under limits of size, time and memory. */
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import {err, ok, routerError} from '@baobabpier/core';
 import type {Result, RouterError} from '@baobabpier/core';
+import {IncomingBodies} from '../transport/incoming-bodies.js';
+import type {BodyFailure} from '../transport/incoming-bodies.js';
 
 /** Thrown into a body that pauses for too long while it is passed on. */
 export class BodyTimeoutError extends Error {
@@ -28,17 +29,19 @@
 
 /** Reads bodies for one port. */
 export class BodyReader {
-	#buffered = 0;
+	readonly #bodies: IncomingBodies;
 
-	constructor(private readonly limits: BodyReaderLimits) {}
+	constructor(private readonly limits: BodyReaderLimits) {
+		this.#bodies = new IncomingBodies(limits.maxBufferedBytes);
+	}
 
-	/** Bytes of whole bodies held now. */
+	/** Memory of whole bodies held now, in bytes. */
 	get bufferedBytes(): number {
-		return this.#buffered;
+		return this.#bodies.bytes;
 	}
 
 	/**
-	 * Reads a whole body; its bytes count as held until `res` closes.
+	 * Reads a whole body; its memory counts until `res` closes.
 	 *
 	 * @example
 	 * const body = await reader.read(req, res, 4 * 1024 * 1024);
@@ -53,66 +56,54 @@
 			return err(routerError('bodyTooLarge', `${declaredLength(req)} bytes are over ${limit}`));
 		}
 
-		let held = 0;
-		res.once('close', () => {
-			this.#buffered -= held;
-		});
-		return this.#collect(req, limit, size => {
-			held += size;
-			this.#buffered += size;
-			return this.#buffered <= this.limits.maxBufferedBytes;
-		});
+		const body = await this.#bodies.read(req, res, {maxBytes: limit, timeoutMs: this.limits.bodyTimeoutMs});
+		return 'kind' in body ? err(this.#toError(body, limit)) : ok(body);
+	}
+
+	/** Reads a body of at most `limit` bytes whole; a longer one is returned as a stream of all its bytes, which goes on as `passOn` does. */
+	async readStart(req: IncomingMessage, res: ServerResponse, limit: number): Promise<Result<((signal: AbortSignal) => Readable) | Uint8Array, RouterError>> {
+		const body = await this.#bodies.read(req, res, {maxBytes: limit, timeoutMs: this.limits.bodyTimeoutMs, keepsStart: true});
+		if (!('kind' in body)) {
+			return ok(body);
+		}
+
+		return body.kind === 'long' ? ok(signal => this.passOn(req, signal, body.start)) : err(this.#toError(body, limit));
 	}
 
 	/**
-	 * Passes a body on as it arrives; a pause longer than the timeout, or the signal, ends it with an error.
+	 * Passes a body on as it arrives, behind the bytes that were read of it; a pause longer than the timeout, or the signal, ends it with an error.
 	 * The time in which the reader of the result is slow does not count.
 	 */
-	passOn(req: IncomingMessage, signal: AbortSignal): Readable {
-		return Readable.from(this.#pieces(req, signal), {objectMode: false});
+	passOn(req: IncomingMessage, signal: AbortSignal, start?: Uint8Array): Readable {
+		return Readable.from(this.#pieces(req, signal, start), {objectMode: false});
 	}
 
-	async #collect(req: IncomingMessage, limit: number, hold: (size: number) => boolean): Promise<Result<Uint8Array, RouterError>> {
-		return new Promise(resolve => {
-			const parts: Uint8Array[] = [];
-			let size = 0;
-			const finish = (result: Result<Uint8Array, RouterError>): void => {
-				clearTimeout(timer);
-				req.off('data', take);
-				req.off('end', complete);
-				req.off('close', breakOff);
-				resolve(result);
-			};
-
-			const take = (part: Uint8Array): void => {
-				size += part.length;
-				if (size > limit) {
-					finish(err(routerError('bodyTooLarge', `over ${limit} bytes`)));
-				} else if (hold(part.length)) {
-					parts.push(part);
-				} else {
-					finish(err(routerError('overloaded', 'too many bodies are being read')));
-				}
-			};
+	#toError(failure: BodyFailure, limit: number): RouterError {
+		switch (failure.kind) {
+			case 'long':
+			case 'tooLarge': {
+				return routerError('bodyTooLarge', `over ${limit} bytes`);
+			}
 
-			const complete = (): void => {
-				finish(ok(parts.length === 1 ? parts[0]! : Buffer.concat(parts)));
-			};
+			case 'noRoom': {
+				return routerError('overloaded', 'too many bodies are being read');
+			}
 
-			const breakOff = (): void => {
-				finish(err(routerError('malformedRequest', 'the body ended early')));
-			};
+			case 'late': {
+				return routerError('requestTimeout', `the body took over ${this.limits.bodyTimeoutMs} ms`);
+			}
 
-			const timer = setTimeout(() => {
-				finish(err(routerError('requestTimeout', `the body took over ${this.limits.bodyTimeoutMs} ms`)));
-			}, this.limits.bodyTimeoutMs);
-			req.on('data', take);
-			req.once('end', complete);
-			req.once('close', breakOff);
-		});
+			case 'broken': {
+				return routerError('malformedRequest', 'the body ended early');
+			}
+		}
 	}
 
-	async * #pieces(req: IncomingMessage, signal: AbortSignal): AsyncGenerator<Uint8Array> {
+	async * #pieces(req: IncomingMessage, signal: AbortSignal, start: Uint8Array | undefined): AsyncGenerator<Uint8Array> {
+		if (start !== undefined) {
+			yield start;
+		}
+
 		const iterator = req.iterator({destroyOnReturn: false}) as AsyncIterator<Uint8Array, undefined>;
 		while (true) {
 			// eslint-disable-next-line no-await-in-loop
--- a/packages/daemon/src/entry/plain-handler.ts
+++ b/packages/daemon/src/entry/plain-handler.ts
@@ -51,6 +51,8 @@
 
 const headersOf = (answer: PlainAnswer, requestId: RequestId): string[] => [...answer.headers.flat(), 'x-request-id', requestId];
 
+const toBody = (body: ((signal: AbortSignal) => Readable) | Uint8Array | undefined, signal: AbortSignal): Readable | Uint8Array | undefined => typeof body === 'function' ? body(signal) : body;
+
 /** Takes calls to plain services. */
 export class PlainHandler {
 	#inFlight = 0;
@@ -88,7 +90,7 @@
 
 		const signal = this.#register(res, service, verdict.release);
 		await this.#call({
-			req, res, requestId, target: target.val, signal, body: whole?.val ?? this.parts.bodies.passOn(req, signal),
+			req, res, requestId, target: target.val, signal, body: toBody(whole?.val, signal) ?? this.parts.bodies.passOn(req, signal),
 		});
 	}
 
@@ -105,8 +107,8 @@
 			: err(routerError('unknownService', `service "${name}"`));
 	}
 
-	/** Reads small bodies and those of calls with a key as a whole; others are passed on. */
-	async #readBody(req: IncomingMessage, res: ServerResponse, {service, path}: Target): Promise<Result<Uint8Array, RouterError> | undefined> {
+	/** Reads small bodies and those of calls with a key as a whole, and the start of idempotent calls, which wait for it anyway; others are passed on. */
+	async #readBody(req: IncomingMessage, res: ServerResponse, {service, path}: Target): Promise<Result<((signal: AbortSignal) => Readable) | Uint8Array, RouterError> | undefined> {
 		const length = bodyLength(req);
 		if (length === 0) {
 			return ok(new Uint8Array());
@@ -117,7 +119,11 @@
 			return this.parts.bodies.read(req, res, service.limits.bodyBytes);
 		}
 
-		return length !== undefined && length <= smallBodyBytes ? this.parts.bodies.read(req, res, smallBodyBytes) : undefined;
+		if (length !== undefined) {
+			return length <= smallBodyBytes ? this.parts.bodies.read(req, res, smallBodyBytes) : undefined;
+		}
+
+		return isIdempotentCall(service, req.method!, path) ? this.parts.bodies.readStart(req, res, smallBodyBytes) : undefined;
 	}
 
 	/** Counts the call until its connection closes; the signal ends with it, or when its time is up. */
--- a/packages/daemon/src/gateway/call-body-reader.ts
+++ b/packages/daemon/src/gateway/call-body-reader.ts
@@ -1,52 +1,50 @@
-/** Reads the bodies of callers' calls within limits of size and memory. */
-import {Buffer} from 'node:buffer';
+/** Reads the bodies of callers' calls within limits of size, time and memory. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {routerError} from '@baobabpier/core';
 import type {RouterError} from '@baobabpier/core';
 import {createLog} from '../log.js';
 import {MalformedBodyError} from '../server-connections.js';
-import type {BufferAccount} from '../transport/buffer-account.js';
+import type {BodyBounds, IncomingBodies} from '../transport/incoming-bodies.js';
 
 const log = createLog('callers');
 /** Reads bodies for one listener. */
 export class CallBodyReader {
-	constructor(private readonly buffers: BufferAccount) {}
+	constructor(private readonly bodies: IncomingBodies) {}
 
 	/**
-	 * Reads a complete request body of at most `maxBytes` bytes; its bytes count as buffered until `res` closes.
+	 * Reads a complete request body; its memory counts until `res` closes.
 	 *
 	 * @example
-	 * const body = await reader.read(req, res, 4 * 1024 * 1024);
+	 * const body = await reader.read(req, res, {maxBytes: 4 * 1024 * 1024, timeoutMs: 14_000});
 	 */
-	async read(req: IncomingMessage, res: ServerResponse, maxBytes: number): Promise<Uint8Array | RouterError | 'gone'> {
-		const share = this.buffers.open();
-		res.once('close', () => {
-			share.release();
-		});
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
-		try {
-			for await (const chunk of req as AsyncIterable<Uint8Array>) {
-				bytes += chunk.length;
-				if (bytes > maxBytes) {
-					return routerError('bodyTooLarge', `over ${maxBytes} bytes`);
-				}
+	async read(req: IncomingMessage, res: ServerResponse, bounds: BodyBounds): Promise<Uint8Array | RouterError | 'gone'> {
+		const body = await this.bodies.read(req, res, bounds);
+		if (!('kind' in body)) {
+			return body;
+		}
 
-				if (!share.add(chunk.length)) {
-					return routerError('overloaded', 'too many bytes of bodies are buffered');
-				}
+		switch (body.kind) {
+			case 'long':
+			case 'tooLarge': {
+				return routerError('bodyTooLarge', `over ${bounds.maxBytes} bytes`);
+			}
 
-				chunks.push(chunk);
+			case 'noRoom': {
+				return routerError('overloaded', 'too many bodies are being read');
 			}
-		} catch (error) {
-			if (error instanceof MalformedBodyError) {
-				return routerError('malformedRequest', error.message);
+
+			case 'late': {
+				return routerError('requestTimeout', `the body was not complete within ${Math.round(bounds.timeoutMs)} ms`);
 			}
 
-			log('A caller disconnected before its call was read.', {detail: (error as Error).message, bytes});
-			return 'gone';
-		}
+			case 'broken': {
+				if (body.error instanceof MalformedBodyError) {
+					return routerError('malformedRequest', body.error.message);
+				}
 
-		return Buffer.concat(chunks);
+				log('A caller disconnected before its call was read.', {detail: body.error?.message});
+				return 'gone';
+			}
+		}
 	}
 }
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -4,7 +4,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
-	addMs, costOf, errorResponses, isErrorKind, pickTarget, RouteIndex, routerError, TeamIndex, toErrorBody,
+	addMs, costOf, defaultResourceLimits, errorResponses, isErrorKind, pickTarget, RouteIndex, routerError, TeamIndex, toErrorBody,
 } from '@baobabpier/core';
 import type {
 	Clock, DrainWindow, ErrorKind, ErrorResponse, RandomSource, RouterError, RoutingTable, ServiceName,
@@ -17,6 +17,7 @@
 import type {RelayHeaders} from '../relay/relay-headers.js';
 import type {QuotaOutcome, TeamQuotas} from '../teams/team-quotas.js';
 import {processBuffers} from '../transport/buffer-account.js';
+import {incomingBodies} from '../transport/incoming-bodies.js';
 import {CallBodyReader} from './call-body-reader.js';
 import {CallDrain} from './call-drain.js';
 import type {DrainEffect} from './call-drain.js';
@@ -44,6 +45,10 @@
 const initialLimits = {
 	headerBytes: 16 * 1024, bodyBytes: 4 * 1024 * 1024, headersTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
+/** Time for the body of a call whose caller states no time, and the longest for any, in milliseconds. */
+const maxBodyMs = 30_000;
+/** Least time for a body, in milliseconds: a process that was paused has read nothing of what arrived meanwhile. */
+const minBodyMs = 1000;
 /** Maximum number of relayed calls in progress: the bodies and responses of more would crowd out this instance's own callers. */
 const maxRelayedCalls = 256;
 /** Size of the headers that a relayed call has beside its caller's, in bytes. */
@@ -88,6 +93,8 @@
 	readonly relay: Pick<RelayClient, 'becomesNeeded' | 'isNeeded' | 'send'>;
 	/** Calls that other instances relay here. */
 	readonly relayPort: RelayPortSettings;
+	/** Connections of callers, and as many of other instances; beyond them the oldest one without a request is closed. */
+	readonly maxConnections?: number;
 };
 
 /** How this instance takes relayed calls. */
@@ -107,7 +114,7 @@
 	/** Connections of other instances, with the calls that they relay. */
 	readonly #relayConnections: ServerConnections;
 	readonly #openScopes = new Set<CallScope>();
-	readonly #bodies = new CallBodyReader(processBuffers);
+	readonly #bodies = new CallBodyReader(incomingBodies);
 	readonly #drain: CallDrain;
 	readonly #versions = new VersionGate();
 	#index: {readonly table: RoutingTable; readonly routes: RouteIndex; readonly teams: TeamIndex | undefined} | undefined;
@@ -125,6 +132,10 @@
 		this.#relayConnections = new ServerConnections(createServer({...options, maxHeaderSize: initialLimits.headerBytes + relayHeaderBytes}), (req, res, waitedMs) => {
 			void this.#handleRelayed(req, res, waitedMs);
 		});
+		for (const connections of [this.#connections, this.#relayConnections]) {
+			connections.setMaxConnections(parts.maxConnections ?? defaultResourceLimits.connections);
+		}
+
 		this.#server = this.#connections.server;
 		this.#drain = new CallDrain(parts.clock);
 	}
@@ -247,7 +258,7 @@
 	async #handle(req: IncomingMessage, res: ServerResponse, waitedMs: number, relay?: RelayHeaders): Promise<void> {
 		const arrivedAt = addMs(this.parts.clock.now(), -waitedMs);
 		try {
-			const body = await this.#bodies.read(req, res, this.#index?.table.limits.bodyBytes ?? initialLimits.bodyBytes);
+			const body = await this.#bodies.read(req, res, {maxBytes: this.#index?.table.limits.bodyBytes ?? initialLimits.bodyBytes, timeoutMs: this.#bodyTimeoutMs(req, relay)});
 			if (body === 'gone') {
 				return;
 			}
@@ -264,6 +275,13 @@
 		}
 	}
 
+	/** Time for the body of a call, in milliseconds: as long as its caller waits for the response. */
+	#bodyTimeoutMs(req: IncomingMessage, relay: RelayHeaders | undefined): number {
+		const metadata = this.parts.dialect.parseMetadata(req.headers);
+		const waitMs = relay?.remainingMs ?? (metadata.ok ? metadata.val.callerTimeoutMs : undefined) ?? maxBodyMs;
+		return Math.min(maxBodyMs, Math.max(minBodyMs, waitMs));
+	}
+
 	// eslint-disable-next-line max-params
 	async #route(req: IncomingMessage, res: ServerResponse, body: Uint8Array, arrivedAt: ReturnType<Clock['now']>, relay: RelayHeaders | undefined): Promise<void> {
 		const metadata = this.parts.dialect.parseMetadata(req.headers);
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -3,10 +3,10 @@
 import type {Server} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	addMs, createSeededRandom, digestServerList, ForecastPolicy, hashText, StaticShareMap, toId,
+	addMs, createSeededRandom, defaultResourceLimits, digestServerList, ForecastPolicy, hashText, resourceLimits, StaticShareMap, toId,
 } from '@baobabpier/core';
 import type {
-	DataCentreId, FencingToken, ForecastOptions, InstanceId, ListedServer, ModelService, RoutingDocument, RoutingTable, QuotaTolerance, WindowedRetryBudgetSettings, ServiceName, ShareMap, EngineId,
+	DataCentreId, FencingToken, ForecastOptions, InstanceId, ListedServer, MachineResources, ModelService, RoutingDocument, RoutingTable, QuotaTolerance, WindowedRetryBudgetSettings, ServiceName, ShareMap, EngineId,
 } from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
@@ -15,6 +15,7 @@
 import {PlacementClient} from '../pools/placement-client.js';
 import {PoolHost} from '../pools/pool-host.js';
 import {TeamQuotas} from '../teams/team-quotas.js';
+import {incomingBodies} from '../transport/incoming-bodies.js';
 import {ServerTransport} from '../transport/server-transport.js';
 import {Peers} from '../rpc/peers.js';
 import {ServerConnections} from '../server-connections.js';
@@ -75,6 +76,8 @@
 	/** Shared secret that authenticates peers. */
 	readonly secret: string;
 	readonly secondTries: WindowedRetryBudgetSettings;
+	/** Memory and descriptors of the machine; undefined where they are not known. */
+	readonly resources?: MachineResources | undefined;
 	/** How far requests of a team may exceed its quota; without it no request of such a team is served while no leader decides. */
 	readonly quotaTolerance?: QuotaTolerance | undefined;
 	/** Engine speeds that are assumed until measurements replace them. */
@@ -289,6 +292,8 @@
 	const guard: CrashGuard = new CrashGuard({
 		self: initialSettings.id, clock, peers, leader: () => controlWatch.leader,
 	});
+	const clientLimits = initialSettings.resources === undefined ? defaultResourceLimits : resourceLimits(initialSettings.resources);
+	incomingBodies.setMaxBytes(clientLimits.bodyBytes);
 	const quotas = new TeamQuotas({
 		self: initialSettings.id, clock, random, peers, leader: () => controlWatch.leader, instances: () => controlWatch.entryInstanceCount, tolerance: initialSettings.quotaTolerance, countResult(result) {
 			metrics.countQuota(result);
@@ -305,6 +310,7 @@
 		streams: new StreamRoute({
 			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, origins, path, relay, clock, random,
 		}),
+		maxConnections: clientLimits.connections,
 		metrics,
 		quotas,
 		gate,
@@ -314,6 +320,7 @@
 	const isReady = (): boolean => table !== undefined && fleet.hasList && stopping === undefined && (!path.isCut || relay.hasPartners);
 
 	metrics.registerGauge('calls_in_progress', 'Calls in progress', () => callerListener.inProgress);
+	metrics.registerGauge('request_body_bytes', 'Memory of request bodies', () => incomingBodies.bytes);
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => table?.version ?? 0);
 	metrics.registerGauge('list_age_seconds', 'Age of the list of servers', () => controlWatch.listAgeMs / 1000);
 	metrics.registerGauge('servers_leaving', 'Servers that say that they leave', () => availability.leavingCount);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -41,4 +41,4 @@
 export {breakOff, ServerConnections} from './server-connections.js';
 export type {RequestHandler} from './server-connections.js';
 export {startStructuredLog} from './structured-log.js';
-export {processBuffers} from './transport/buffer-account.js';
+export {incomingBodies} from './transport/incoming-bodies.js';
--- a/packages/daemon/src/listen.ts
+++ b/packages/daemon/src/listen.ts
@@ -10,11 +10,12 @@
 	/** Longest time for a request's headers, in milliseconds. */
 	readonly headersTimeoutMs: number;
 	readonly maxHeaderBytes: number;
-	/** Connections at a time; more are closed at once. */
+	/** Connections at a time; a further one displaces the oldest without a complete request. */
 	readonly maxConnections: number;
 };
 
-const defaultLimits: PortLimits = {headersTimeoutMs: 10_000, maxHeaderBytes: 16 * 1024, maxConnections: 10_000};
+/** Limits of a port that has none of its own. */
+export const defaultPortLimits: PortLimits = {headersTimeoutMs: 10_000, maxHeaderBytes: 16 * 1024, maxConnections: 10_000};
 const timeoutCheckMs = 500;
 
 /** Splits `host:port`. */
@@ -48,14 +49,14 @@
  * @example
  * const connections = await openConnections(app, '127.0.0.1:8001');
  */
-export const openConnections = async (app: H3, address: string, limits: PortLimits = defaultLimits): Promise<ServerConnections> => {
+export const openConnections = async (app: H3, address: string, limits: PortLimits = defaultPortLimits): Promise<ServerConnections> => {
 	const handler = toNodeHandler(app);
 	const connections = new ServerConnections(createServer({
 		headersTimeout: limits.headersTimeoutMs, maxHeaderSize: limits.maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: timeoutCheckMs,
 	}), (req, res) => {
 		void handler(req, res);
 	});
-	connections.server.maxConnections = limits.maxConnections;
+	connections.setMaxConnections(limits.maxConnections);
 	await listenOn(connections.server, address);
 	return connections;
 };
@@ -67,7 +68,7 @@
  * @example
  * const server = await openPort(app, '127.0.0.1:8001');
  */
-export const openPort = async (app: H3, address: string, limits: PortLimits = defaultLimits): Promise<Server> => {
+export const openPort = async (app: H3, address: string, limits: PortLimits = defaultPortLimits): Promise<Server> => {
 	const {server} = await openConnections(app, address, limits);
 	return server;
 };
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -11,6 +11,7 @@
 import {errorResponses, routerError, toErrorBody} from '@baobabpier/core';
 import type {ErrorKind} from '@baobabpier/core';
 import {createLog} from './log.js';
+import {coalesceBody} from './transport/coalesced-body.js';
 
 const log = createLog('connections');
 /** Time that a refused caller has to close its side, in milliseconds. */
@@ -28,6 +29,9 @@
 /** Least time to answer what has arrived by the end of that, in milliseconds: the process may have been paused meanwhile. */
 const minAnswerMs = 100;
 
+/** Number of connections closed to make room that share one log line. */
+const displacedPerLine = 100;
+
 /** Thrown into the body of a request whose further bytes are no part of a request. */
 export class MalformedBodyError extends Error {
 	override readonly name = 'MalformedBodyError';
@@ -110,6 +114,9 @@
 	#opened = 0;
 	#isClosing = false;
 	#stallTimeoutMs = 0;
+	#maxConnections = Number.POSITIVE_INFINITY;
+	/** Connections closed to make room. */
+	#displaced = 0;
 
 	constructor(readonly server: Server, private readonly handler: RequestHandler) {
 		server.on('connection', socket => {
@@ -149,6 +156,14 @@
 		}
 	}
 
+	/**
+	 * Sets how many connections are kept at a time. A further one displaces the oldest one whose request is not complete, so that clients that open
+	 * connections and send nothing on them keep nobody else out; it is closed itself where there is none.
+	 */
+	setMaxConnections(count: number): void {
+		this.#maxConnections = count;
+	}
+
 	/** Whether bytes of a response wait for a caller to read them. */
 	get isSending(): boolean {
 		return [...this.#connections].some(([socket, {exchanges}]) => exchanges.length > 0 && socket.writableLength > 0);
@@ -257,6 +272,11 @@
 
 	#open(socket: Socket): void {
 		this.#opened += 1;
+		if (this.#connections.size >= this.#maxConnections && !this.#displaceOldest()) {
+			socket.destroy();
+			return;
+		}
+
 		const connection: Connection = {openedAt: performance.now(), exchanges: [], refusal: undefined};
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
@@ -267,6 +287,7 @@
 	}
 
 	#receive(req: IncomingMessage, res: ServerResponse): void {
+		coalesceBody(req);
 		const {socket} = req;
 		const connection = this.#connections.get(socket);
 		if (connection === undefined || connection.refusal !== undefined || !socket.writable) {
@@ -296,6 +317,26 @@
 		}
 	}
 
+	/** Closes the oldest connection without a request, or else the oldest whose request is not complete; returns false where there is none. */
+	#displaceOldest(): boolean {
+		const all = [...this.#connections];
+		const displaced = all.find(([, {exchanges}]) => exchanges.length === 0) ?? all.find(([, {exchanges}]) => !exchanges[0]!.req.complete);
+		if (displaced === undefined) {
+			return false;
+		}
+
+		this.#displaced += 1;
+		if (this.#displaced % displacedPerLine === 1) {
+			log('Connections without a complete request are closed, as there are too many.', {connections: this.#connections.size, displaced: this.#displaced});
+		}
+
+		this.#connections.delete(displaced[0]);
+		this.#count(-displaced[1].exchanges.length);
+		displaced[1].exchanges.length = 0;
+		displaced[0].destroy();
+		return true;
+	}
+
 	/** Closes a connection that is idle, or whose caller reads nothing; a response that has nothing to send yet goes on. */
 	#handleTimeout(socket: Socket): void {
 		const connection = this.#connections.get(socket);
