Plain calls avoid servers whose machine is busy at this moment

Cause: the fourth figure of a load report, how long work takes at the server now, was skipped.

Reports without it change nothing.

Not covered: instances that get few responses a second mostly have no fresh report, and placements of streams don't use it. Unit tests only; not measured on a deployment.

--- a/packages/core/src/__tests__/unit/routing.test.ts
+++ b/packages/core/src/__tests__/unit/routing.test.ts
@@ -101,6 +101,8 @@
 		{name: 'another than the one that reports being full', servers: [load('far', {dataCentre: far}), load('near', {reportedLoad: {requests: 12, at: at(900)}})], chosen: 'far'},
 		{name: 'the near one when its report of being full is outdated', servers: [load('far', {dataCentre: far}), load('near', {reportedLoad: {requests: 12, at: at(0)}})], chosen: 'near'},
 		{name: 'one that does not fail', servers: [load('far', {dataCentre: far}), load('near', {failing: 0.4})], chosen: 'far'},
+		{name: 'one whose machine is not busy with other work now', servers: [load('far', {dataCentre: far}), load('near', {slowdown: {factor: 3, at: at(900)}})], chosen: 'far'},
+		{name: 'the near one when its report of a busy machine is outdated', servers: [load('far', {dataCentre: far}), load('near', {slowdown: {factor: 3, at: at(0)}})], chosen: 'near'},
 		{name: 'one that is not slow', servers: [load('far', {dataCentre: far}), load('near', {usualMs: 400})], chosen: 'far'},
 	])('takes $name', ({servers, chosen}) => {
 		expect(chooseServer(servers, near, new Set(), at(1000), 0)?.id).toBe(chosen);
--- a/packages/core/src/routing/choose-server.ts
+++ b/packages/core/src/routing/choose-server.ts
@@ -12,6 +12,8 @@
 	readonly inFlight: number;
 	/** Running and waiting requests that the server reported; undefined without a report. */
 	readonly reportedLoad: {readonly requests: number; readonly at: Instant} | undefined;
+	/** How many times as long as usual work takes at the server now, as it reported; undefined without a report. */
+	readonly slowdown?: {readonly factor: number; readonly at: Instant} | undefined;
 	/** Fraction of this instance's latest calls that failed, from 0 to 1. */
 	readonly failing: number;
 	/** Mean response time, in milliseconds; undefined before the first response. */
@@ -25,17 +27,21 @@
 /** Cost of a server that fails every call, relative to a full server. */
 const failureCost = 4;
 
+/** Servers share their machines with others, so that their speed changes many times a second. */
+const slowdownOf = ({slowdown}: ServerLoad, now: Instant): number => slowdown !== undefined && now - slowdown.at <= reportMaxAgeMs ? slowdown.factor : 1;
+
 /** Cost of sending one more call to a server; lower is better. */
 const costOf = (server: ServerLoad, dataCentre: DataCentreId, fastestMs: number, now: Instant): number => {
 	const reportedRequests = server.reportedLoad !== undefined && now - server.reportedLoad.at <= reportMaxAgeMs ? server.reportedLoad.requests : 0;
 	const load = (Math.max(server.inFlight, reportedRequests) + 1) / Math.max(1, server.slots);
-	const slowness = server.usualMs === undefined ? 1 : Math.max(1, server.usualMs / fastestMs);
+	const slowness = Math.max(server.usualMs === undefined ? 1 : Math.max(1, server.usualMs / fastestMs), slowdownOf(server, now));
 	return (load * slowness) + (slowness > 2 ? slowness / 4 : 0) + (server.dataCentre === dataCentre ? 0 : remoteCost) + (server.failing * failureCost);
 };
 
 /**
  * The server with the lowest expected cost, by own and reported requests, failures, slowness and distance.
- * Handles bursts of calls on few servers, and servers that fail or slow down while their health check passes.
+ * Handles bursts of calls on few servers, servers that fail or slow down while their health check passes, and servers whose machine is
+ * busy with other work at this moment.
  *
  * @example
  * chooseServer(servers, self.dataCentre, new Set(), now, random.next());
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -5,6 +5,7 @@
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {AvailabilityGate} from './availability-gate.js';
+import type {ResponseHead} from './types.js';
 
 const log = createLog('fleet');
 /** Weight of the newest call in the moving averages of the failure rate and the response time. */
@@ -23,6 +24,7 @@
 type ServerStats = {
 	inFlight: number;
 	reportedLoad: ServerLoad['reportedLoad'];
+	slowdown: ServerLoad['slowdown'];
 	failing: number;
 	lastFailureAt: number;
 	usualMs: number | undefined;
@@ -34,6 +36,9 @@
 /** Result of a call as evidence of the server's health; `none` is no evidence. */
 export type CallResult = 'good' | 'failed' | 'unreachable' | 'misplaced' | 'none';
 
+/** What a server says of its load in a response. */
+export type ServerReport = Pick<ResponseHead, 'slowdown'> & {readonly load?: number | undefined};
+
 /** Whether servers take work, by what they say of themselves. */
 export type AvailabilityView = Pick<AvailabilityGate, 'availableInMs' | 'isAvailable' | 'retain'>;
 
@@ -168,12 +173,12 @@
 	}
 
 	/** Counts a call as in progress; returns a function that records its end. */
-	begin(id: BackendId): (result: CallResult, load?: number) => void {
+	begin(id: BackendId): (result: CallResult, report?: ServerReport) => void {
 		const stats = this.#statsOf(id);
 		const startedAt = this.clock.now();
 		stats.inFlight += 1;
 		let isInProgress = true;
-		return (result, load) => {
+		return (result, {load, slowdown} = {}) => {
 			if (!isInProgress) {
 				return;
 			}
@@ -184,6 +189,10 @@
 			if (load !== undefined) {
 				stats.reportedLoad = {requests: load, at: this.clock.now()};
 			}
+
+			if (slowdown !== undefined) {
+				stats.slowdown = {factor: slowdown, at: this.clock.now()};
+			}
 		};
 	}
 
@@ -265,6 +274,7 @@
 			slots: server.slots,
 			inFlight: stats.inFlight,
 			reportedLoad: stats.reportedLoad,
+			slowdown: stats.slowdown,
 			failing: stats.failing * Math.exp(-age / failureDecayMs),
 			usualMs: stats.usualMs,
 		};
@@ -274,7 +284,7 @@
 		let stats = this.#statsById.get(id);
 		if (stats === undefined) {
 			stats = {
-				inFlight: 0, reportedLoad: undefined, failing: 0, lastFailureAt: Number.NEGATIVE_INFINITY, usualMs: undefined, unreachableUntil: 0, consecutiveMisses: 0,
+				inFlight: 0, reportedLoad: undefined, slowdown: undefined, failing: 0, lastFailureAt: Number.NEGATIVE_INFINITY, usualMs: undefined, unreachableUntil: 0, consecutiveMisses: 0,
 			};
 			this.#statsById.set(id, stats);
 		}
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -97,6 +97,8 @@
 	readonly isEncoded: boolean;
 	/** Number of requests running and queued at the server; undefined when it reports none. */
 	readonly load: number | undefined;
+	/** How many times as long as usual work takes at the server now; absent when it reports none. */
+	readonly slowdown?: number | undefined;
 };
 
 /** Translates callers' requests and the error responses to them. */
