Hedged attempts of calls that may be repeated, within a limit

Cause: a safe call was sent to a second server only after six times the usual response time, 250 ms at least, and nothing let operators trade extra work for shorter tails.

Change: with [hedging] in the file of estimates, a safe call whose response takes longer than the mean and some deviations is sent to one more server as well, and the first answer counts. Hedged attempts draw on the operator's fraction of calls and on the retry budget, begin at no server that is busier than 70 %, and are off by default. A slower server is not held to fail for it.

Not measured on a deployment yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -313,6 +313,8 @@
 	RoutingFault,
 	RoutingTable,
 } from './routing/types.js';
+export {HedgingPolicy} from './retries/hedging-policy.js';
+export type {HedgingLimits} from './retries/hedging-policy.js';
 export {costOf, excessOf} from './teams/types.js';
 export type {QuotaTolerance, Team, TeamQuota} from './teams/types.js';
 export {TeamIndex} from './teams/team-index.js';
--- a/packages/daemon/src/__tests__/unit/paused-process.test.ts
+++ b/packages/daemon/src/__tests__/unit/paused-process.test.ts
@@ -103,9 +103,9 @@
 	},
 	{
 		name: 'an attempt beside which another one may begin', async wait(transport) {
-			const attempt = new PlainAttempt(scopeOf(60_000), async ({signal}) => send(transport, signal), timeoutMs);
+			const attempt = new PlainAttempt(scopeOf(60_000), async ({signal}) => send(transport, signal), {silenceMs: timeoutMs});
 			const settled = await Promise.race([attempt.settled, attempt.silence]);
-			return settled?.outcome.kind ?? 'silent';
+			return settled === 'silence' ? 'silent' : settled.outcome.kind;
 		}, result: 'head',
 	},
 	{
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -3,7 +3,7 @@
 import type {Server} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	addMs, createSeededRandom, defaultResourceLimits, digestServerList, ForecastPolicy, hashText, resourceLimits, StaticShareMap, toId,
+	addMs, createSeededRandom, defaultResourceLimits, digestServerList, ForecastPolicy, hashText, HedgingPolicy, resourceLimits, StaticShareMap, toId,
 } from '@baobabpier/core';
 import type {
 	DataCentreId, FencingToken, ForecastOptions, InstanceId, ListedServer, MachineResources, ModelService, RoutingDocument, RoutingTable, QuotaTolerance, WindowedRetryBudgetSettings, ServiceName, ShareMap, EngineId,
@@ -300,12 +300,14 @@
 		},
 	});
 	const retryBudgets = new RetryBudgets(initialSettings.secondTries, clock, initialSettings.isFirstStart, () => controlWatch.entryInstanceCount);
+	const hedgingLimits = initialSettings.estimates.hedging;
+	const hedging = hedgingLimits === undefined ? undefined : new HedgingPolicy(hedgingLimits, random);
 	const callerListener: CallerListener = new CallerListener({
 		clock,
 		random,
 		dialect: dialect.caller,
 		plain: new PlainRoute({
-			dataCentre: initialSettings.dataCentre, fleet, transport, dialect: dialect.server, retryBudgets, guard, path, clock, random,
+			dataCentre: initialSettings.dataCentre, fleet, transport, dialect: dialect.server, retryBudgets, hedging, guard, path, clock, random,
 		}),
 		streams: new StreamRoute({
 			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, origins, path, relay, clock, random,
@@ -320,6 +322,7 @@
 	const isReady = (): boolean => table !== undefined && fleet.hasList && stopping === undefined && (!path.isCut || relay.hasPartners);
 
 	metrics.registerGauge('calls_in_progress', 'Calls in progress', () => callerListener.inProgress);
+	metrics.registerGauge('hedged_attempts', 'Hedged attempts of calls that may be repeated, since the start', () => hedging?.begun ?? 0);
 	metrics.registerGauge('request_body_bytes', 'Memory of request bodies', () => incomingBodies.bytes);
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => table?.version ?? 0);
 	metrics.registerGauge('list_age_seconds', 'Age of the list of servers', () => controlWatch.listAgeMs / 1000);
--- a/packages/daemon/src/gateway/plain-attempt.ts
+++ b/packages/daemon/src/gateway/plain-attempt.ts
@@ -19,31 +19,41 @@
  * An attempt in progress. A silent one goes on: another attempt may begin beside it, and the first answer ends the others.
  *
  * @example
- * const attempt = new PlainAttempt(scope, async control => send(control), 250);
+ * const attempt = new PlainAttempt(scope, async control => send(control), {silenceMs: 250});
  * await Promise.race([attempt.settled, attempt.silence]);
  */
 export class PlainAttempt<Outcome> {
 	readonly settled: Promise<{readonly attempt: PlainAttempt<Outcome>; readonly outcome: Outcome}>;
 	/** Resolves once the server has been silent for too long. */
-	readonly silence: Promise<undefined>;
+	readonly silence: Promise<'silence'>;
+	/** Resolves once the response takes longer than most; never where no hedged attempt may begin. */
+	readonly hedge: Promise<'hedge'>;
 	readonly #abort = new AbortController();
 	#isSuperseded = false;
 	#isSilent = false;
 
-	/** A `silenceMs` of undefined means that no other attempt may begin. */
-	constructor(scope: CallScope, send: (control: AttemptControl) => Promise<Outcome>, silenceMs: number | undefined) {
+	/** A time of undefined means that no other attempt may begin for that reason. */
+	constructor(scope: CallScope, send: (control: AttemptControl) => Promise<Outcome>, {silenceMs, hedgeMs}: {readonly silenceMs: number | undefined; readonly hedgeMs?: number | undefined}) {
 		const abortWithCall = (): void => {
 			this.#abort.abort(scope.signal.reason);
 		};
 
 		scope.signal.addEventListener('abort', abortWithCall, {once: true});
 		let timeout: PolledTimeout | undefined;
+		let hedgeTimeout: PolledTimeout | undefined;
 		this.silence = new Promise(resolve => {
 			timeout = silenceMs === undefined
 				? undefined
 				: startPolledTimeout(silenceMs, () => {
 					this.#isSilent = true;
-					resolve(undefined);
+					resolve('silence');
+				});
+		});
+		this.hedge = new Promise(resolve => {
+			hedgeTimeout = hedgeMs === undefined
+				? undefined
+				: startPolledTimeout(hedgeMs, () => {
+					resolve('hedge');
 				});
 		});
 		const run = async (): Promise<{readonly attempt: PlainAttempt<Outcome>; readonly outcome: Outcome}> => {
@@ -51,6 +61,7 @@
 				return {attempt: this, outcome: await send({signal: this.#abort.signal, isSuperseded: () => this.#isSuperseded, isSilent: () => this.#isSilent})};
 			} finally {
 				timeout?.clear();
+				hedgeTimeout?.clear();
 				scope.signal.removeEventListener('abort', abortWithCall);
 			}
 		};
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -3,7 +3,7 @@
 	chooseServer, routerError, spreadRetryDelay, toId,
 } from '@baobabpier/core';
 import type {
-	BackendId, Clock, DataCentreId, EngineId, ListedServer, RandomSource, RunPhase, ServerLoad, ServiceName,
+	BackendId, Clock, DataCentreId, EngineId, HedgingPolicy, ListedServer, RandomSource, RunPhase, ServerLoad, ServiceName,
 } from '@baobabpier/core';
 import {createLog} from '../log.js';
 import type {PathWatch} from '../relay/path-watch.js';
@@ -43,6 +43,8 @@
 	readonly transport: ServerTransport;
 	readonly dialect: ServerDialect;
 	readonly retryBudgets: RetryBudgets;
+	/** Undefined where the operator allows no extra work. */
+	readonly hedging?: HedgingPolicy | undefined;
 	readonly guard: CrashGuard;
 	readonly path: Pick<PathWatch, 'recordFailure'>;
 	readonly clock: Clock;
@@ -69,6 +71,10 @@
 	/** Serves a call. Returns a `streamed` reply, which is not sent, when the caller has disconnected. */
 	async serve(call: Call, service: ServiceName, scope: CallScope): Promise<Reply> {
 		this.parts.retryBudgets.recordCall(service);
+		if (call.route.kind === 'safe') {
+			this.parts.hedging?.recordCall();
+		}
+
 		const unregister = this.parts.guard.register(call, scope);
 		try {
 			return await this.#serve(call, service, scope);
@@ -79,7 +85,7 @@
 
 	async #serve(call: Call, service: ServiceName, scope: CallScope): Promise<Reply> {
 		const {
-			retryBudgets, fleet, guard, dataCentre, clock, random,
+			retryBudgets, hedging, fleet, guard, dataCentre, clock, random,
 		} = this.parts;
 		const tried = new Set<BackendId>();
 		const open = new Set<PlainAttempt<Outcome>>();
@@ -87,6 +93,8 @@
 		let lastReply: Reply | undefined;
 		/** Whether an attempt may have been executed: a later refusal then says nothing about the call. */
 		let mayHaveRun = false;
+		/** Whether the next attempt is a hedged one, whose credit is taken. */
+		let isHedge = false;
 		while (scope.reason === undefined) {
 			// Attempts begin one after another
 			// eslint-disable-next-line no-await-in-loop
@@ -105,23 +113,40 @@
 			}
 
 			const begun = attempts + open.size;
-			let silence: Promise<undefined> | undefined;
+			let wakes: ReadonlyArray<Promise<'hedge' | 'silence'>> = [];
+			let silence: Promise<'silence'> | undefined;
 			if (load !== undefined && server !== undefined && begun < call.route.maxAttempts && (begun === 0 || retryBudgets.tryAcquire(service))) {
 				tried.add(server.id);
 				const canRetry = call.route.kind === 'safe' && begun + 1 < call.route.maxAttempts;
 				const attempt = new PlainAttempt<Outcome>(scope, async control => {
 					const result = await this.#send(call, server, load, scope, control);
 					return {result, server, load};
-				}, canRetry ? Math.max(minAttemptSilenceMs, attemptSilenceFactor * (load.usualMs ?? 0)) : undefined);
+				}, {silenceMs: canRetry ? Math.max(minAttemptSilenceMs, attemptSilenceFactor * (load.usualMs ?? 0)) : undefined, hedgeMs: canRetry ? hedging?.delayMs(service) : undefined});
 				open.add(attempt);
 				({silence} = attempt);
+				wakes = [attempt.hedge, silence];
 			} else if (open.size === 0) {
 				break;
+			} else if (isHedge) {
+				hedging?.refund();
 			}
 
+			isHedge = false;
+
 			// eslint-disable-next-line no-await-in-loop
-			const settled = await Promise.race([...[...open].map(async attempt => attempt.settled), ...(silence === undefined ? [] : [silence])]);
-			if (settled === undefined) {
+			let settled = await Promise.race([...[...open].map(async attempt => attempt.settled), ...wakes]);
+			if (settled === 'hedge') {
+				isHedge = this.#beginHedge(call, service, tried);
+				if (isHedge) {
+					log('A response takes longer than most; a hedged attempt begins.', {requestId: call.requestId, server: server?.id});
+					continue;
+				}
+
+				// eslint-disable-next-line no-await-in-loop
+				settled = await Promise.race([...[...open].map(async attempt => attempt.settled), silence!]);
+			}
+
+			if (settled === 'silence') {
 				log('A server is silent.', {requestId: call.requestId, server: server?.id, open: open.size});
 				continue;
 			}
@@ -156,6 +181,13 @@
 		return scope.reason === 'quarantined' && lastReply === undefined ? errorReply(routerError('quarantined')) : lastReply ?? errorReply(routerError('noBackend', `no server of ${service} can be reached`, this.#retryAfterMs(call, service)));
 	}
 
+	/** Takes the credit for a hedged attempt at the server that is best for it now; false where there is none, or that server is busy. */
+	#beginHedge(call: Call, service: ServiceName, tried: ReadonlySet<BackendId>): boolean {
+		const {fleet, dataCentre, clock, hedging} = this.parts;
+		const load = chooseServer(fleet.loads(service, isUrgent(call)), dataCentre, tried, clock.now(), 0);
+		return load !== undefined && hedging?.tryBegin(Math.max(load.inFlight, load.reportedLoad?.requests ?? 0) / Math.max(1, load.slots)) === true;
+	}
+
 	/** The reply to the caller when this attempt is the last. */
 	#replyTo(attempt: AttemptResult, call: Call, service: ServiceName, scope: CallScope): Reply {
 		switch (attempt.kind) {
@@ -181,6 +213,7 @@
 	async #send(call: Call, server: ListedServer, load: ServerLoad, scope: CallScope, control: AttemptControl): Promise<AttemptResult> {
 		const {fleet, transport, dialect} = this.parts;
 		const endCall = fleet.begin(server.id);
+		const startedAt = this.parts.clock.now();
 		const response = await transport.sendRequest({
 			kind: 'run', binding: {kind: 'echoed', requestId: call.requestId}, server: server.id, address: server.address, method: call.method, target: call.target, headers: dialect.sendHeaders(call, server, {kind: 'run'}, scope.remainingMs()), body: call.body, signal: control.signal, isUrgent: isUrgent(call),
 		});
@@ -205,11 +238,12 @@
 		}
 
 		if (!head.isNotExecuted) {
+			this.parts.hedging?.recordResponse(server.service, this.parts.clock.now() - startedAt);
 			this.parts.guard.recordComplete(call);
 		}
 
 		this.parts.guard.endTrial(call);
-		endCall(head.isMisdirected ? 'misplaced' : (head.status >= minServerErrorStatus && !head.isNotExecuted ? 'failed' : 'good'), head.load);
+		endCall(head.isMisdirected ? 'misplaced' : (head.status >= minServerErrorStatus && !head.isNotExecuted ? 'failed' : 'good'), head);
 		return head.isNotExecuted ? {kind: 'notRun', isMisdirected: head.isMisdirected} : {kind: 'answer', head, body};
 	}
 
--- a/packages/daemon/src/settings/engine-estimates.ts
+++ b/packages/daemon/src/settings/engine-estimates.ts
@@ -1,6 +1,8 @@
 /** What operators expect of a deployment's engines and calls, until its own calls teach it. */
 import {checkToml} from '@baobabpier/core';
-import type {PrefillSpeed, Result, TomlFault} from '@baobabpier/core';
+import type {
+	HedgingLimits, PrefillSpeed, Result, TomlFault,
+} from '@baobabpier/core';
 import {z} from 'zod';
 
 const positive = z.number().positive();
@@ -12,6 +14,7 @@
 	calls: z.strictObject({
 		promptTokens: positive, outputTokens: positive, streamMs: positive, outputPart: part,
 	}),
+	hedging: z.strictObject({maxFraction: part, deviations: positive.default(3)}).optional(),
 });
 
 /** Checked estimates. */
@@ -30,6 +33,8 @@
 		/** Part of the output tokens that callers allow which running streams hold. */
 		readonly outputPart: number;
 	};
+	/** Extra work for shorter tails; undefined for none. */
+	readonly hedging?: HedgingLimits | undefined;
 };
 
 /**
--- a/packages/daemon/src/transport/incoming-bodies.ts
+++ b/packages/daemon/src/transport/incoming-bodies.ts
@@ -74,7 +74,7 @@
 	}
 
 	/** Returns the bytes in one piece, and the blocks to the pool. */
-	join(): Uint8Array {
+	toBytes(): Uint8Array {
 		const bytes = Buffer.concat(this.#blocks, this.size);
 		this.release();
 		return bytes;
@@ -115,6 +115,11 @@
 			return {kind: 'tooLarge'};
 		}
 
+		// Its connection ended before this reader was asked
+		if (req.destroyed) {
+			return {kind: 'broken', error: undefined};
+		}
+
 		const handle = this.#budget.open(this.clock.now());
 		res.once('close', () => {
 			this.#budget.close(handle);
@@ -137,7 +142,7 @@
 			const take = (chunk: Uint8Array): void => {
 				if (blocks.size + chunk.length > maxBytes) {
 					req.pause();
-					const result: BodyFailure = keepsStart ? {kind: 'long', start: Buffer.concat([blocks.join(','), chunk])} : {kind: 'tooLarge'};
+					const result: BodyFailure = keepsStart ? {kind: 'long', start: Buffer.concat([blocks.toBytes(), chunk])} : {kind: 'tooLarge'};
 					this.#budget.close(handle);
 					finish(result);
 					return;
@@ -151,7 +156,7 @@
 
 			const end = (): void => {
 				this.#budget.complete(handle);
-				finish(blocks.join(','));
+				finish(blocks.toBytes());
 			};
 
 			const fail = (error?: Error): void => {
