--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -456,7 +456,7 @@
 			const cause = detailOf(reply) ?? scope.reason;
 			const write = outcome === 'brokenOff' || outcome === 'cutShort' ? log.warn : log;
 			write('A call ended.', {
-				requestId: call.requestId, route: call.route.name, service, outcome, cause, status: res.statusCode, ms: Math.round(clock.now() - call.arrivedAt), ended: scope.reason, stoppingMs: this.#drain.elapsedMs,
+				requestId: call.requestId, team: call.sender?.team?.name, route: call.route.name, service, outcome, cause, status: res.statusCode, ms: Math.round(clock.now() - call.arrivedAt), ended: scope.reason, stoppingMs: this.#drain.elapsedMs,
 			});
 			metrics.observeCall(call.route.kind, outcome, clock.now() - call.arrivedAt);
 			this.#recordForDrain(call, outcome, cause);
