Quotas: requests larger than any credit, mixed costs, new accounts

Isolated instances now admit by lot for each request, a restarted one starts with nothing, and waits end with their calls.

--- a/packages/core/src/__tests__/unit/teams.test.ts
+++ b/packages/core/src/__tests__/unit/teams.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, test} from 'vitest';
 import {
-	addMs, costOf, createSeededRandom, IsolatedAllowance, ManualClock, QuotaAccount, QuotaTable, TeamIndex, toId, validateRouting,
+	addMs, costOf, createSeededRandom, excessOf, IsolatedAllowance, ManualClock, QuotaAccount, QuotaTable, TeamIndex, toId, validateRouting,
 } from '../../index.js';
 import type {
 	Instant, KeyDigest, RoutingTable, RoutingVersion, Team, TeamName, TeamQuota,
@@ -157,7 +157,7 @@
 const play = ({seconds, instances, leaders, isolated}: Play): {used: number; worst: number} => {
 	const cost = 5070;
 	const random = createSeededRandom(7);
-	const allowances = Array.from({length: instances}, () => new IsolatedAllowance(tolerance, random));
+	const allowances = Array.from({length: instances}, () => new IsolatedAllowance(tolerance, random, {isFirstStart: true}));
 	const sendsPerSecond = (5 * quota.perSecond) / cost;
 	const admitted: Array<{at: number; cost: number}> = [];
 	const tables = leaders.map(({from}) => new QuotaTable([red], tolerance, addMs(startAt, from * 1000)));
@@ -219,6 +219,46 @@
 	expect(granted.every(Boolean)).toBe(isGranted);
 });
 
+test('a request that costs more than is ever granted leaves the account as it is', () => {
+	const table = new QuotaTable([red], tolerance, startAt);
+	const now = addMs(startAt, 60_000);
+	expect(table.take(red.name, 1e12, now)).toMatchObject({kind: 'denied', isCertain: true});
+	expect(table.take(red.name, 200, now).kind).toBe('granted');
+});
+
+test('a quota in requests has no slack in tokens', () => {
+	const slow = team('slow', [], {
+		...quota, unit: 'requests', perSecond: 20, burst: 20,
+	});
+	const table = new QuotaTable([slow], tolerance, startAt);
+	const now = addMs(startAt, 3_600_000);
+	const granted = Array.from({length: 1000}, () => table.take(slow.name, 1, now)).filter(({kind}) => kind === 'granted').length;
+	expect(granted).toBeLessThanOrEqual(((20 * 8) + 20) * 1.1);
+});
+
+test('a new account is certain of its denials after one window at the latest', () => {
+	const account = new QuotaAccount({perSecond: 1, capacity: 1000, windowMs: 8000}, startAt);
+	account.take(9, addMs(startAt, 9000));
+	expect(account.take(5, addMs(startAt, 9000))).toMatchObject({kind: 'denied', isCertain: true});
+});
+
+test.each([
+	{name: 'of one size', costs: [5070, 5070, 5070]},
+	{name: 'of which the first is small', costs: [200, 5070, 5070]},
+	{name: 'that grow', costs: [200, 5070, 60_000]},
+])('77 instances alone admit no more at once than the tolerance leaves, for requests $name', ({costs}) => {
+	const random = createSeededRandom(3);
+	const allowances = Array.from({length: 77}, () => new IsolatedAllowance(tolerance, random, {isFirstStart: true}));
+	const admitted = costs.reduce((sum, cost) => sum + (cost * allowances.filter(allowance => allowance.take(red.name, quota, cost, 77, startAt)).length), 0);
+	expect(admitted).toBeLessThanOrEqual(0.5 * excessOf(quota, tolerance));
+});
+
+test('a restarted instance admits nothing at first', () => {
+	const allowance = new IsolatedAllowance(tolerance, {next: () => 0}, {isFirstStart: false});
+	expect(allowance.take(red.name, quota, 1, 1, startAt)).toBe(false);
+	expect(allowance.take(red.name, quota, 1, 1, addMs(startAt, 1000))).toBe(true);
+});
+
 test('an instance without a tolerance admits nothing alone', () => {
-	expect(new IsolatedAllowance(undefined, createSeededRandom(1)).take(red.name, quota, 1, 1, startAt)).toBe(false);
+	expect(new IsolatedAllowance(undefined, createSeededRandom(1), {isFirstStart: true}).take(red.name, quota, 1, 1, startAt)).toBe(false);
 });
--- a/packages/core/src/teams/isolated-allowance.ts
+++ b/packages/core/src/teams/isolated-allowance.ts
@@ -7,7 +7,7 @@
 
 /**
  * Fraction of the excess that all instances together may start with, and the fraction that they may add in one window. The leader's accounts use
- * a half; a tenth is left, since instances draw their starts at random and may disagree on their number.
+ * a half; a tenth is left, since instances draw at random and may disagree on their number.
  */
 const usedFraction = 0.2;
 
@@ -17,19 +17,19 @@
 };
 
 /**
- * This instance's part of what requests may exceed a quota by. The part of one of many instances is less than a request, so each instance
- * begins in debt by a part of its first request that it draws at random. On average the instances together then admit what their
- * parts add up to.
+ * This instance's part of what requests may exceed a quota by. The part of one of many instances is mostly less than a request, so such a request is
+ * admitted with the probability of the part that it needs, and the part is used up either way. On average the instances together then admit
+ * what their parts add up to.
  *
  * @example
- * const allowance = new IsolatedAllowance(tolerance, random);
+ * const allowance = new IsolatedAllowance(tolerance, random, {isFirstStart: true});
  * allowance.take(team, quota, 5070, 77, now); // Whether the request may be admitted
  */
 export class IsolatedAllowance {
 	readonly #allowances = new Map<TeamName, Allowance>();
 
-	/** Without a tolerance nothing is admitted. */
-	constructor(private readonly tolerance: QuotaTolerance | undefined, private readonly random: RandomSource) {}
+	/** Without a tolerance nothing is admitted. An instance that was restarted starts with nothing, as it may have used its part before. */
+	constructor(private readonly tolerance: QuotaTolerance | undefined, private readonly random: RandomSource, private readonly options: {readonly isFirstStart: boolean}) {}
 
 	/** Takes the allowance for a request; `instances` is the number of instances that share the tolerance. */
 	take(team: TeamName, quota: TeamQuota, cost: number, instances: number, now: Instant): boolean { // eslint-disable-line max-params
@@ -38,17 +38,19 @@
 		}
 
 		const {windowMs} = this.tolerance;
-		const part = usedFraction * excessOf(quota, this.tolerance) / Math.max(1, instances);
-		const allowance = this.#allowances.get(team) ?? {level: part - (this.random.next() * cost), filledAt: now};
-		allowance.level = Math.min(part, allowance.level + (part * Math.max(0, now - allowance.filledAt) / windowMs));
-		allowance.filledAt = now;
-		this.#allowances.set(team, allowance);
-		if (allowance.level <= 0) {
+		const all = usedFraction * excessOf(quota, this.tolerance);
+		if (cost > all) {
 			return false;
 		}
 
-		allowance.level -= cost;
-		return true;
+		const part = all / Math.max(1, instances);
+		const allowance = this.#allowances.get(team) ?? {level: this.options.isFirstStart ? part : 0, filledAt: now};
+		this.#allowances.set(team, allowance);
+		allowance.level = Math.min(part, allowance.level + (part * Math.max(0, now - allowance.filledAt) / windowMs));
+		allowance.filledAt = now;
+		const isAdmitted = this.random.next() * cost < allowance.level;
+		allowance.level = Math.max(0, allowance.level - cost);
+		return isAdmitted;
 	}
 
 	/** Forgets teams that the configuration dropped. */
--- a/packages/core/src/teams/quota-table.ts
+++ b/packages/core/src/teams/quota-table.ts
@@ -77,6 +77,7 @@
 	}
 
 	#limitsOf(quota: TeamQuota): AccountLimits {
-		return {perSecond: quota.perSecond, capacity: quota.burst + (this.tolerance === undefined ? 0 : capacityFraction * excessOf(quota, this.tolerance))};
+		const {tolerance} = this;
+		return {perSecond: quota.perSecond, capacity: quota.burst + (tolerance === undefined ? 0 : capacityFraction * excessOf(quota, tolerance)), windowMs: tolerance?.windowMs};
 	}
 }
--- a/packages/core/src/teams/types.ts
+++ b/packages/core/src/teams/types.ts
@@ -29,7 +29,7 @@
 	readonly windowMs: number;
 	/** Relative excess. */
 	readonly overshoot: number;
-	/** Excess beyond that, in tokens for a quota in tokens and in requests for another one. */
+	/** Excess beyond that, in tokens; a quota in requests has none. */
 	readonly slack: number;
 };
 
@@ -39,7 +39,7 @@
  * @example
  * excessOf({unit: 'tokens', perSecond: 1000, burst: 2000, plainTokens: 200}, {windowMs: 8000, overshoot: 0.1, slack: 500}); // 1500
  */
-export const excessOf = ({perSecond, burst}: TeamQuota, {windowMs, overshoot, slack}: QuotaTolerance): number => (overshoot * ((perSecond * windowMs / 1000) + burst)) + slack;
+export const excessOf = ({unit, perSecond, burst}: TeamQuota, {windowMs, overshoot, slack}: QuotaTolerance): number => (overshoot * ((perSecond * windowMs / 1000) + burst)) + (unit === 'tokens' ? slack : 0);
 
 /**
  * The cost of a request under a quota.
--- a/packages/daemon/src/__tests__/unit/team-quotas.test.ts
+++ b/packages/daemon/src/__tests__/unit/team-quotas.test.ts
@@ -19,7 +19,7 @@
 const usedUp: QuotaAnswer = {kind: 'denied', availableInMs: 700, isCertain: true};
 const unsure: QuotaAnswer = {kind: 'denied', availableInMs: 60, isCertain: false};
 /** A tolerance so large that an instance alone admits every request of a test. */
-const wide: QuotaTolerance = {windowMs: 8000, overshoot: 100, slack: 1_000_000};
+const ampleTolerance: QuotaTolerance = {windowMs: 8000, overshoot: 100, slack: 1_000_000};
 
 type Case = {
 	readonly name: string;
@@ -50,14 +50,14 @@
 		}),
 	} as unknown as Peers;
 	const quotas = new TeamQuotas({
-		self: toId<InstanceId>('e1'), clock: monotonicClock, random: createSeededRandom(1), peers, leader: () => leader === undefined ? undefined : toId<InstanceId>(leader), instances: () => 1, tolerance, countResult(result) {
+		self: toId<InstanceId>('e1'), clock: monotonicClock, random: createSeededRandom(1), peers, leader: () => leader === undefined ? undefined : toId<InstanceId>(leader), instances: () => 1, isFirstStart: true, tolerance, countResult(result) {
 			results.push(result);
 		},
 	});
 	return {quotas, calls, results};
 };
 
-const scopeOf = (remainingMs: number): QuotaScope => ({reason: undefined, remainingMs: () => remainingMs});
+const scopeOf = (remainingMs: number): QuotaScope => ({reason: undefined, signal: new AbortController().signal, remainingMs: () => remainingMs});
 
 test.each<Case>([
 	{
@@ -82,10 +82,10 @@
 		name: 'is refused, not denied, where the leader stays silent', answers: ['silent'], leader: 'c1', remainingMs: 300, outcome: {kind: 'unavailable', retryAfterMs: undefined}, results: ['unavailable'],
 	},
 	{
-		name: 'is served from the tolerance where the leader is silent', answers: ['silent'], leader: 'c1', tolerance: wide, outcome: {kind: 'granted'}, results: ['isolated'],
+		name: 'is served from the tolerance where the leader is silent', answers: ['silent'], leader: 'c1', tolerance: ampleTolerance, outcome: {kind: 'granted'}, results: ['isolated'],
 	},
 	{
-		name: 'is served from the tolerance where no leader is known', answers: [], leader: undefined, tolerance: wide, outcome: {kind: 'granted'}, results: ['isolated'],
+		name: 'is served from the tolerance where no leader is known', answers: [], leader: undefined, tolerance: ampleTolerance, outcome: {kind: 'granted'}, results: ['isolated'],
 	},
 ])('a request $name', async ({answers, leader, tolerance, remainingMs = 1000, outcome, results}) => {
 	const harness = start({answers, leader, tolerance});
@@ -94,7 +94,7 @@
 });
 
 test('a request that was not run returns its credit to the leader, and one served alone returns none', async () => {
-	const harness = start({answers: [granted, 'silent'], leader: 'c1', tolerance: wide});
+	const harness = start({answers: [granted, 'silent'], leader: 'c1', tolerance: ampleTolerance});
 	const outcomes = [await harness.quotas.acquire(team, quota, 500, scopeOf(1000)), await harness.quotas.acquire(team, quota, 500, scopeOf(1000))];
 	expect(outcomes.map(({kind}) => kind)).toEqual(['granted', 'granted']);
 	for (const outcome of outcomes) {
@@ -107,7 +107,7 @@
 });
 
 test('requests beside one that found the leader silent do not ask it as well', async () => {
-	const harness = start({answers: ['silent'], leader: 'c1', tolerance: wide});
+	const harness = start({answers: ['silent'], leader: 'c1', tolerance: ampleTolerance});
 	await Promise.all([1, 2, 3].map(async () => harness.quotas.acquire(team, quota, 500, scopeOf(1000))));
 	const asked = harness.calls.length;
 	await harness.quotas.acquire(team, quota, 500, scopeOf(1000));
--- a/packages/daemon/src/control-node/watch-server.ts
+++ b/packages/daemon/src/control-node/watch-server.ts
@@ -109,7 +109,7 @@
 
 	#recordEntry({instance, relay}: WatchParams): void {
 		const before = this.#entries.get(instance)?.relay;
-		if (before?.isTaking !== relay?.isTaking || before?.address !== relay?.address) {
+		if (before?.isTaking !== relay?.isTaking || before?.address !== relay?.address || before?.knowsTeams !== relay?.knowsTeams) {
 			this.#partners.clear();
 		}
 
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -295,7 +295,7 @@
 	const clientLimits = initialSettings.resources === undefined ? defaultResourceLimits : resourceLimits(initialSettings.resources);
 	incomingBodies.setMaxBytes(clientLimits.bodyBytes);
 	const quotas = new TeamQuotas({
-		self: initialSettings.id, clock, random, peers, leader: () => controlWatch.leader, instances: () => controlWatch.entryInstanceCount, tolerance: initialSettings.quotaTolerance, countResult(result) {
+		self: initialSettings.id, clock, random, peers, leader: () => controlWatch.leader, instances: () => controlWatch.entryInstanceCount, isFirstStart: initialSettings.isFirstStart, tolerance: initialSettings.quotaTolerance, countResult(result) {
 			metrics.countQuota(result);
 		},
 	});
--- a/packages/daemon/src/storage/file-system.ts
+++ b/packages/daemon/src/storage/file-system.ts
@@ -1,8 +1,10 @@
 /** The few file operations that the storage needs, so that tests can make them fail. */
 import {
-	mkdir, open, readdir, readFile, rename, rm,
+	chmod, mkdir, open, readdir, readFile, rename, rm,
 } from 'node:fs/promises';
+import {createLog} from '../log.js';
 
+const log = createLog('storage');
 /** A file open for appending. */
 export type AppendFile = {
 	/** Appends bytes; they last only after `sync`. */
@@ -34,6 +36,12 @@
 export const nodeFileSystem: FileSystem = {
 	async makeFolder(folder) {
 		await mkdir(folder, {recursive: true, mode: folderMode});
+		try {
+			// A folder of an earlier version
+			await chmod(folder, folderMode);
+		} catch (error) {
+			log('The mode of the data folder can\'t be changed; others may read its files.', {folder, detail: (error as Error).message});
+		}
 	},
 	async list(folder) {
 		return readdir(folder);
--- a/packages/daemon/src/teams/team-quotas.ts
+++ b/packages/daemon/src/teams/team-quotas.ts
@@ -31,6 +31,7 @@
 /** The part of a call's scope that a wait needs. */
 export type QuotaScope = {
 	readonly reason: unknown;
+	readonly signal: AbortSignal;
 	remainingMs(): number;
 };
 
@@ -46,11 +47,22 @@
 	readonly leader: () => InstanceId | undefined;
 	/** Number of entry instances that share the tolerance. */
 	readonly instances: () => number;
+	/** Whether no earlier incarnation of this instance can have used the tolerance. */
+	readonly isFirstStart: boolean;
 	/** Undefined where nothing may be served without the leader. */
 	readonly tolerance: QuotaTolerance | undefined;
 	readonly countResult: (result: QuotaResult) => void;
 };
 
+/** Resolves after a time, or once the call has ended. */
+const waitFor = async (ms: number, signal: AbortSignal): Promise<void> => {
+	try {
+		await sleep(ms, undefined, {signal});
+	} catch {
+		// The caller of this function finds by the scope that the call has ended
+	}
+};
+
 const noRefund = (): void => {
 	// Nothing was taken from the leader
 };
@@ -67,7 +79,7 @@
 	#silentLeader: InstanceId | undefined;
 
 	constructor(private readonly parts: TeamQuotasParts) {
-		this.#allowance = new IsolatedAllowance(parts.tolerance, parts.random);
+		this.#allowance = new IsolatedAllowance(parts.tolerance, parts.random, parts);
 	}
 
 	/** Takes note of the teams of a new configuration. */
@@ -119,7 +131,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await sleep(waitMs);
+			await waitFor(waitMs, scope.signal);
 		}
 
 		return {kind: 'unavailable', retryAfterMs: undefined};
