Request bodies: pipelined requests, pauses, displaced connections

Free blocks are bounded, idle connections are displaced last, and a body may take as long as its caller waits, up to two minutes.

--- a/packages/core/src/transport/body-budget.ts
+++ b/packages/core/src/transport/body-budget.ts
@@ -79,12 +79,12 @@
 
 	#findVictim(now: Instant): BodyHandle | undefined {
 		let victim: BodyHandle | undefined;
-		let most = -1;
+		let most = {cost: -1, bytes: 0};
 		for (const [handle, {bytes, isOpen}] of this.#bodies) {
 			const cost = bytes * (now - handle.openedAt);
-			if (isOpen && cost > most) {
+			if (isOpen && bytes > 0 && (cost > most.cost || (cost === most.cost && bytes > most.bytes))) {
 				victim = handle;
-				most = cost;
+				most = {cost, bytes};
 			}
 		}
 
--- a/packages/core/src/transport/resource-limits.ts
+++ b/packages/core/src/transport/resource-limits.ts
@@ -29,8 +29,8 @@
 const minBodyBytes = 5 * mebibyte;
 const minConnections = 128;
 
-/** Bounds where nothing is known of the machine: those of one with 178 MB and 4,100 descriptors. */
-export const defaultResourceLimits: ResourceLimits = {bodyBytes: 10 * mebibyte, connections: 330};
+/** Bounds where nothing is known of the machine: the connections of one with 178 MB, and memory for the largest configuration. */
+export const defaultResourceLimits: ResourceLimits = {bodyBytes: 17 * mebibyte, connections: 330};
 
 /**
  * The bounds for a machine.
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -123,6 +123,8 @@
 	}
 }
 
+/** Memory for request bodies on a small machine, in bytes: a configuration may have 16 MiB. */
+const minBodyBytes = 17 * 1024 * 1024;
 /** One array, so that the quotas see no change where there are none. */
 const noTeams: readonly Team[] = [];
 
@@ -281,7 +283,7 @@
 	};
 
 	const clientLimits = first.resources === undefined ? defaultResourceLimits : resourceLimits(first.resources);
-	incomingBodies.setMaxBytes(clientLimits.bodyBytes);
+	incomingBodies.setMaxBytes(Math.max(minBodyBytes, clientLimits.bodyBytes));
 	const peerPort = await openPort(rpc.app, first.listen.peers, {...defaultPortLimits, maxConnections: clientLimits.connections});
 	const metricsPort = await serveMetrics(metrics.registry, first.listen.metrics);
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => control.state.routing.current?.version ?? 0);
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -45,8 +45,10 @@
 const initialLimits = {
 	headerBytes: 16 * 1024, bodyBytes: 4 * 1024 * 1024, headersTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
-/** Time for the body of a call whose caller states no time, and the longest for any, in milliseconds. */
-const maxBodyMs = 30_000;
+/** Time for the body of a call whose caller states no time, in milliseconds. */
+const usualBodyMs = 30_000;
+/** Longest time for a body, in milliseconds: 4 MiB at a third of a megabit a second. */
+const maxBodyMs = 120_000;
 /** Least time for a body, in milliseconds: a process that was paused has read nothing of what arrived meanwhile. */
 const minBodyMs = 1000;
 /** Maximum number of relayed calls in progress: the bodies and responses of more would crowd out this instance's own callers. */
@@ -278,7 +280,7 @@
 	/** Time for the body of a call, in milliseconds: as long as its caller waits for the response. */
 	#bodyTimeoutMs(req: IncomingMessage, relay: RelayHeaders | undefined): number {
 		const metadata = this.parts.dialect.parseMetadata(req.headers);
-		const waitMs = relay?.remainingMs ?? (metadata.ok ? metadata.val.callerTimeoutMs : undefined) ?? maxBodyMs;
+		const waitMs = relay?.remainingMs ?? (metadata.ok ? metadata.val.callerTimeoutMs : undefined) ?? usualBodyMs;
 		return Math.min(maxBodyMs, Math.max(minBodyMs, waitMs));
 	}
 
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -29,7 +29,9 @@
 /** Least time to answer what has arrived by the end of that, in milliseconds: the process may have been paused meanwhile. */
 const minAnswerMs = 100;
 
-/** Number of connections closed to make room that share one log line. */
+/** Requests of a connection that may wait for the responses before them: callers rarely send more than a few ahead. */
+const maxWaitingRequests = 16;
+/** Number of connections closed to make room that share one log line, so that a crowd does not fill the log. */
 const displacedPerLine = 100;
 
 /** Thrown into the body of a request whose further bytes are no part of a request. */
@@ -50,6 +52,8 @@
 
 type Connection = {
 	readonly openedAt: number;
+	/** Whether a request has come. */
+	isUsed: boolean;
 	/** Requests whose responses have not been sent completely; only the first one has reached the handler. */
 	readonly exchanges: Exchange[];
 	/** Why the bytes after the last request were refused. */
@@ -277,7 +281,9 @@
 			return;
 		}
 
-		const connection: Connection = {openedAt: performance.now(), exchanges: [], refusal: undefined};
+		const connection: Connection = {
+			openedAt: performance.now(), isUsed: false, exchanges: [], refusal: undefined,
+		};
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
@@ -300,6 +306,15 @@
 			socket.setTimeout(this.#stallTimeoutMs);
 		}
 
+		connection.isUsed = true;
+		if (connection.exchanges.length >= maxWaitingRequests) {
+			// What waits is held in memory, and no reader bounds it
+			log('A connection sends too many requests ahead; the further ones are refused.', {waiting: connection.exchanges.length});
+			connection.refusal = 'overloaded';
+			socket.pause();
+			return;
+		}
+
 		const exchange = {
 			req, res, receivedAt: performance.now(), announcedIdleMs: this.server.keepAliveTimeout,
 		};
@@ -317,10 +332,10 @@
 		}
 	}
 
-	/** Closes the oldest connection without a request, or else the oldest whose request is not complete; returns false where there is none. */
+	/** Closes the oldest connection that has sent no request, or else the oldest whose request is not complete, or else the oldest idle one; returns false where there is none. */
 	#displaceOldest(): boolean {
 		const all = [...this.#connections];
-		const displaced = all.find(([, {exchanges}]) => exchanges.length === 0) ?? all.find(([, {exchanges}]) => !exchanges[0]!.req.complete);
+		const displaced = all.find(([, {isUsed}]) => !isUsed) ?? all.find(([, {exchanges: [first]}]) => first !== undefined && !first.req.complete && !first.res.headersSent) ?? all.find(([, {exchanges}]) => exchanges.length === 0);
 		if (displaced === undefined) {
 			return false;
 		}
--- a/packages/daemon/src/transport/coalesced-body.ts
+++ b/packages/daemon/src/transport/coalesced-body.ts
@@ -74,6 +74,17 @@
 		return mayPush;
 	};
 
+	const take = req.read.bind(req);
+	// A paused reader that has emptied its buffer asks for no more bytes where some are on their way
+	req.read = (bytes?: number): unknown => {
+		const chunk: unknown = take(bytes);
+		if (req.readableLength === 0) {
+			flush();
+		}
+
+		return chunk;
+	};
+
 	req._read = bytes => {
 		mayPush = true;
 		flush();
--- a/packages/daemon/src/transport/incoming-bodies.ts
+++ b/packages/daemon/src/transport/incoming-bodies.ts
@@ -34,12 +34,19 @@
 class BlockPool {
 	readonly #free: Uint8Array[] = [];
 
+	/** Bodies with a bound of `maxBytes` leave at most half as much behind. */
+	constructor(private readonly maxBytes: () => number) {}
+
 	take(): Uint8Array {
 		return this.#free.pop() ?? Buffer.allocUnsafeSlow(blockBytes);
 	}
 
 	give(blocks: readonly Uint8Array[]): void {
-		this.#free.push(...blocks.filter(({length}) => length === blockBytes));
+		for (const block of blocks) {
+			if (block.length === blockBytes && this.#free.length * blockBytes < this.maxBytes() / 2) {
+				this.#free.push(block);
+			}
+		}
 	}
 }
 
@@ -94,11 +101,12 @@
  */
 export class IncomingBodies {
 	readonly #budget: BodyBudget;
-	readonly #pool = new BlockPool();
+	readonly #pool: BlockPool;
 	readonly #cancels = new Map<BodyHandle, () => void>();
 
-	constructor(maxBytes: number, private readonly clock: Clock = monotonicClock) {
+	constructor(private maxBytes: number, private readonly clock: Clock = monotonicClock) {
 		this.#budget = new BodyBudget(maxBytes);
+		this.#pool = new BlockPool(() => this.maxBytes);
 	}
 
 	/** Memory of all bodies, in bytes. */
@@ -107,6 +115,7 @@
 	}
 
 	setMaxBytes(maxBytes: number): void {
+		this.maxBytes = maxBytes;
 		this.#budget.setMaxBytes(maxBytes);
 	}
 
