Order of placements: starvation, turns of priorities, cost

Faults found in review, each with a test that failed before: with two teams small requests overtook a large prompt without end; with three priorities the lower ones were served 0.91 of what they asked for and the first 0.68; a priority kept a turn for requests that had expired; deferred requests waited behind less urgent ones. A lower priority now gets a turn only while it is served no better.

--- a/packages/core/src/__tests__/unit/fair-lane.test.ts
+++ b/packages/core/src/__tests__/unit/fair-lane.test.ts
@@ -71,6 +71,69 @@
 		expect(placeAll(queue, ({priority}) => String(priority)).indexOf('9')).toBeLessThanOrEqual(10);
 	});
 
+	test('a large prompt is overtaken a limited number of times, also where two teams wait', () => {
+		const heads = ['a', 'b'].map(team => request({team, pieces: 9}));
+		const queue = queueOf(heads);
+		let overtaken = 0;
+		for (let round = 0; round < 100; round++) {
+			queue.push(request({team: round % 2 === 0 ? 'a' : 'b', pieces: 1}));
+			const head = queue.peek()!;
+			const smaller = head.pieces === 9 ? queue.findSmaller(head) : undefined;
+			if (smaller !== undefined) {
+				queue.recordBypass(head);
+				queue.dequeue(smaller);
+				overtaken += 1;
+			}
+		}
+
+		expect(overtaken).toBeLessThanOrEqual(16);
+	});
+
+	test('a priority whose requests expired gets no turn before a more urgent one', () => {
+		const queue = queueOf([request({priority: 2, seconds: 1}), ...Array.from({length: 9}, () => request({priority: 0}))]);
+		placeAll(queue, () => '', 9);
+		queue.removeExpired(addMs(startAt, 2000));
+		for (const priority of [2, 0]) {
+			queue.push(request({priority}));
+		}
+
+		expect(queue.peek()?.priority).toBe(0);
+	});
+
+	test('a deferred request goes before less urgent ones, and behind its equals', () => {
+		const late = request({priority: 1});
+		const queue = queueOf([late, request({priority: 1}), request({priority: 2})]);
+		queue.defer(late);
+		expect(placeAll(queue, req => req === late ? 'late' : String(req.priority))).toEqual(['1', 'late', '2']);
+	});
+
+	test.each([
+		{name: 'the first asks for more than there is', demand: [12, 1, 1]},
+		{name: 'all ask for more than there is together', demand: [6, 6, 6]},
+	])('no priority is served by over 5 in 100 less often than a less urgent one where $name', ({demand}) => {
+		const queue = new PlacementQueue();
+		const placed = demand.map(() => 0);
+		const steps = 400;
+		for (let step = 0; step < steps; step++) {
+			for (const [priority, count] of demand.entries()) {
+				for (let index = 0; index < count; index++) {
+					queue.push(request({priority, seconds: step + 5}));
+				}
+			}
+
+			queue.removeExpired(addMs(startAt, step * 1000));
+			for (const priority of placeAll(queue, req => String(req.priority), 10)) {
+				placed[Number(priority)]! += 1;
+			}
+		}
+
+		const parts = demand.map((count, priority) => placed[priority]! / (count * steps));
+		for (const [priority, part] of parts.slice(1).entries()) {
+			expect(part).toBeLessThanOrEqual(parts[priority]! + 0.05);
+			expect(part).toBeGreaterThan(0);
+		}
+	});
+
 	test('a small request overtakes a large one of its own priority only', () => {
 		const head = request({priority: 0, pieces: 9});
 		const queue = queueOf([head, request({priority: 1, pieces: 1}), request({priority: 0, pieces: 3})]);
--- a/packages/core/src/placement/fair-lane.ts
+++ b/packages/core/src/placement/fair-lane.ts
@@ -3,8 +3,12 @@
 import {holdKey} from './hold-table.js';
 import type {PlacementRequest} from './types.js';
 
-/** Maximum number of requests placed in a row before one of a less urgent priority that waits. */
-const maxConsecutive = 9;
+/** Number of placements after which a less urgent priority may get one: one in ten costs the others little. */
+const placementsBetweenTurns = 9;
+/** Number of requests after which the counts of a priority are halved, so that they follow the load of the last seconds. */
+const countedRequests = 64;
+/** Teams without requests that are remembered beside as many that have some. */
+const idleTeams = 64;
 
 type TeamQueue = {
 	readonly requests: Map<string, PlacementRequest>;
@@ -15,11 +19,17 @@
 };
 
 type PriorityQueue = {
+	readonly priority: number;
 	readonly teams: Map<TeamName | undefined, TeamQueue>;
 	/** Virtual time of the last request placed, at which teams that had nothing waiting start. */
 	virtualTime: number;
-	/** Requests of more urgent priorities that were placed since one of this priority was. */
-	skipped: number;
+	/** Requests that wait, their prompt tokens, and teams that have some. */
+	size: number;
+	tokens: number;
+	waitingTeams: number;
+	/** Requests that were added and placed lately. */
+	added: number;
+	placed: number;
 };
 
 /** What decides on the place of a request in the queue. */
@@ -30,8 +40,9 @@
 
 /**
  * Orders requests by start-time fair queueing: each priority before the next, and in a priority each team by the memory that it has got so far.
- * A team that waits alone gets everything, and a team that had nothing waiting saves nothing up. All teams have the same share, so that the one that
- * sends most waits first. Without priorities and teams the order is first come, first served.
+ * A team that waits alone gets everything, and a team without requests builds up no claim. All teams have the same share, so that the one that
+ * sends most waits first. A less urgent priority that waits gets one placement in ten, as long as it is served no better than the most urgent
+ * one. Without priorities and teams the order is first come, first served.
  *
  * @see Goyal, Vin and Cheng, "Start-time fair queueing", 1996.
  * @example
@@ -42,6 +53,8 @@
 export class FairLane {
 	readonly #priorities = new Map<number, PriorityQueue>();
 	readonly #byKey = new Map<string, PlacementRequest>();
+	/** Placements since one of a less urgent priority, while such a one waits. */
+	#sinceTurn = 0;
 
 	get size(): number {
 		return this.#byKey.size;
@@ -49,7 +62,12 @@
 
 	/** Prompt tokens of all requests. */
 	get tokens(): number {
-		return [...this.#priorities.values()].reduce((sum, queue) => sum + sumOf(queue), 0);
+		let tokens = 0;
+		for (const queue of this.#priorities.values()) {
+			tokens += queue.tokens;
+		}
+
+		return tokens;
 	}
 
 	has(key: string): boolean {
@@ -58,13 +76,23 @@
 
 	add(req: PlacementRequest): void {
 		const queue = this.#queueOf(req);
-		const team = this.#teamOf(queue, req);
+		const team = queue.teams.get(req.team) ?? {requests: new Map<string, PlacementRequest>(), tokens: 0, virtualTime: queue.virtualTime};
+		queue.teams.set(req.team, team);
 		if (team.requests.size === 0) {
 			team.virtualTime = Math.max(team.virtualTime, queue.virtualTime);
+			queue.waitingTeams += 1;
 		}
 
 		team.requests.set(holdKey(req), req);
 		team.tokens += req.promptTokens;
+		queue.size += 1;
+		queue.tokens += req.promptTokens;
+		queue.added += 1;
+		if (queue.added > countedRequests) {
+			queue.added /= 2;
+			queue.placed /= 2;
+		}
+
 		this.#byKey.set(holdKey(req), req);
 	}
 
@@ -77,11 +105,18 @@
 
 		this.#byKey.delete(key);
 		const queue = this.#queueOf(req);
-		const team = this.#teamOf(queue, req);
+		const team = queue.teams.get(req.team)!;
 		team.requests.delete(key);
 		team.tokens -= req.promptTokens;
-		if (team.requests.size === 0 && team.virtualTime <= queue.virtualTime) {
-			queue.teams.delete(req.team);
+		queue.size -= 1;
+		queue.tokens -= req.promptTokens;
+		if (team.requests.size === 0) {
+			queue.waitingTeams -= 1;
+			this.#forgetIdle(queue);
+		}
+
+		if (this.#lessUrgent() === undefined) {
+			this.#sinceTurn = 0;
 		}
 	}
 
@@ -93,35 +128,49 @@
 		}
 
 		const queue = this.#queueOf(req);
-		const team = this.#teamOf(queue, req);
+		const team = queue.teams.get(req.team)!;
+		const mostUrgent = this.#mostUrgent();
+		const isTurn = queue !== mostUrgent && this.first() === req;
 		queue.virtualTime = Math.max(queue.virtualTime, team.virtualTime);
-		queue.skipped = 0;
 		team.virtualTime += req.pieces;
-		for (const [priority, other] of this.#priorities) {
-			if (priority > (req.priority ?? defaultPriority) && isWaiting(other)) {
-				other.skipped += 1;
-			}
-		}
-
+		// Of teams that have got the same, the one placed least recently goes first
+		queue.teams.delete(req.team);
+		queue.teams.set(req.team, team);
+		queue.placed += 1;
+		this.#sinceTurn = isTurn ? 0 : this.#sinceTurn + 1;
 		this.remove(key);
-		this.#forgetIdle(queue);
 	}
 
 	/** The request to place next. */
 	first(): PlacementRequest | undefined {
-		const waiting = this.#waiting();
-		const queue = waiting.find(([, {skipped}]) => skipped >= maxConsecutive) ?? waiting[0];
-		const team = queue === undefined ? undefined : sortedTeams(queue[1])[0];
-		return team?.requests.values().next().value;
+		const mostUrgent = this.#mostUrgent();
+		const lessUrgent = this.#sinceTurn >= placementsBetweenTurns ? this.#lessUrgent() : undefined;
+		const queue = lessUrgent !== undefined && servedPart(lessUrgent) <= servedPart(mostUrgent!) ? lessUrgent : mostUrgent;
+		return queue === undefined ? undefined : nextTeam(queue)?.requests.values().next().value;
 	}
 
-	/** All requests, about in the order in which they are placed. */
-	* values(): Iterable<PlacementRequest> {
-		for (const [, queue] of this.#waiting()) {
-			for (const {requests} of sortedTeams(queue)) {
-				yield * requests.values();
-			}
+	/** Requests of one priority, at most `count`: the first ones of each team before the second ones. */
+	candidates(priority: number | undefined, count: number): readonly PlacementRequest[] {
+		const queue = this.#priorities.get(priority ?? defaultPriority);
+		const found: PlacementRequest[] = [];
+		let waiting = [...queue?.teams.values() ?? []].filter(({requests}) => requests.size > 0).slice(0, count).map(({requests}) => requests.values());
+		while (waiting.length > 0 && found.length < count) {
+			waiting = waiting.filter(requests => {
+				const next = requests.next();
+				if (next.done !== true && found.length < count) {
+					found.push(next.value);
+				}
+
+				return next.done !== true;
+			});
 		}
+
+		return found;
+	}
+
+	/** All requests. */
+	values(): Iterable<PlacementRequest> {
+		return this.#byKey.values();
 	}
 
 	/**
@@ -130,10 +179,10 @@
 	 */
 	tokensAhead({priority = defaultPriority, team: name, promptTokens}: QueueRank): number {
 		let tokens = 0;
-		for (const [other, queue] of this.#priorities) {
-			if (other < priority) {
-				tokens += sumOf(queue);
-			} else if (other === priority) {
+		for (const queue of this.#priorities.values()) {
+			if (queue.priority < priority) {
+				tokens += queue.tokens;
+			} else if (queue.priority === priority && queue.size > 0) {
 				const own = queue.teams.get(name)?.tokens ?? 0;
 				for (const [otherName, team] of queue.teams) {
 					tokens += otherName === name ? own : Math.min(team.tokens, own + promptTokens);
@@ -144,12 +193,32 @@
 		return tokens;
 	}
 
-	#waiting(): ReadonlyArray<readonly [number, PriorityQueue]> {
-		return [...this.#priorities].filter(([, queue]) => isWaiting(queue)).toSorted(([a], [b]) => a - b);
+	#mostUrgent(): PriorityQueue | undefined {
+		let found: PriorityQueue | undefined;
+		for (const queue of this.#priorities.values()) {
+			found = queue.size > 0 && (found === undefined || queue.priority < found.priority) ? queue : found;
+		}
+
+		return found;
+	}
+
+	/** The priority behind the most urgent one that has been served least of what it asked for. */
+	#lessUrgent(): PriorityQueue | undefined {
+		const mostUrgent = this.#mostUrgent();
+		let found: PriorityQueue | undefined;
+		for (const queue of this.#priorities.values()) {
+			found = queue.size > 0 && queue !== mostUrgent && (found === undefined || servedPart(queue) < servedPart(found)) ? queue : found;
+		}
+
+		return found;
 	}
 
-	/** Teams whose turn would not come later than that of a new one need not be remembered. */
+	/** Teams whose turn would not come later than that of a new one need not be remembered; they are removed a few at a time. */
 	#forgetIdle(queue: PriorityQueue): void {
+		if (queue.teams.size <= (2 * queue.waitingTeams) + idleTeams) {
+			return;
+		}
+
 		for (const [name, {requests, virtualTime}] of queue.teams) {
 			if (requests.size === 0 && virtualTime <= queue.virtualTime) {
 				queue.teams.delete(name);
@@ -158,21 +227,23 @@
 	}
 
 	#queueOf({priority = defaultPriority}: QueueRank): PriorityQueue {
-		const queue = this.#priorities.get(priority) ?? {teams: new Map(), virtualTime: 0, skipped: 0};
+		const queue = this.#priorities.get(priority) ?? {
+			priority, teams: new Map(), virtualTime: 0, size: 0, tokens: 0, waitingTeams: 0, added: 0, placed: 0,
+		};
 		this.#priorities.set(priority, queue);
 		return queue;
 	}
-
-	#teamOf(queue: PriorityQueue, {team: name}: QueueRank): TeamQueue {
-		const team = queue.teams.get(name) ?? {requests: new Map<string, PlacementRequest>(), tokens: 0, virtualTime: queue.virtualTime};
-		queue.teams.set(name, team);
-		return team;
-	}
 }
 
-const isWaiting = ({teams}: PriorityQueue): boolean => [...teams.values()].some(({requests}) => requests.size > 0);
+/** Part of the requests of a priority that were placed lately. */
+const servedPart = ({added, placed}: PriorityQueue): number => placed / Math.max(1, added);
 
-const sumOf = ({teams}: PriorityQueue): number => [...teams.values()].reduce((sum, {tokens}) => sum + tokens, 0);
+/** The team with requests that has got least. */
+const nextTeam = ({teams}: PriorityQueue): TeamQueue | undefined => {
+	let found: TeamQueue | undefined;
+	for (const team of teams.values()) {
+		found = team.requests.size > 0 && (found === undefined || team.virtualTime < found.virtualTime) ? team : found;
+	}
 
-/** Teams with requests, those first that have got least. */
-const sortedTeams = ({teams}: PriorityQueue): readonly TeamQueue[] => [...teams.values()].filter(({requests}) => requests.size > 0).toSorted((a, b) => a.virtualTime - b.virtualTime);
+	return found;
+};
--- a/packages/core/src/placement/placement-queue.ts
+++ b/packages/core/src/placement/placement-queue.ts
@@ -12,11 +12,10 @@
 /** Maximum number of urgent requests placed in a row while a patient one waits. */
 const maxConsecutiveUrgent = 9;
 
-type Lane = 'bound' | 'urgent' | 'patient' | 'deferred';
+type Lane = 'urgent' | 'patient' | 'deferred';
 
-const allLanes: readonly Lane[] = ['bound', 'urgent', 'patient', 'deferred'];
-/** Lanes in order of priority; bound requests are decided on one by one instead. */
-const priorityOrder: readonly Lane[] = ['urgent', 'patient', 'deferred'];
+/** Lanes in their order. */
+const allLanes: readonly Lane[] = ['urgent', 'patient', 'deferred'];
 
 /** Whether a request is for a stream that has begun, and only some engines may serve it. */
 export const isBound = ({readsDirectly, softwareVersion}: Pick<PlacementRequest, 'readsDirectly' | 'softwareVersion'>): boolean => readsDirectly === true || softwareVersion !== undefined;
@@ -31,15 +30,16 @@
  * queue.peek(); // The request to place next
  */
 export class PlacementQueue implements QueueView {
-	readonly #lanes: Readonly<Record<Lane, FairLane>> = {
-		bound: new FairLane(), urgent: new FairLane(), patient: new FairLane(), deferred: new FairLane(),
-	};
+	readonly #lanes: Readonly<Record<Lane, FairLane>> = {urgent: new FairLane(), patient: new FairLane(), deferred: new FairLane()};
+	/** Bound requests are decided on one by one, oldest first. */
+	readonly #bound = new Map<string, PlacementRequest>();
 
 	#consecutiveUrgent = 0;
-	#bypasses: {readonly head: string; count: number} = {head: '', count: 0};
+	/** How many smaller requests overtook a request that waits for memory. */
+	readonly #bypasses = new Map<string, number>();
 
 	get length(): number {
-		return allLanes.reduce((sum, lane) => sum + this.#lanes[lane].size, 0);
+		return allLanes.reduce((sum, lane) => sum + this.#lanes[lane].size, this.#bound.size);
 	}
 
 	tokensAhead(req: Parameters<QueueView['tokensAhead']>[0]): number {
@@ -48,12 +48,17 @@
 	}
 
 	push(req: PlacementRequest): void {
-		this.#add(isBound(req) ? 'bound' : req.class, req);
+		if (isBound(req)) {
+			this.#bound.set(holdKey(req), this.#bound.get(holdKey(req)) ?? req);
+			return;
+		}
+
+		this.#add(req.class, req);
 	}
 
 	/** Returns the bound requests that wait for an engine, oldest first. */
 	boundRequests(): readonly PlacementRequest[] {
-		return [...this.#lanes.bound.values()];
+		return [...this.#bound.values()];
 	}
 
 	/** Moves a request behind all that can still meet their target. */
@@ -69,27 +74,25 @@
 	/** Returns the request to place next, apart from bound ones. */
 	peek(): PlacementRequest | undefined {
 		const isPatientTurn = this.#consecutiveUrgent >= maxConsecutiveUrgent && this.#lanes.patient.size > 0;
-		const order: readonly Lane[] = isPatientTurn ? ['patient', 'urgent', 'deferred'] : priorityOrder;
-		const lane = order.find(name => this.#lanes[name].size > 0);
-		return lane === undefined ? undefined : this.#lanes[lane].first();
+		const {urgent, patient} = this.#lanes;
+		if (urgent.size > 0 && !isPatientTurn) {
+			return urgent.first();
+		}
+
+		return isPatientTurn ? patient.first() : this.#firstOfPatient();
 	}
 
 	/** Returns a request of the same lane and priority that needs less memory than `head` and may overtake it; undefined when there is none. */
 	findSmaller(head: PlacementRequest): PlacementRequest | undefined {
 		const key = holdKey(head);
 		const lane = allLanes.find(name => this.#lanes[name].has(key));
-		if (lane === undefined || (this.#bypasses.head === key && this.#bypasses.count >= maxBypasses)) {
+		if (lane === undefined || (this.#bypasses.get(key) ?? 0) >= maxBypasses) {
 			return undefined;
 		}
 
 		let smallest: PlacementRequest | undefined;
-		let examined = 0;
-		for (const req of this.#lanes[lane].values()) {
-			smallest = req.priority === head.priority && req.pieces < (smallest ?? head).pieces ? req : smallest;
-			examined += 1;
-			if (examined > maxBypassScan) {
-				break;
-			}
+		for (const req of this.#lanes[lane].candidates(head.priority, maxBypassScan + 1)) {
+			smallest = req.pieces < (smallest ?? head).pieces ? req : smallest;
 		}
 
 		return smallest;
@@ -98,7 +101,7 @@
 	/** Counts a request that overtook `head`. */
 	recordBypass(head: PlacementRequest): void {
 		const key = holdKey(head);
-		this.#bypasses = {head: key, count: this.#bypasses.head === key ? this.#bypasses.count + 1 : 1};
+		this.#bypasses.set(key, (this.#bypasses.get(key) ?? 0) + 1);
 	}
 
 	/** Removes a placed request and counts urgent requests placed in a row while patient ones wait. */
@@ -108,10 +111,14 @@
 		for (const lane of allLanes) {
 			this.#lanes[lane].place(holdKey(req));
 		}
+
+		this.remove(req);
 	}
 
 	remove(hold: EngineHold): void {
 		const key = holdKey(hold);
+		this.#bound.delete(key);
+		this.#bypasses.delete(key);
 		for (const lane of allLanes) {
 			this.#lanes[lane].remove(key);
 		}
@@ -119,7 +126,8 @@
 
 	/** Removes and returns the requests whose deadline has passed. */
 	removeExpired(now: Instant): PlacementRequest[] {
-		const expired = allLanes.flatMap(lane => [...this.#lanes[lane].values()].filter(req => req.deadline <= now));
+		const waiting = [...this.#bound.values(), ...allLanes.flatMap(lane => [...this.#lanes[lane].values()])];
+		const expired = waiting.filter(req => req.deadline <= now);
 		for (const req of expired) {
 			this.remove(req);
 		}
@@ -127,6 +135,13 @@
 		return expired;
 	}
 
+	/** The most urgent of the patient and the deferred requests; of equals, one that can still meet its target. */
+	#firstOfPatient(): PlacementRequest | undefined {
+		const patient = this.#lanes.patient.first();
+		const deferred = this.#lanes.deferred.first();
+		return patient === undefined || (deferred !== undefined && (deferred.priority ?? 0) < (patient.priority ?? 0)) ? deferred : patient;
+	}
+
 	#add(lane: Lane, req: PlacementRequest): void {
 		if (!this.#lanes[lane].has(holdKey(req))) {
 			this.#lanes[lane].add(req);
--- a/packages/daemon/src/gateway/stream-placements.ts
+++ b/packages/daemon/src/gateway/stream-placements.ts
@@ -102,8 +102,8 @@
 type PlacementRequestParams = Omit<PlaceParams, 'dataCentre' | 'holder' | 'service'>;
 
 /**
- * The place of a stream among those that wait. An urgent stream that can't begin in time is refused, and its caller may go elsewhere. Where teams compete, the
- * streams of all priorities wait instead: what is late is worth more to its caller than a refusal, and priorities order those that wait.
+ * The place of a stream among those that wait. An urgent stream that can't begin in time is refused. Where teams compete, streams of all priorities may
+ * begin late instead, in the order of their priorities.
  */
 const rankOf = (call: Call): Pick<PlacementRequestParams, 'class' | 'priority' | 'team'> => {
 	const {sender} = call;
