--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -289,7 +289,7 @@
 export {pickTarget, RouteIndex} from './routing/route-index.js';
 export {WindowedRetryBudget} from './routing/windowed-retry-budget.js';
 export type {WindowedRetryBudgetSettings} from './routing/windowed-retry-budget.js';
-export {chooseServer} from './routing/choose-server.js';
+export {chooseServer, requestsAt} from './routing/choose-server.js';
 export {boundHoldBack, ServerAvailability, spreadRetryDelay} from './routing/server-availability.js';
 export type {HoldBack, SendBlock, SendEffect} from './routing/server-availability.js';
 export type {ServerLoad} from './routing/choose-server.js';
--- a/packages/core/src/routing/choose-server.ts
+++ b/packages/core/src/routing/choose-server.ts
@@ -27,13 +27,20 @@
 /** Cost of a server that fails every call, relative to a full server. */
 const failureCost = 4;
 
+/**
+ * Requests at a server now: those of this instance, or as many as a fresh report says.
+ *
+ * @example
+ * requestsAt(server, clock.now()) / server.slots;
+ */
+export const requestsAt = ({inFlight, reportedLoad}: ServerLoad, now: Instant): number => Math.max(inFlight, reportedLoad !== undefined && now - reportedLoad.at <= reportMaxAgeMs ? reportedLoad.requests : 0);
+
 /** Servers share their machines with others, so that their speed changes many times a second. */
 const slowdownOf = ({slowdown}: ServerLoad, now: Instant): number => slowdown !== undefined && now - slowdown.at <= reportMaxAgeMs ? slowdown.factor : 1;
 
 /** Cost of sending one more call to a server; lower is better. */
 const costOf = (server: ServerLoad, dataCentre: DataCentreId, fastestMs: number, now: Instant): number => {
-	const reportedRequests = server.reportedLoad !== undefined && now - server.reportedLoad.at <= reportMaxAgeMs ? server.reportedLoad.requests : 0;
-	const load = (Math.max(server.inFlight, reportedRequests) + 1) / Math.max(1, server.slots);
+	const load = (requestsAt(server, now) + 1) / Math.max(1, server.slots);
 	const slowness = Math.max(server.usualMs === undefined ? 1 : Math.max(1, server.usualMs / fastestMs), slowdownOf(server, now));
 	return (load * slowness) + (slowness > 2 ? slowness / 4 : 0) + (server.dataCentre === dataCentre ? 0 : remoteCost) + (server.failing * failureCost);
 };
--- a/packages/daemon/src/gateway/fleet-view.ts
+++ b/packages/daemon/src/gateway/fleet-view.ts
@@ -33,8 +33,8 @@
 	consecutiveMisses: number;
 };
 
-/** Result of a call as evidence of the server's health; `none` is no evidence. */
-export type CallResult = 'good' | 'failed' | 'unreachable' | 'misplaced' | 'none';
+/** Result of a call as evidence of the server's health; `slow` is a call that another server answered first, and `none` is no evidence. */
+export type CallResult = 'good' | 'failed' | 'slow' | 'unreachable' | 'misplaced' | 'none';
 
 /** What a server says of its load in a response. */
 export type ServerReport = Pick<ResponseHead, 'slowdown'> & {readonly load?: number | undefined};
@@ -238,6 +238,14 @@
 			return;
 		}
 
+		if (result === 'slow') {
+			// The response would have taken longer still
+			const elapsedMs = now - startedAt;
+			const {usualMs = elapsedMs} = stats;
+			stats.usualMs = Math.max(usualMs, usualMs + (ewmaWeight * (elapsedMs - usualMs)));
+			return;
+		}
+
 		if (result === 'unreachable') {
 			this.options.onUnreachable?.(id);
 		}
--- a/packages/daemon/src/gateway/plain-attempt.ts
+++ b/packages/daemon/src/gateway/plain-attempt.ts
@@ -9,8 +9,10 @@
 /** What an attempt needs to know of its call while it runs. */
 export type AttemptControl = {
 	readonly signal: AbortSignal;
-	/** Whether the attempt was ended because another one has the answer. */
+	/** Whether the attempt was ended because it is not needed any more. */
 	readonly isSuperseded: () => boolean;
+	/** Whether it was ended because another attempt has the answer. */
+	readonly isOvertaken: () => boolean;
 	/** Whether the server had been silent for too long. */
 	readonly isSilent: () => boolean;
 };
@@ -30,6 +32,7 @@
 	readonly hedge: Promise<'hedge'>;
 	readonly #abort = new AbortController();
 	#isSuperseded = false;
+	#isOvertaken = false;
 	#isSilent = false;
 
 	/** A time of undefined means that no other attempt may begin for that reason. */
@@ -58,7 +61,11 @@
 		});
 		const run = async (): Promise<{readonly attempt: PlainAttempt<Outcome>; readonly outcome: Outcome}> => {
 			try {
-				return {attempt: this, outcome: await send({signal: this.#abort.signal, isSuperseded: () => this.#isSuperseded, isSilent: () => this.#isSilent})};
+				return {
+					attempt: this, outcome: await send({
+						signal: this.#abort.signal, isSuperseded: () => this.#isSuperseded, isOvertaken: () => this.#isOvertaken, isSilent: () => this.#isSilent,
+					}),
+				};
 			} finally {
 				timeout?.clear();
 				hedgeTimeout?.clear();
@@ -69,9 +76,10 @@
 		this.settled = run();
 	}
 
-	/** Ends the attempt because another one has the answer. */
-	supersede(): void {
+	/** Ends the attempt, because another one has the answer or its call is over. */
+	supersede(isOvertaken: boolean): void {
 		this.#isSuperseded = true;
+		this.#isOvertaken = isOvertaken;
 		// Nobody waits for its outcome any more
 		this.settled.catch((error: unknown) => {
 			log('A superseded attempt failed.', {error: (error as Error).message});
--- a/packages/daemon/src/gateway/plain-route.ts
+++ b/packages/daemon/src/gateway/plain-route.ts
@@ -1,6 +1,6 @@
 /** Serves calls to plain services: sends each call to one server, and to further servers where the call may be retried. */
 import {
-	chooseServer, routerError, spreadRetryDelay, toId,
+	chooseServer, requestsAt, routerError, spreadRetryDelay, toId,
 } from '@baobabpier/core';
 import type {
 	BackendId, Clock, DataCentreId, EngineId, HedgingPolicy, ListedServer, RandomSource, RunPhase, ServerLoad, ServiceName,
@@ -95,6 +95,12 @@
 		let mayHaveRun = false;
 		/** Whether the next attempt is a hedged one, whose credit is taken. */
 		let isHedge = false;
+		const hedges = new Set<PlainAttempt<Outcome>>();
+		/** Whether another attempt may begin now: beside an open one only after a silence or for a hedge. */
+		let canBegin = true;
+		/** Resolves where the latest attempt is silent. */
+		let silence: Promise<'silence'> | undefined;
+		let wakes: ReadonlyArray<Promise<'hedge' | 'silence'>> = [];
 		while (scope.reason === undefined) {
 			// Attempts begin one after another
 			// eslint-disable-next-line no-await-in-loop
@@ -113,9 +119,7 @@
 			}
 
 			const begun = attempts + open.size;
-			let wakes: ReadonlyArray<Promise<'hedge' | 'silence'>> = [];
-			let silence: Promise<'silence'> | undefined;
-			if (load !== undefined && server !== undefined && begun < call.route.maxAttempts && (begun === 0 || retryBudgets.tryAcquire(service))) {
+			if (canBegin && load !== undefined && server !== undefined && begun < call.route.maxAttempts && (begun === 0 || retryBudgets.tryAcquire(service))) {
 				tried.add(server.id);
 				const canRetry = call.route.kind === 'safe' && begun + 1 < call.route.maxAttempts;
 				const attempt = new PlainAttempt<Outcome>(scope, async control => {
@@ -123,16 +127,23 @@
 					return {result, server, load};
 				}, {silenceMs: canRetry ? Math.max(minAttemptSilenceMs, attemptSilenceFactor * (load.usualMs ?? 0)) : undefined, hedgeMs: canRetry ? hedging?.delayMs(service) : undefined});
 				open.add(attempt);
+				if (isHedge) {
+					hedges.add(attempt);
+				}
+
 				({silence} = attempt);
 				wakes = [attempt.hedge, silence];
 			} else if (open.size === 0) {
 				break;
 			} else if (isHedge) {
 				hedging?.refund();
+				wakes = silence === undefined ? [] : [silence];
+			} else {
+				wakes = canBegin ? [] : [...open].map(async attempt => attempt.silence);
 			}
 
 			isHedge = false;
-
+			canBegin = true;
 			// eslint-disable-next-line no-await-in-loop
 			let settled = await Promise.race([...[...open].map(async attempt => attempt.settled), ...wakes]);
 			if (settled === 'hedge') {
@@ -143,10 +154,11 @@
 				}
 
 				// eslint-disable-next-line no-await-in-loop
-				settled = await Promise.race([...[...open].map(async attempt => attempt.settled), silence!]);
+				settled = await Promise.race([...[...open].map(async attempt => attempt.settled), ...(silence === undefined ? [] : [silence])]);
 			}
 
 			if (settled === 'silence') {
+				silence = undefined;
 				log('A server is silent.', {requestId: call.requestId, server: server?.id, open: open.size});
 				continue;
 			}
@@ -164,6 +176,11 @@
 			if (isFinal(call, result)) {
 				break;
 			}
+
+			if (hedges.has(settled.attempt) && open.size > 0) {
+				// The credit was for one more attempt; the first one has not failed yet
+				canBegin = false;
+			}
 		}
 
 		if (open.size > 0 && scope.reason !== undefined) {
@@ -171,7 +188,7 @@
 		}
 
 		for (const attempt of open) {
-			attempt.supersede();
+			attempt.supersede(scope.reason === undefined);
 		}
 
 		if (scope.reason === 'callerGone') {
@@ -185,7 +202,7 @@
 	#beginHedge(call: Call, service: ServiceName, tried: ReadonlySet<BackendId>): boolean {
 		const {fleet, dataCentre, clock, hedging} = this.parts;
 		const load = chooseServer(fleet.loads(service, isUrgent(call)), dataCentre, tried, clock.now(), 0);
-		return load !== undefined && hedging?.tryBegin(Math.max(load.inFlight, load.reportedLoad?.requests ?? 0) / Math.max(1, load.slots)) === true;
+		return load !== undefined && hedging?.tryBegin(requestsAt(load, clock.now()) / Math.max(1, load.slots)) === true;
 	}
 
 	/** The reply to the caller when this attempt is the last. */
@@ -219,7 +236,7 @@
 		});
 		if (response.kind !== 'head') {
 			this.#recordBroken(call, server, response, scope, control, 'sent');
-			endCall(isNoEvidence(scope, control) ? 'none' : (response.kind === 'unsent' ? resultOfUnsent(response) : 'failed'));
+			endCall(this.#evidenceOf(scope, control) ?? (response.kind === 'unsent' ? resultOfUnsent(response) : 'failed'));
 			return response;
 		}
 
@@ -227,7 +244,7 @@
 		const body = await transport.readBody(response);
 		if ('kind' in body) {
 			this.#recordBroken(call, server, body, scope, control, 'begun');
-			endCall(isNoEvidence(scope, control) ? 'none' : 'failed');
+			endCall(this.#evidenceOf(scope, control) ?? 'failed');
 			return body;
 		}
 
@@ -247,6 +264,15 @@
 		return head.isNotExecuted ? {kind: 'notRun', isMisdirected: head.isMisdirected} : {kind: 'answer', head, body};
 	}
 
+	/** What an attempt that this instance ended for another reason than a silence says about its server; undefined for other attempts. */
+	#evidenceOf(scope: CallScope, {isSuperseded, isOvertaken, isSilent}: AttemptControl): 'none' | 'slow' | undefined {
+		if (this.parts.hedging !== undefined && isOvertaken() && !isSilent()) {
+			return 'slow';
+		}
+
+		return scope.reason === 'callerGone' || (isSuperseded() && !isSilent()) ? 'none' : undefined;
+	}
+
 	/** Tells the guard of a connection that broke under a call, unless this instance broke it. */
 	#recordBroken(call: Call, server: ListedServer, {kind}: TransportFailure, scope: CallScope, control: AttemptControl, phase: RunPhase): void {
 		const {guard} = this.parts;
@@ -266,9 +292,6 @@
 	}
 }
 
-/** Whether the end of an attempt says nothing about its server: it was ended for another reason than a silence. */
-const isNoEvidence = (scope: CallScope, {isSuperseded, isSilent}: AttemptControl): boolean => scope.reason === 'callerGone' || (isSuperseded() && !isSilent());
-
 /** Time that a call may wait for its trial, in milliseconds: it leaves as much to run. */
 const maxTrialWaitMs = (call: Call, scope: CallScope): number => Math.min(scope.remainingMs() * maxTrialWaitFraction, call.route.targetLatencyMs * trialWaitTargets);
 
