--- a/packages/daemon/src/teams/leader-quotas.ts
+++ b/packages/daemon/src/teams/leader-quotas.ts
@@ -1,6 +1,8 @@
 /** Decides at the leader whether requests are within the quotas of their teams. */
 import {QUOTA_REFUND, QUOTA_TAKE, QuotaTable} from '@baobabpier/core';
-import type {Clock, QuotaAnswer, QuotaTolerance, Team} from '@baobabpier/core';
+import type {
+	Clock, QuotaAnswer, QuotaTolerance, Team,
+} from '@baobabpier/core';
 import type {RpcServer} from '../rpc/rpc-server.js';
 
 /** Dependencies of the quotas at a control instance. */
