--- a/packages/stand-ins/src/body-crowd.ts
+++ b/packages/stand-ins/src/body-crowd.ts
@@ -21,6 +21,10 @@
 /** Clients that connect at a time. */
 const connectingClients = 100;
 
+const ignoreClose = (): void => {
+	// A server that has closed the connection takes no more
+};
+
 const chunkText = (bytes: number): string => `${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`;
 
 /**
@@ -69,7 +73,7 @@
 
 			if (!socket.write(text)) {
 				// eslint-disable-next-line no-await-in-loop
-				await Promise.race([once(socket, 'drain', {signal: stop.signal}).catch(() => undefined), sleep(maxSendMs, undefined, {ref: false})]);
+				await Promise.race([once(socket, 'drain', {signal: stop.signal}).catch(ignoreClose), sleep(maxSendMs, undefined, {ref: false})]);
 			}
 		}
 	}
