Free blocks of request bodies take an eighth of their memory

Cause: up to half of the memory for bodies stayed behind in free blocks, beside bodies that used all of it.

--- a/packages/daemon/src/transport/incoming-bodies.ts
+++ b/packages/daemon/src/transport/incoming-bodies.ts
@@ -10,6 +10,9 @@
 /** Size of the further blocks, in bytes. */
 const blockBytes = 16 * 1024;
 
+/** Fraction of the memory for bodies that free blocks may take: a body that is refused leaves its blocks to the one that needs them. */
+const freeFraction = 1 / 8;
+
 /** Why a body was not read. */
 export type BodyFailure =
 	| {readonly kind: 'tooLarge'}
@@ -34,7 +37,7 @@
 class BlockPool {
 	readonly #free: Uint8Array[] = [];
 
-	/** Bodies with a bound of `maxBytes` leave at most half as much behind. */
+	/** Bodies with a bound of `maxBytes` leave at most a part of that behind. */
 	constructor(private readonly maxBytes: () => number) {}
 
 	take(): Uint8Array {
@@ -43,7 +46,7 @@
 
 	give(blocks: readonly Uint8Array[]): void {
 		for (const block of blocks) {
-			if (block.length === blockBytes && this.#free.length * blockBytes < this.maxBytes() / 2) {
+			if (block.length === blockBytes && this.#free.length * blockBytes < this.maxBytes() * freeFraction) {
 				this.#free.push(block);
 			}
 		}
