What clients send is parsed within turns of the event loop

Seen by callers: beside 100 clients that write chunks of one byte without pause, two of three ordinary calls in a row got no response within 20 s, and neither did two of three reads of an operator.

Cause: memory of bodies was bounded, work was not. A chunk of a body is an event of the parser (2.2 us measured here, however short it is), one read of a socket holds 10,900 of them, and a socket was read up to 32 times in a turn of the event loop. An ordinary call needs several turns, each of which waited for every socket of the crowd.

Change: ReadSchedule (core) decides which connection's bytes are parsed next and how many, by what the bytes before them cost; PacedReading carries it out between the sockets of all ports and the parsers of their servers. A turn is bounded, connections whose requests cost little come first, the others take turns, and a connection that is alone is parsed without a pause. A response to a request that was not read whole now ends with a half-closed connection that is read without being parsed for up to 2 s.

--- a/packages/daemon/src/entry/entry-app.ts
+++ b/packages/daemon/src/entry/entry-app.ts
@@ -14,6 +14,7 @@
 import type {Metrics} from '../observability/metrics.js';
 import {defaultEntrySettings} from '../settings/parse-settings.js';
 import type {EntrySettings} from '../settings/parse-settings.js';
+import {pacedReading} from '../transport/paced-reading.js';
 import {BodyReader} from './body-reader.js';
 import {ModelHandler} from './model-handler.js';
 import type {ModelHandlerParts} from './model-handler.js';
@@ -94,6 +95,8 @@
 		this.#stopGauges = registerGauges(metrics, {
 			'requests.open': () => this.inFlight,
 			'bodies.buffered': () => bodies.bufferedBytes,
+			'clients.unparsed': () => pacedReading.heldBytes,
+			'clients.full_turns': () => pacedReading.fullTurns,
 			'cancels.pending': () => parts.canceller.pending,
 			'catalogue.revision': () => parts.catalogue.current().revision,
 			...parts.gauges,
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -7,6 +7,7 @@
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
 import {ServerConnections} from '../server-connections.js';
+import {pacedReading} from '../transport/paced-reading.js';
 import type {GateEvent} from './availability-gate.js';
 
 const log = createLog('metrics');
@@ -43,6 +44,11 @@
 		name: 'baobabpier_foreign_responses_total', help: 'Responses of servers that belong to no request or to another one, by kind of call', labelNames: ['kind', 'moment'], registers: [this.registry],
 	});
 
+	constructor() {
+		this.registerGauge('unparsed_bytes', 'Bytes of clients that have arrived and wait to be parsed', () => pacedReading.heldBytes);
+		this.registerGauge('full_turns', 'Turns of the event loop that left bytes of clients for the next one, since the start', () => pacedReading.fullTurns);
+	}
+
 	/** Records a completed call. */
 	observeCall(kind: string, outcome: string, ms: number): void {
 		this.#calls.inc({kind, outcome});
--- a/packages/daemon/src/observability/metric-table.ts
+++ b/packages/daemon/src/observability/metric-table.ts
@@ -41,6 +41,12 @@
 	'bodies.buffered': {
 		type: 'gauge', unit: 'bytes', tags: [], meaning: 'Bodies held whole.',
 	},
+	'clients.unparsed': {
+		type: 'gauge', unit: 'bytes', tags: [], meaning: 'Bytes of clients that have arrived and wait to be parsed.',
+	},
+	'clients.full_turns': {
+		type: 'gauge', unit: 'turns', tags: [], meaning: 'Turns of the event loop that left bytes of clients for the next one, since the start.',
+	},
 	'cancels.pending': {
 		type: 'gauge', unit: 'cancels', tags: [], meaning: 'Cancels that an engine has not confirmed yet.',
 	},
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -12,6 +12,8 @@
 import type {ErrorKind} from '@baobabpier/core';
 import {createLog} from './log.js';
 import {coalesceBody} from './transport/coalesced-body.js';
+import {pacedReading} from './transport/paced-reading.js';
+import type {PacedReader} from './transport/paced-reading.js';
 
 const log = createLog('connections');
 /** Time that a refused caller has to close its side, in milliseconds. */
@@ -52,6 +54,7 @@
 
 type Connection = {
 	readonly openedAt: number;
+	readonly reader: PacedReader;
 	/** Whether a request has come. */
 	isUsed: boolean;
 	/** Requests whose responses have not been sent completely; only the first one has reached the handler. */
@@ -136,7 +139,8 @@
 			this.#handleTimeout(socket);
 		});
 		server.on('connect', (_req, socket) => {
-			// Node.js has stopped reading the connection
+			// Node.js has stopped reading the connection, and its parser serves another one soon
+			this.#connections.get(socket as Socket)?.reader.detach();
 			socket.resume();
 			this.#refuse(socket as Socket, undefined, 'tunnels are not supported');
 		});
@@ -259,9 +263,9 @@
 		} while (count() !== before && performance.now() < deadline);
 	}
 
-	/** Changes with each connection that is accepted and each byte that is read. */
+	/** Changes with each connection that is accepted and each byte that is parsed. */
 	get #received(): number {
-		return [...this.#connections.keys()].reduce((sum, {bytesRead}) => sum + bytesRead, this.#opened);
+		return [...this.#connections].reduce((sum, [{bytesRead}, {reader}]) => sum + bytesRead - reader.heldBytes, this.#opened);
 	}
 
 	#awaitsFirstRequest(): boolean {
@@ -282,9 +286,19 @@
 		}
 
 		const connection: Connection = {
-			openedAt: performance.now(), isUsed: false, exchanges: [], refusal: undefined,
+			openedAt: performance.now(), reader: pacedReading.attach(socket), isUsed: false, exchanges: [], refusal: undefined,
 		};
 		this.#connections.set(socket, connection);
+		const destroySoon = socket.destroySoon.bind(socket);
+		// Node.js calls it when a response that closes its connection is sent
+		socket.destroySoon = () => {
+			if (connection.exchanges[0]?.req.complete === false) {
+				this.#linger(socket, connection);
+			} else {
+				destroySoon();
+			}
+		};
+
 		socket.once('close', () => {
 			this.#connections.delete(socket);
 			this.#count(-connection.exchanges.length);
@@ -293,9 +307,18 @@
 	}
 
 	#receive(req: IncomingMessage, res: ServerResponse): void {
-		coalesceBody(req);
 		const {socket} = req;
 		const connection = this.#connections.get(socket);
+		const reader = connection?.reader;
+		coalesceBody(req, () => {
+			if (reader !== undefined) {
+				reader.chunks += 1;
+			}
+		});
+		if (reader !== undefined) {
+			reader.requests += 1;
+		}
+
 		if (connection === undefined || connection.refusal !== undefined || !socket.writable) {
 			return;
 		}
@@ -389,7 +412,7 @@
 		const {bytesRead} = socket;
 		await nextTurn();
 		await nextTurn();
-		if (socket.bytesRead === bytesRead && (connection?.exchanges.length ?? 0) === 0) {
+		if (socket.bytesRead === bytesRead && (connection?.reader.heldBytes ?? 0) === 0 && (connection?.exchanges.length ?? 0) === 0) {
 			socket.destroy();
 		}
 	}
@@ -440,8 +463,17 @@
 		}
 	}
 
+	/** Closes a connection after a response to a request that was not read whole: unread bytes would reset it before the response has arrived. */
+	#linger(socket: Socket, {reader}: Connection): void {
+		reader.detach();
+		socket.once('end', () => {
+			socket.destroy();
+		});
+		this.#end(socket);
+	}
+
 	/** Writes the last bytes to a connection; a caller that does not end its side is disconnected. */
-	#end(socket: Socket, text: string): void {
+	#end(socket: Socket, text = ''): void {
 		const timer = setTimeout(() => {
 			socket.destroy();
 		}, lingerMs);
--- /dev/null
+++ b/packages/daemon/src/transport/paced-reading.ts
@@ -0,0 +1,175 @@
+/** Parses what clients of all ports send, within what one turn of the event loop may take. */
+import type {Socket} from 'node:net';
+import {defaultReadLimits, ReadSchedule} from '@baobabpier/core';
+import type {ReadHandle} from '@baobabpier/core';
+
+/** The listener through which the parser of an HTTP server gets the bytes of a connection. */
+type Parse = (bytes: Uint8Array) => void;
+
+/** Decides when a connection is read. */
+type ReadOrder = {
+	/** Bytes have arrived. */
+	arrive(bytes: number): void;
+	suspend(): void;
+	resume(): void;
+	remove(): void;
+};
+
+/** Reads one connection in place of its HTTP server. What has arrived stays in the socket, which stops reading at its high-water mark. */
+export class PacedReader {
+	/** Chunks of bodies and requests that the parser has found so far. */
+	chunks = 0;
+	requests = 0;
+	/** Bytes of the socket that the order knows of. */
+	#knownBytes = 0;
+	#isDetached = false;
+
+	constructor(private readonly socket: Socket, private readonly parse: Parse, private readonly order: ReadOrder) {
+		// The server pauses connections whose bodies or responses have no reader
+		socket.pause = () => {
+			order.suspend();
+			return socket;
+		};
+
+		socket.resume = () => {
+			order.resume();
+			return socket;
+		};
+
+		socket.on('readable', () => {
+			this.#announce();
+		});
+		socket.once('close', () => {
+			this.detach();
+		});
+	}
+
+	/** Bytes that have arrived and are not parsed. */
+	get heldBytes(): number {
+		return this.#isDetached ? 0 : this.socket.readableLength;
+	}
+
+	/** Stops parsing for good; what is held is dropped, and so is what still arrives. */
+	detach(): void {
+		if (!this.#isDetached) {
+			this.#isDetached = true;
+			this.order.remove();
+			this.#announce();
+		}
+	}
+
+	/** Parses the next bytes of those that have arrived. */
+	parseNext(bytes: number): void {
+		this.#knownBytes -= bytes;
+		const slice = this.socket.read(bytes) as Uint8Array | null; // eslint-disable-line @typescript-eslint/no-restricted-types
+		if (slice !== null) {
+			this.parse(slice);
+		}
+
+		this.#announce();
+	}
+
+	#announce(): void {
+		const {socket} = this;
+		if (this.#isDetached || socket.readableLength === 0) {
+			// Node.js reports the end of a socket, or reads further, when it is asked for more
+			socket.read();
+		}
+
+		const arrived = socket.readableLength - this.#knownBytes;
+		if (!this.#isDetached && arrived > 0) {
+			this.#knownBytes += arrived;
+			this.order.arrive(arrived);
+		}
+	}
+}
+
+/**
+ * Shares the event loop of a process among the connections of its servers.
+ *
+ * @example
+ * server.on('connection', socket => reading.attach(socket));
+ */
+export class PacedReading {
+	readonly #schedule = new ReadSchedule(defaultReadLimits);
+	readonly #readers = new Map<ReadHandle, PacedReader>();
+	#isParsing = false;
+	#isTurnScheduled = false;
+	#fullTurns = 0;
+
+	/** Bytes that have arrived and are not parsed, over all connections. */
+	get heldBytes(): number {
+		return this.#schedule.heldBytes;
+	}
+
+	/** Turns of the event loop that ended with bytes left to parse. */
+	get fullTurns(): number {
+		return this.#fullTurns;
+	}
+
+	/** Takes the reading of a new connection over from its HTTP server. */
+	attach(socket: Socket): PacedReader {
+		const [parse] = socket.listeners('data') as Parse[];
+		socket.removeAllListeners('data');
+		const handle = this.#schedule.open();
+		const reader = new PacedReader(socket, parse!, {
+			arrive: bytes => {
+				this.#schedule.arrive(handle, bytes);
+				this.#parse();
+			},
+			suspend: () => {
+				this.#schedule.suspend(handle);
+			},
+			resume: () => {
+				this.#schedule.resume(handle);
+				this.#scheduleTurn();
+			},
+			remove: () => {
+				this.#schedule.close(handle);
+				this.#readers.delete(handle);
+			},
+		});
+		this.#readers.set(handle, reader);
+		return reader;
+	}
+
+	/** Parses until nothing waits or the turn is over. */
+	#parse(): void {
+		if (this.#isParsing) {
+			return;
+		}
+
+		this.#isParsing = true;
+		try {
+			for (let slice = this.#schedule.next(); slice !== undefined; slice = this.#schedule.next()) {
+				const {handle, bytes} = slice;
+				const reader = this.#readers.get(handle)!;
+				const {chunks, requests} = reader;
+				reader.parseNext(bytes);
+				this.#schedule.spend(handle, {bytes, chunks: reader.chunks - chunks, requests: reader.requests - requests});
+			}
+		} finally {
+			this.#isParsing = false;
+			this.#scheduleTurn();
+		}
+	}
+
+	#scheduleTurn(): void {
+		if (this.#isTurnScheduled) {
+			return;
+		}
+
+		this.#isTurnScheduled = true;
+		setImmediate(() => {
+			this.#isTurnScheduled = false;
+			this.#schedule.beginTurn();
+			if (this.#schedule.isWaiting) {
+				this.#fullTurns += 1;
+				this.#parse();
+			}
+		});
+	}
+}
+
+/** The reading of this process: all its ports share its event loop. */
+export const pacedReading = new PacedReading();
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,8 @@
 /** Small stand-ins for what the platform gives. */
 export {BodyCrowd} from './body-crowd.js';
 export type {CrowdPlan} from './body-crowd.js';
+export {ClientCrowd} from './client-crowd.js';
+export type {ClientPlan} from './client-crowd.js';
 export {startBackend} from './backend-server.js';
 export type {BackendServer} from './backend-server.js';
 export {EngineModel} from './engine/engine-model.js';
