One account of connections over all ports, and reading in turns only while chunks are small

Seen by callers and operators, on (crowd and bounds fixed before the change, one test at a time): - 300 clients of the metrics port that send 200 requests each and read nothing ended the entry process; the control process took 211 of 178 MB; - 1,500 clients with parts of heads or bodies at the metrics and readiness ports: 1,473 to 1,529 descriptors of 1,000; - 1,500 such clients at the callers' port, which come back: one of three ordinary calls was closed without a response; - 250 clients with 14 requests of 9 kB behind a slow one: 165 of 160 MB; - the own interface with default settings: 226 MB of 160 beside 6,000 heads, 244 MB beside 3,000 bodies of 61 kB.

Cause: only some ports bounded their connections, each by itself; the oldest connection without a request gave way, and beside newcomers that come back an ordinary one soon is the oldest; requests behind another one were parsed without bound; the own interface allowed 10,000 connections and 64 MiB of bodies whatever its machine had.

Change: ConnectionAccount (core) counts the connections of all ports, each with a guaranteed part and a maximum derived from the machine. Where a port is full, the oldest connection of the most numerous incomplete stage gives way; a whole request is always answered. A response that nobody reads gives way after 1 s and is broken off after 30 s, a connection is read no further while 16 KiB wait behind a request, a text of the metrics serves all who ask within 50 ms, and the own interface takes its limits from [machine]. Events that clients can cause are counted, and logged once in 10 s.

HTTP servers now read their connections themselves until a client sends a body of small chunks.

This is more than one fault a commit, since they share the account.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -351,12 +351,18 @@
 export type {PlannedRequest} from './transport/planned-request.js';
 export {BodyBudget} from './transport/body-budget.js';
 export type {BodyHandle} from './transport/body-budget.js';
-export {costOfParsing, defaultReadLimits, ReadSchedule} from './transport/read-schedule.js';
+export {
+	costOfParsing, defaultReadLimits, isDenseBody, ReadSchedule,
+} from './transport/read-schedule.js';
 export type {
 	ParseWork, ReadHandle, ReadLimits, Slice,
 } from './transport/read-schedule.js';
+export {ConnectionAccount, ConnectionPort} from './transport/connection-account.js';
+export type {
+	Admission, ConnectionHandle, ConnectionStage, PortBounds,
+} from './transport/connection-account.js';
 export {defaultResourceLimits, resourceLimits} from './transport/resource-limits.js';
-export type {MachineResources, ResourceLimits} from './transport/resource-limits.js';
+export type {ClientPortBounds, MachineResources, ResourceLimits} from './transport/resource-limits.js';
 export {judgeResponse} from './transport/response-binding.js';
 export type {ResponseBinding, ResponseVerdict} from './transport/response-binding.js';
 export {judgeStatus} from './transport/response-status.js';
--- a/packages/core/src/transport/read-schedule.ts
+++ b/packages/core/src/transport/read-schedule.ts
@@ -43,6 +43,17 @@
  */
 export const costOfParsing = ({bytes, chunks, requests}: ParseWork): number => (bytes / bytesPerCost) + chunks + (requests * requestCost);
 
+/** Chunks of a body from which on their size counts. */
+const minDenseChunks = 200;
+
+/**
+ * Whether a body arrives in chunks so small that its bytes have to be scheduled.
+ *
+ * @example
+ * isDenseBody({chunks: 10_000, bytes: 10_000}); // true
+ */
+export const isDenseBody = ({chunks, bytes}: Pick<ParseWork, 'bytes' | 'chunks'>): boolean => chunks >= minDenseChunks && bytes < chunks * cheapBytesPerCost;
+
 /** A connection whose bytes are scheduled. */
 export type ReadHandle = {
 	/** Bytes that have arrived and are not parsed. */
--- a/packages/core/src/transport/resource-limits.ts
+++ b/packages/core/src/transport/resource-limits.ts
@@ -1,4 +1,5 @@
 /** What a process may use for its clients, from what its machine has. */
+import type {PortBounds} from './connection-account.js';
 
 /** Memory and file descriptors of a process. */
 export type MachineResources = {
@@ -6,12 +7,25 @@
 	readonly descriptors: number;
 };
 
+/** Bounds of the ports of a process, by who connects there. */
+export type ClientPortBounds = {
+	/** Callers of an entry instance, or operators of a control instance. */
+	readonly callers: PortBounds;
+	/** Other instances. */
+	readonly partners: PortBounds;
+	/** The balancer's readiness checks. */
+	readonly balancer: PortBounds;
+	/** Scrapers of metrics. */
+	readonly scrapers: PortBounds;
+};
+
 /** Bounds on what clients may occupy. */
 export type ResourceLimits = {
 	/** Memory of request bodies, in bytes. */
 	readonly bodyBytes: number;
-	/** Client connections of one port. */
+	/** Client connections of all ports. */
 	readonly connections: number;
+	readonly ports: ClientPortBounds;
 };
 
 const mebibyte = 1024 * 1024;
@@ -23,25 +37,41 @@
 const connectionFraction = 0.2;
 /** Memory of a connection whose request is being read, in bytes: Node.js reads up to 64 KiB of a socket at a time. */
 const connectionBytes = 64 * 1024;
-/** Fraction of the file descriptors for one port's clients: two ports take requests, and servers need connections too. */
-const descriptorFraction = 0.4;
+/** File descriptors of a process that are not for sockets. */
+const otherDescriptors = 200;
+/** Fraction of the file descriptors of sockets for clients: servers need connections too. */
+const descriptorFraction = 0.6;
 /** Least bounds, so that a small machine still serves a request of the usual limits. */
 const minBodyBytes = 5 * mebibyte;
-const minConnections = 128;
+const minPortConnections = 128;
+/** A scraper and a balancer have a connection or two each. */
+const guaranteedMonitors = 16;
+/** Each connection of a scraper holds a response of tens of kilobytes. */
+const maxScrapers = 32;
+
+const limitsOf = (bodyBytes: number, connections: number, portConnections: number): ResourceLimits => ({
+	bodyBytes,
+	connections,
+	ports: {
+		callers: {guaranteed: Math.floor(connections / 2) - (2 * guaranteedMonitors), max: portConnections},
+		partners: {guaranteed: Math.floor(connections / 4), max: portConnections},
+		balancer: {guaranteed: guaranteedMonitors, max: portConnections},
+		scrapers: {guaranteed: guaranteedMonitors, max: maxScrapers},
+	},
+});
 
 /** Bounds where nothing is known of the machine: the connections of one with 178 MB, and memory for the largest configuration. */
-export const defaultResourceLimits: ResourceLimits = {bodyBytes: 17 * mebibyte, connections: 330};
+export const defaultResourceLimits: ResourceLimits = limitsOf(17 * mebibyte, 660, 330);
 
 /**
  * The bounds for a machine.
  *
  * @example
- * resourceLimits({memoryBytes: 178 * 1024 * 1024, descriptors: 4100}); // {bodyBytes: 11_114_905, connections: 339}
+ * resourceLimits({memoryBytes: 178 * 1024 * 1024, descriptors: 4100}).ports.callers; // {guaranteed: 307, max: 339}
  */
 export const resourceLimits = ({memoryBytes, descriptors}: MachineResources): ResourceLimits => {
 	const freeBytes = Math.max(0, memoryBytes - idleBytes);
-	return {
-		bodyBytes: Math.max(minBodyBytes, Math.floor(freeBytes * bodyFraction)),
-		connections: Math.max(minConnections, Math.min(Math.floor(freeBytes * connectionFraction / connectionBytes), Math.floor(descriptors * descriptorFraction))),
-	};
+	const portConnections = Math.max(minPortConnections, Math.floor(freeBytes * connectionFraction / connectionBytes));
+	const connections = Math.min(2 * portConnections, Math.max(2 * minPortConnections, Math.floor((descriptors - otherDescriptors) * descriptorFraction)));
+	return limitsOf(Math.max(minBodyBytes, Math.floor(freeBytes * bodyFraction)), connections, portConnections);
 };
--- a/packages/daemon/src/__tests__/unit/incoming-bodies.test.ts
+++ b/packages/daemon/src/__tests__/unit/incoming-bodies.test.ts
@@ -252,7 +252,7 @@
 		res.writeHead(200);
 		res.write('begun');
 	});
-	connections.setMaxConnections(1);
+	connections.setBounds({guaranteed: 1, max: 1});
 	const first = await dial();
 	let isClosed = false;
 	first.once('close', () => {
--- a/packages/daemon/src/__tests__/unit/server-connections.test.ts
+++ b/packages/daemon/src/__tests__/unit/server-connections.test.ts
@@ -164,7 +164,7 @@
 
 		return new Promise<never>(() => {/* The handler answers */});
 	});
-	const connections = await openConnections(app, '127.0.0.1:0', {headersTimeoutMs, maxHeaderBytes: 16_384, maxConnections: 100});
+	const connections = await openConnections(app, '127.0.0.1:0', {headersTimeoutMs, maxHeaderBytes: 16_384, connections: {guaranteed: 100, max: 100}});
 	const {server} = connections;
 	return {
 		port: (server.address() as AddressInfo).port,
--- a/packages/daemon/src/control-node/control-node.ts
+++ b/packages/daemon/src/control-node/control-node.ts
@@ -13,6 +13,7 @@
 import {
 	createModelServices, createPoolCatalogue, leavingEngines, piecesOfEngine, pieceTokens,
 } from '../gateway/model-services.js';
+import {clientConnections} from '../transport/client-connections.js';
 import {incomingBodies} from '../transport/incoming-bodies.js';
 import {ServerTransport} from '../transport/server-transport.js';
 import type {ListDialect, RoutingCodec} from '../gateway/types.js';
@@ -284,8 +285,9 @@
 
 	const clientLimits = first.resources === undefined ? defaultResourceLimits : resourceLimits(first.resources);
 	incomingBodies.setMaxBytes(Math.max(minBodyBytes, clientLimits.bodyBytes));
-	const peerPort = await openPort(rpc.app, first.listen.peers, {...defaultPortLimits, maxConnections: clientLimits.connections});
-	const metricsPort = await serveMetrics(metrics.registry, first.listen.metrics);
+	clientConnections.setMaxConnections(clientLimits.connections);
+	const peerPort = await openPort(rpc.app, first.listen.peers, {...defaultPortLimits, connections: clientLimits.ports.partners});
+	const metricsPort = await serveMetrics(metrics.registry, first.listen.metrics, clientLimits.ports.scrapers);
 	metrics.registerGauge('routing_version', 'Version of the routing configuration in force', () => control.state.routing.current?.version ?? 0);
 	metrics.registerGauge('control_term', 'Term of the control log', () => control.status.term ?? 0);
 	metrics.registerGauge('control_leads', 'Whether this instance leads the control log', () => control.status.role === 'leader' ? 1 : 0);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -24,7 +24,7 @@
 import {EngineClients} from './engine/engine-clients.js';
 import {EntryApp} from './entry/entry-app.js';
 import {listChanges} from './entry/list-changes.js';
-import {openConnections, openPort} from './listen.js';
+import {defaultPortLimits, openConnections, openPort} from './listen.js';
 import {createLog} from './log.js';
 import {monotonicClock} from './monotonic-clock.js';
 import {ClaimCleaner} from './fleet/claim-cleaner.js';
@@ -44,7 +44,10 @@
 import {PlainCaller} from './requests/plain-call.js';
 import {Peers} from './rpc/peers.js';
 import {RpcServer} from './rpc/rpc-server.js';
+import {clientLimitsOf} from './settings/client-limits.js';
+import {defaultEntrySettings} from './settings/parse-settings.js';
 import type {Settings} from './settings/parse-settings.js';
+import {clientConnections} from './transport/client-connections.js';
 import type {ForeignResponseListener} from './transport/types.js';
 
 const log = createLog('daemon');
@@ -80,6 +83,9 @@
  */
 export const startDaemon = async (settings: Settings): Promise<Daemon> => {
 	const {id: self, dataCentre} = settings;
+	const entrySettings = settings.entry ?? defaultEntrySettings;
+	const clientLimits = clientLimitsOf(settings);
+	clientConnections.setMaxConnections(clientLimits.connections);
 	const clock = monotonicClock;
 	const random = createSeededRandom(hashText(`${self}/${Date.now()}`));
 	const secretText = await readFile(settings.secretFile, 'utf8');
@@ -181,7 +187,7 @@
 		plain,
 		limiter: limits,
 		isStopping: () => hasOwnStop || ownStop.isStopping || !fleet.informed || !limits.isInitialized,
-		limits: settings.entry,
+		limits: {bodyTimeoutMs: entrySettings.bodyTimeoutMs, maxBufferedBytes: clientLimits.bodyBytes},
 		metrics,
 		gauges: settings.storage && storageGauges(control),
 	});
@@ -193,7 +199,7 @@
 		void limits.requestQuotas();
 	});
 
-	const peerPort = await openPort(rpc.app, settings.listen.peers);
+	const peerPort = await openPort(rpc.app, settings.listen.peers, {...defaultPortLimits, connections: clientLimits.ports.partners});
 	await control.start(rpc);
 	rpc.registerMethod(STATUS, (): InstanceStatus => ({
 		id: self,
@@ -212,7 +218,7 @@
 	rpc.registerMethod(CATALOGUE_HISTORY, ({revision}) => listChanges(control.state.catalogue.changes, revision));
 	rpc.registerMethod(CATALOGUE_APPLY, async proposal => catalogue.propose(proposal));
 	rpc.registerMethod(LEDGER_LOOKUP, async ({key}) => ({record: await ledger.lookup(key)}));
-	const callerPort = new DrainablePort(await openConnections(entry.app, settings.listen.callers, settings.entry));
+	const callerPort = new DrainablePort(await openConnections(entry.app, settings.listen.callers, {...entrySettings, connections: clientLimits.ports.callers}));
 	void abandonFormerClaims(control, self, life, closingClaims.signal);
 	host.start(rpc);
 	places.start();
--- a/packages/daemon/src/entry/entry-app.ts
+++ b/packages/daemon/src/entry/entry-app.ts
@@ -1,6 +1,6 @@
 /** The callers' port: completions, plain services, health and readiness. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {routerError} from '@baobabpier/core';
+import {defaultResourceLimits, routerError} from '@baobabpier/core';
 import {SpanKind} from '@opentelemetry/api';
 import {H3} from 'h3';
 import type {EventHandler} from 'h3';
@@ -13,9 +13,9 @@
 import {noMetrics} from '../observability/metrics.js';
 import type {Metrics} from '../observability/metrics.js';
 import {defaultEntrySettings} from '../settings/parse-settings.js';
-import type {EntrySettings} from '../settings/parse-settings.js';
 import {pacedReading} from '../transport/paced-reading.js';
 import {BodyReader} from './body-reader.js';
+import type {BodyReaderLimits} from './body-reader.js';
 import {ModelHandler} from './model-handler.js';
 import type {ModelHandlerParts} from './model-handler.js';
 import {PlainHandler} from './plain-handler.js';
@@ -30,7 +30,7 @@
 export type EntryParts = Omit<ModelHandlerParts & PlainHandlerParts, 'bodies' | 'metrics'> & {
 	readonly metrics?: Metrics;
 	readonly isStopping: () => boolean;
-	readonly limits?: EntrySettings | undefined;
+	readonly limits?: BodyReaderLimits | undefined;
 	/** Gauges of other parts, sampled with those of the entry. */
 	readonly gauges?: GaugeSources;
 };
@@ -87,7 +87,7 @@
 	readonly #stopGauges: () => void;
 
 	constructor(private readonly parts: EntryParts) {
-		const bodies = new BodyReader(parts.limits ?? defaultEntrySettings);
+		const bodies = new BodyReader(parts.limits ?? {bodyTimeoutMs: defaultEntrySettings.bodyTimeoutMs, maxBufferedBytes: defaultResourceLimits.bodyBytes});
 		const metrics = parts.metrics ?? noMetrics;
 		this.#models = new ModelHandler({...parts, bodies, metrics});
 		this.#plains = new PlainHandler({...parts, bodies, metrics});
--- a/packages/daemon/src/fleet/drainable-port.ts
+++ b/packages/daemon/src/fleet/drainable-port.ts
@@ -19,7 +19,7 @@
 	/** Whether answers ask their callers to close the connection. */
 	setClosing(closing: boolean): void {
 		this.connections.setClosing(closing);
-		this.connections.setStallTimeout(closing ? this.stallMs : 0);
+		this.connections.setStallTimeout(closing ? this.stallMs : undefined);
 	}
 
 	/** Waits for the requests in progress, answers what still arrives until none does for a while, and closes what is left. */
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -7,7 +7,7 @@
 	addMs, costOf, defaultResourceLimits, errorResponses, isErrorKind, pickTarget, RouteIndex, routerError, TeamIndex, toErrorBody,
 } from '@baobabpier/core';
 import type {
-	Clock, DrainWindow, ErrorKind, ErrorResponse, RandomSource, RouterError, RoutingTable, ServiceName,
+	ClientPortBounds, Clock, DrainWindow, ErrorKind, ErrorResponse, RandomSource, RouterError, RoutingTable, ServiceName,
 } from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
@@ -95,8 +95,8 @@
 	readonly relay: Pick<RelayClient, 'becomesNeeded' | 'isNeeded' | 'send'>;
 	/** Calls that other instances relay here. */
 	readonly relayPort: RelayPortSettings;
-	/** Connections of callers, and as many of other instances; beyond them the oldest one without a request is closed. */
-	readonly maxConnections?: number;
+	/** Bounds of the connections of callers and of other instances. */
+	readonly connections?: Pick<ClientPortBounds, 'callers' | 'partners'>;
 };
 
 /** How this instance takes relayed calls. */
@@ -134,9 +134,9 @@
 		this.#relayConnections = new ServerConnections(createServer({...options, maxHeaderSize: initialLimits.headerBytes + relayHeaderBytes}), (req, res, waitedMs) => {
 			void this.#handleRelayed(req, res, waitedMs);
 		});
-		for (const connections of [this.#connections, this.#relayConnections]) {
-			connections.setMaxConnections(parts.maxConnections ?? defaultResourceLimits.connections);
-		}
+		const {callers, partners} = parts.connections ?? defaultResourceLimits.ports;
+		this.#connections.setBounds(callers);
+		this.#relayConnections.setBounds(partners);
 
 		this.#server = this.#connections.server;
 		this.#drain = new CallDrain(parts.clock);
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -1,16 +1,21 @@
 /** Counters and latency histograms of a process, exposed in the Prometheus text format. */
+import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import type {Server, ServerResponse} from 'node:http';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {PortBounds} from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
 import {ServerConnections} from '../server-connections.js';
+import {clientConnections, metLimits} from '../transport/client-connections.js';
 import {pacedReading} from '../transport/paced-reading.js';
 import type {GateEvent} from './availability-gate.js';
 
 const log = createLog('metrics');
+/** Longest time for which a text of the metrics is sent again, in milliseconds. */
+const maxTextAgeMs = 50;
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 5, 15];
 
 /** Metrics of an entry instance. */
@@ -47,6 +52,12 @@
 	constructor() {
 		this.registerGauge('unparsed_bytes', 'Bytes of clients that have arrived and wait to be parsed', () => pacedReading.heldBytes);
 		this.registerGauge('full_turns', 'Turns of the event loop that left bytes of clients for the next one, since the start', () => pacedReading.fullTurns);
+		this.registerGauge('client_connections', 'Connections of clients, over all ports', () => clientConnections.size);
+		this.registerGauge('displaced_connections', 'Connections without a complete request that were closed to make room, since the start', () => metLimits.displaced.count);
+		this.registerGauge('refused_connections', 'New connections that were closed as all others had requests in progress, since the start', () => metLimits.refused.count);
+		this.registerGauge('unread_responses', 'Responses that were broken off as their callers read nothing, since the start', () => metLimits.unread.count);
+		this.registerGauge('requests_ahead', 'Connections that sent too many requests ahead of a response, since the start', () => metLimits.ahead.count);
+		this.registerGauge('malformed_requests', 'Connections that sent a malformed request, since the start', () => metLimits.malformed.count);
 	}
 
 	/** Records a completed call. */
@@ -105,18 +116,37 @@
 	}
 }
 
+/** The text of a registry, collected once for all who ask within a short time: a text takes a millisecond and tens of kilobytes. */
+class MetricsText {
+	#text: Promise<Uint8Array> | undefined;
+
+	constructor(private readonly registry: Registry) {}
+
+	async read(): Promise<Uint8Array> {
+		if (this.#text === undefined) {
+			this.#text = this.registry.metrics().then(text => Buffer.from(text));
+			setTimeout(() => {
+				this.#text = undefined;
+			}, maxTextAgeMs).unref();
+		}
+
+		return this.#text;
+	}
+}
+
 /**
  * Serves a registry at `/metrics`.
  *
  * @example
- * const server = await serveMetrics(metrics.registry, '127.0.0.1:9464');
+ * const server = await serveMetrics(metrics.registry, '127.0.0.1:9464', {guaranteed: 16, max: 32});
  */
-export const serveMetrics = async (registry: Registry, address: string): Promise<Server> => {
+export const serveMetrics = async (registry: Registry, address: string, bounds: PortBounds): Promise<Server> => {
+	const text = new MetricsText(registry);
 	const respond = async (res: ServerResponse): Promise<void> => {
 		try {
-			const text = await registry.metrics();
-			res.writeHead(200, {'content-type': registry.contentType});
-			res.end(text);
+			const body = await text.read();
+			res.writeHead(200, {'content-type': registry.contentType, 'content-length': body.length});
+			res.end(body);
 		} catch (error) {
 			log('Metrics could not be collected.', {error: (error as Error).message});
 			res.writeHead(500).end();
@@ -125,8 +155,7 @@
 
 	const {server} = new ServerConnections(createServer(), (_req, res) => {
 		void respond(res);
-	});
+	}, bounds);
 	await listenOn(server, address);
 	return server;
 };
-
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -6,7 +6,7 @@
 	addMs, createSeededRandom, defaultResourceLimits, digestServerList, ForecastPolicy, hashText, HedgingPolicy, resourceLimits, StaticShareMap, toId,
 } from '@baobabpier/core';
 import type {
-	DataCentreId, FencingToken, ForecastOptions, InstanceId, ListedServer, MachineResources, ModelService, RoutingDocument, RoutingTable, QuotaTolerance, WindowedRetryBudgetSettings, ServiceName, ShareMap, EngineId,
+	DataCentreId, FencingToken, ForecastOptions, InstanceId, ListedServer, MachineResources, ModelService, PortBounds, RoutingDocument, RoutingTable, QuotaTolerance, WindowedRetryBudgetSettings, ServiceName, ShareMap, EngineId,
 } from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
@@ -15,6 +15,7 @@
 import {PlacementClient} from '../pools/placement-client.js';
 import {PoolHost} from '../pools/pool-host.js';
 import {TeamQuotas} from '../teams/team-quotas.js';
+import {clientConnections} from '../transport/client-connections.js';
 import {incomingBodies} from '../transport/incoming-bodies.js';
 import {ServerTransport} from '../transport/server-transport.js';
 import {Peers} from '../rpc/peers.js';
@@ -96,11 +97,11 @@
 	stop(): Promise<void>;
 };
 
-const startReadinessServer = async (address: string, isReady: () => boolean): Promise<Server> => {
+const startReadinessServer = async (address: string, isReady: () => boolean, bounds: PortBounds): Promise<Server> => {
 	const {server} = new ServerConnections(createServer(), (_req, res) => {
 		res.writeHead(isReady() ? 200 : 503, {'content-length': 0});
 		res.end();
-	});
+	}, bounds);
 	await listenOn(server, address);
 	return server;
 };
@@ -294,6 +295,7 @@
 	});
 	const clientLimits = initialSettings.resources === undefined ? defaultResourceLimits : resourceLimits(initialSettings.resources);
 	incomingBodies.setMaxBytes(clientLimits.bodyBytes);
+	clientConnections.setMaxConnections(clientLimits.connections);
 	const quotas = new TeamQuotas({
 		self: initialSettings.id, clock, random, peers, leader: () => controlWatch.leader, instances: () => controlWatch.entryInstanceCount, isFirstStart: initialSettings.isFirstStart, tolerance: initialSettings.quotaTolerance, countResult(result) {
 			metrics.countQuota(result);
@@ -312,7 +314,7 @@
 		streams: new StreamRoute({
 			fleet, transport, dialect: dialect.server, retryBudgets, places, guard, origins, path, relay, clock, random,
 		}),
-		maxConnections: clientLimits.connections,
+		connections: clientLimits.ports,
 		metrics,
 		quotas,
 		gate,
@@ -337,10 +339,10 @@
 	metrics.registerGauge('quarantine_refusals', 'Calls refused for quarantined segments', () => guard.counts.refused);
 	metrics.registerGauge('quarantine_trials', 'Calls that tried suspected segments', () => guard.counts.trials);
 	metrics.registerGauge('quarantine_reports', 'Crash reports that a leader acknowledged', () => guard.counts.reports);
-	const readinessServer = await startReadinessServer(initialSettings.listen.readiness, isReady);
+	const readinessServer = await startReadinessServer(initialSettings.listen.readiness, isReady, clientLimits.ports.balancer);
 	await callerListener.listenForRelays(initialSettings.listen.relays);
 	await callerListener.listen(initialSettings.listen.callers);
-	const metricsServer = await serveMetrics(metrics.registry, initialSettings.listen.metrics);
+	const metricsServer = await serveMetrics(metrics.registry, initialSettings.listen.metrics, clientLimits.ports.scrapers);
 	path.start();
 	localPool.start();
 	client.start();
--- a/packages/daemon/src/listen.ts
+++ b/packages/daemon/src/listen.ts
@@ -1,6 +1,8 @@
 /** Opens an HTTP port for an h3 app. */
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
+import {defaultResourceLimits} from '@baobabpier/core';
+import type {PortBounds} from '@baobabpier/core';
 import {toNodeHandler} from 'h3';
 import type {H3} from 'h3';
 import {ServerConnections} from './server-connections.js';
@@ -10,12 +12,12 @@
 	/** Longest time for a request's headers, in milliseconds. */
 	readonly headersTimeoutMs: number;
 	readonly maxHeaderBytes: number;
-	/** Connections at a time; a further one displaces the oldest without a complete request. */
-	readonly maxConnections: number;
+	/** Connections at a time; a further one displaces one without a complete request. */
+	readonly connections: PortBounds;
 };
 
 /** Limits of a port that has none of its own. */
-export const defaultPortLimits: PortLimits = {headersTimeoutMs: 10_000, maxHeaderBytes: 16 * 1024, maxConnections: 10_000};
+export const defaultPortLimits: PortLimits = {headersTimeoutMs: 10_000, maxHeaderBytes: 16 * 1024, connections: defaultResourceLimits.ports.partners};
 const timeoutCheckMs = 500;
 
 /** Splits `host:port`. */
@@ -56,7 +58,7 @@
 	}), (req, res) => {
 		void handler(req, res);
 	});
-	connections.setMaxConnections(limits.maxConnections);
+	connections.setBounds(limits.connections);
 	await listenOn(connections.server, address);
 	return connections;
 };
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -8,12 +8,17 @@
 import {Server as NetServer} from 'node:net';
 import type {Socket} from 'node:net';
 import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
-import {errorResponses, routerError, toErrorBody} from '@baobabpier/core';
-import type {ErrorKind} from '@baobabpier/core';
+import {
+	errorResponses, isDenseBody, routerError, toErrorBody,
+} from '@baobabpier/core';
+import type {
+	ConnectionHandle, ConnectionPort, ErrorKind, PortBounds,
+} from '@baobabpier/core';
 import {createLog} from './log.js';
+import {clientConnections, metLimits} from './transport/client-connections.js';
 import {coalesceBody} from './transport/coalesced-body.js';
 import {pacedReading} from './transport/paced-reading.js';
-import type {PacedReader} from './transport/paced-reading.js';
+import type {PacedReader, ParseCounts} from './transport/paced-reading.js';
 
 const log = createLog('connections');
 /** Time that a refused caller has to close its side, in milliseconds. */
@@ -33,8 +38,20 @@
 
 /** Requests of a connection that may wait for the responses before them: callers rarely send more than a few ahead. */
 const maxWaitingRequests = 16;
-/** Number of connections closed to make room that share one log line, so that a crowd does not fill the log. */
-const displacedPerLine = 100;
+/** Chunks of a body between checks of their size. */
+const chunksPerCheck = 200;
+/** Bytes of requests that wait behind another on their connection, beyond which the connection is read no further. */
+const maxWaitingBytes = 16 * 1024;
+/** Longest body that is read though its response is sent already, so that its connection can be kept, in bytes. */
+const maxShortBodyBytes = 16 * 1024;
+/** Time after which a response is broken off whose caller reads nothing of it, in milliseconds. */
+const defaultStallTimeoutMs = 30_000;
+/** Time after which the connection of such a caller gives way to others, in milliseconds. */
+const unreadMs = 1000;
+/** Interval in which responses are checked for that while connections have to give way, in milliseconds. */
+const unreadCheckMs = 100;
+/** Bounds of a port that sets none: those of the process hold. */
+const noBounds: PortBounds = {guaranteed: 0, max: Number.POSITIVE_INFINITY};
 
 /** Thrown into the body of a request whose further bytes are no part of a request. */
 export class MalformedBodyError extends Error {
@@ -54,15 +71,30 @@
 
 type Connection = {
 	readonly openedAt: number;
-	readonly reader: PacedReader;
+	/** Reads in place of the HTTP server; undefined while that reads itself. */
+	reader: PacedReader | undefined;
+	readonly counts: ParseCounts;
+	readonly handle: ConnectionHandle;
 	/** Whether a request has come. */
 	isUsed: boolean;
+	/** Bytes that had been read when the last response was over: what has been read since is the part of a head. */
+	idleBytesRead: number;
+	isLingering: boolean;
+	/** Whether its client has read nothing of the response for a while. */
+	isUnread: boolean;
+	/** Bytes that had been parsed when a request began to wait behind another one; undefined while none does. */
+	waitingFrom: number | undefined;
+	/** What waited to be sent when that was checked, and since when it has not changed. */
+	unsent: {readonly bytes: number; readonly sent: number; readonly since: number} | undefined;
 	/** Requests whose responses have not been sent completely; only the first one has reached the handler. */
 	readonly exchanges: Exchange[];
 	/** Why the bytes after the last request were refused. */
 	refusal: ErrorKind | undefined;
 };
 
+/** Whether a request has a body that costs less to read than a new connection costs its client. */
+export const isShortBody = ({headers}: IncomingMessage): boolean => headers['transfer-encoding'] === undefined && Number(headers['content-length'] ?? 0) <= maxShortBodyBytes;
+
 const kindOf = (code: string | undefined): ErrorKind => {
 	switch (code) {
 		case 'HPE_HEADER_OVERFLOW': {
@@ -120,12 +152,22 @@
 	/** Number of connections accepted so far. */
 	#opened = 0;
 	#isClosing = false;
-	#stallTimeoutMs = 0;
-	#maxConnections = Number.POSITIVE_INFINITY;
-	/** Connections closed to make room. */
-	#displaced = 0;
-
-	constructor(readonly server: Server, private readonly handler: RequestHandler) {
+	#stallTimeoutMs = defaultStallTimeoutMs;
+	readonly #port: ConnectionPort;
+	readonly #sockets = new Map<ConnectionHandle, Socket>();
+	#unreadCheckedAt = 0;
+
+	constructor(readonly server: Server, private readonly handler: RequestHandler, bounds = noBounds) {
+		this.#port = clientConnections.openPort(bounds);
+		const stopTaking = pacedReading.registerTaker(() => {
+			for (const [socket, connection] of this.#connections) {
+				this.#attach(socket, connection);
+			}
+		});
+		server.once('close', () => {
+			stopTaking();
+			clientConnections.closePort(this.#port);
+		});
 		server.on('connection', socket => {
 			this.#open(socket);
 		});
@@ -140,7 +182,7 @@
 		});
 		server.on('connect', (_req, socket) => {
 			// Node.js has stopped reading the connection, and its parser serves another one soon
-			this.#connections.get(socket as Socket)?.reader.detach();
+			this.#connections.get(socket as Socket)?.reader?.detach();
 			socket.resume();
 			this.#refuse(socket as Socket, undefined, 'tunnels are not supported');
 		});
@@ -165,11 +207,11 @@
 	}
 
 	/**
-	 * Sets how many connections are kept at a time. A further one displaces the oldest one whose request is not complete, so that clients that open
+	 * Sets how many connections are kept at a time. A further one displaces the one that is the least likely to be an ordinary client's, so that clients that open
 	 * connections and send nothing on them keep nobody else out; it is closed itself where there is none.
 	 */
-	setMaxConnections(count: number): void {
-		this.#maxConnections = count;
+	setBounds(bounds: PortBounds): void {
+		this.#port.setBounds(bounds);
 	}
 
 	/** Whether bytes of a response wait for a caller to read them. */
@@ -177,8 +219,8 @@
 		return [...this.#connections].some(([socket, {exchanges}]) => exchanges.length > 0 && socket.writableLength > 0);
 	}
 
-	/** Sets the time after which a response is broken off whose caller reads nothing of it, in milliseconds; 0 for never. */
-	setStallTimeout(ms: number): void {
+	/** Sets the time after which a response is broken off whose caller reads nothing of it, in milliseconds. */
+	setStallTimeout(ms = defaultStallTimeoutMs): void {
 		this.#stallTimeoutMs = ms;
 		for (const [socket, {exchanges}] of this.#connections) {
 			if (exchanges.length > 0) {
@@ -265,7 +307,7 @@
 
 	/** Changes with each connection that is accepted and each byte that is parsed. */
 	get #received(): number {
-		return [...this.#connections].reduce((sum, [{bytesRead}, {reader}]) => sum + bytesRead - reader.heldBytes, this.#opened);
+		return [...this.#connections].reduce((sum, [{bytesRead}, {reader}]) => sum + bytesRead - (reader?.heldBytes ?? 0), this.#opened);
 	}
 
 	#awaitsFirstRequest(): boolean {
@@ -280,19 +322,26 @@
 
 	#open(socket: Socket): void {
 		this.#opened += 1;
-		if (this.#connections.size >= this.#maxConnections && !this.#displaceOldest()) {
+		const handle = this.#admit();
+		if (handle === undefined) {
 			socket.destroy();
 			return;
 		}
 
 		const connection: Connection = {
-			openedAt: performance.now(), reader: pacedReading.attach(socket), isUsed: false, exchanges: [], refusal: undefined,
+			openedAt: performance.now(), reader: undefined, counts: {chunks: 0, requests: 0}, handle, isUsed: false, idleBytesRead: 0, isLingering: false, isUnread: false, waitingFrom: undefined, unsent: undefined, exchanges: [], refusal: undefined,
 		};
 		this.#connections.set(socket, connection);
+		this.#sockets.set(handle, socket);
+		if (pacedReading.isNeeded) {
+			this.#attach(socket, connection);
+		}
+
 		const destroySoon = socket.destroySoon.bind(socket);
 		// Node.js calls it when a response that closes its connection is sent
 		socket.destroySoon = () => {
-			if (connection.exchanges[0]?.req.complete === false) {
+			// What the HTTP server reads itself has mostly arrived by now
+			if (connection.exchanges[0]?.req.complete === false && connection.reader !== undefined) {
 				this.#linger(socket, connection);
 			} else {
 				destroySoon();
@@ -300,25 +349,118 @@
 		};
 
 		socket.once('close', () => {
-			this.#connections.delete(socket);
-			this.#count(-connection.exchanges.length);
-			connection.exchanges.length = 0;
+			this.#forget(socket, connection);
 		});
 	}
 
+	#attach(socket: Socket, connection: Connection): PacedReader {
+		connection.reader ??= pacedReading.attach(socket, connection.counts);
+		return connection.reader;
+	}
+
+	/** Makes room for a new connection; returns undefined where all others have more right to stay. */
+	#admit(): ConnectionHandle | undefined {
+		if (this.#port.isFull) {
+			for (const [socket, connection] of this.#connections) {
+				this.#updateStage(socket, connection);
+			}
+		}
+
+		let admission = this.#port.admit();
+		if (admission.kind === 'refused' && this.#markUnread()) {
+			admission = this.#port.admit();
+		}
+
+		if (admission.kind === 'refused') {
+			metLimits.refused.add({connections: this.#connections.size});
+			return undefined;
+		}
+
+		if (admission.kind === 'displaces') {
+			metLimits.displaced.add({connections: this.#connections.size, stage: admission.displaced.stage});
+			const socket = this.#sockets.get(admission.displaced)!;
+			this.#forget(socket, this.#connections.get(socket)!);
+			socket.destroy();
+		}
+
+		return admission.handle;
+	}
+
+	#forget(socket: Socket, connection: Connection): void {
+		this.#connections.delete(socket);
+		this.#sockets.delete(connection.handle);
+		this.#port.remove(connection.handle);
+		this.#count(-connection.exchanges.length);
+		connection.exchanges.length = 0;
+	}
+
+	/** Finds connections whose clients have read nothing of their responses for a while; returns whether there are any. */
+	#markUnread(): boolean {
+		const now = performance.now();
+		if (now - this.#unreadCheckedAt < unreadCheckMs) {
+			return false;
+		}
+
+		this.#unreadCheckedAt = now;
+		let isAny = false;
+		for (const [socket, connection] of this.#connections) {
+			const {writableLength: bytes, bytesWritten: sent} = socket;
+			const {unsent} = connection;
+			const isStalled = bytes > 0 && unsent?.bytes === bytes && unsent.sent === sent;
+			if (!isStalled) {
+				connection.unsent = {bytes, sent, since: now};
+			}
+
+			connection.isUnread = isStalled && now - unsent.since >= unreadMs;
+			isAny ||= connection.isUnread;
+			this.#updateStage(socket, connection);
+		}
+
+		return isAny;
+	}
+
+	#updateStage(socket: Socket, {handle, exchanges: [first], idleBytesRead, isLingering, isUnread, isUsed}: Connection): void {
+		if (isLingering) {
+			this.#port.setStage(handle, 'closing');
+		} else if (isUnread) {
+			this.#port.setStage(handle, 'unread');
+		} else if (first !== undefined) {
+			this.#port.setStage(handle, first.req.complete || first.res.headersSent ? 'serving' : 'partialBody');
+		} else if (socket.bytesRead > idleBytesRead) {
+			this.#port.setStage(handle, 'partialHead');
+		} else {
+			this.#port.setStage(handle, isUsed ? 'idle' : 'silent');
+		}
+	}
+
+	/** Stops reading a connection while what waits behind a request takes much memory: no reader bounds it. */
+	#holdWaiting(socket: Socket, connection: Connection): void {
+		if (connection.exchanges.length < 2) {
+			return;
+		}
+
+		const parsedBytes = socket.bytesRead - (connection.reader?.heldBytes ?? 0);
+		connection.waitingFrom ??= parsedBytes;
+		if (parsedBytes - connection.waitingFrom > maxWaitingBytes) {
+			this.#attach(socket, connection).setHeld(true);
+		}
+	}
+
 	#receive(req: IncomingMessage, res: ServerResponse): void {
 		const {socket} = req;
 		const connection = this.#connections.get(socket);
-		const reader = connection?.reader;
-		coalesceBody(req, () => {
-			if (reader !== undefined) {
-				reader.chunks += 1;
+		const body = {chunks: 0, bytes: 0};
+		coalesceBody(req, bytes => {
+			body.chunks += 1;
+			body.bytes += bytes;
+			if (connection !== undefined) {
+				connection.counts.chunks += 1;
 			}
-		});
-		if (reader !== undefined) {
-			reader.requests += 1;
-		}
 
+			if (body.chunks % chunksPerCheck === 0 && isDenseBody(body)) {
+				pacedReading.reportDense();
+			}
+		});
 		if (connection === undefined || connection.refusal !== undefined || !socket.writable) {
 			return;
 		}
@@ -330,9 +472,10 @@
 		}
 
 		connection.isUsed = true;
+		connection.counts.requests += 1;
 		if (connection.exchanges.length >= maxWaitingRequests) {
-			// What waits is held in memory, and no reader bounds it
-			log('A connection sends too many requests ahead; the further ones are refused.', {waiting: connection.exchanges.length});
+			metLimits.ahead.add({waiting: connection.exchanges.length});
+			pacedReading.reportDense();
 			connection.refusal = 'overloaded';
 			socket.pause();
 			return;
@@ -343,11 +486,21 @@
 		};
 		connection.exchanges.push(exchange);
 		this.#count(1);
+		this.#updateStage(socket, connection);
+		this.#holdWaiting(socket, connection);
+		res.once('finish', () => {
+			// Node.js would parse the rest of the body, however long it is
+			if (res.shouldKeepAlive && !req.complete && !isShortBody(req)) {
+				this.#linger(socket, connection);
+			}
+		});
 		res.once('close', () => {
 			if (connection.exchanges[0] === exchange) {
 				connection.exchanges.shift();
 				this.#count(-1);
+				connection.idleBytesRead = socket.bytesRead;
 				this.#advance(socket, connection, exchange);
+				this.#updateStage(socket, connection);
 			}
 		});
 		if (connection.exchanges.length === 1) {
@@ -355,26 +508,6 @@
 		}
 	}
 
-	/** Closes the oldest connection that has sent no request, or else the oldest whose request is not complete, or else the oldest idle one; returns false where there is none. */
-	#displaceOldest(): boolean {
-		const all = [...this.#connections];
-		const displaced = all.find(([, {isUsed}]) => !isUsed) ?? all.find(([, {exchanges: [first]}]) => first !== undefined && !first.req.complete && !first.res.headersSent) ?? all.find(([, {exchanges}]) => exchanges.length === 0);
-		if (displaced === undefined) {
-			return false;
-		}
-
-		this.#displaced += 1;
-		if (this.#displaced % displacedPerLine === 1) {
-			log('Connections without a complete request are closed, as there are too many.', {connections: this.#connections.size, displaced: this.#displaced});
-		}
-
-		this.#connections.delete(displaced[0]);
-		this.#count(-displaced[1].exchanges.length);
-		displaced[1].exchanges.length = 0;
-		displaced[0].destroy();
-		return true;
-	}
-
 	/** Closes a connection that is idle, or whose caller reads nothing; a response that has nothing to send yet goes on. */
 	#handleTimeout(socket: Socket): void {
 		const connection = this.#connections.get(socket);
@@ -382,14 +515,26 @@
 		if (first === undefined) {
 			void this.#closeUnused(socket, connection);
 		} else if (socket.writableLength > 0) {
-			log('A caller reads nothing of its response, which is broken off.', {unreadBytes: socket.writableLength});
-			breakOff(first.res);
+			void this.#breakOffUnread(socket, first.res);
+		}
+	}
+
+	/** Breaks off a response of which nothing is sent: after a pause of the process its timeout ends before it sends. */
+	async #breakOffUnread(socket: Socket, res: ServerResponse): Promise<void> {
+		const {writableLength, bytesWritten} = socket;
+		await nextTurn();
+		await nextTurn();
+		if (socket.writableLength === writableLength && socket.bytesWritten === bytesWritten && !res.destroyed) {
+			metLimits.unread.add({unreadBytes: writableLength});
+			breakOff(res);
 		}
 	}
 
 	/** Goes on with what came behind a response that is over. */
 	#advance(socket: Socket, connection: Connection, {res: {writableFinished}, announcedIdleMs}: Exchange): void {
 		const [next] = connection.exchanges;
+		connection.waitingFrom = undefined;
+		connection.reader?.setHeld(false);
 		if (!writableFinished || socket.destroyed || !socket.writable) {
 			return;
 		}
@@ -412,7 +557,7 @@
 		const {bytesRead} = socket;
 		await nextTurn();
 		await nextTurn();
-		if (socket.bytesRead === bytesRead && (connection?.reader.heldBytes ?? 0) === 0 && (connection?.exchanges.length ?? 0) === 0) {
+		if (socket.bytesRead === bytesRead && (connection?.reader?.heldBytes ?? 0) === 0 && (connection?.exchanges.length ?? 0) === 0) {
 			socket.destroy();
 		}
 	}
@@ -438,7 +583,7 @@
 		}
 
 		connection.refusal = kindOf(code);
-		log('A connection sent a malformed request.', {kind: connection.refusal, detail, isAnswering});
+		metLimits.malformed.add({kind: connection.refusal, detail, isAnswering});
 		socket.once('end', () => {
 			socket.destroy();
 		});
@@ -464,8 +609,9 @@
 	}
 
 	/** Closes a connection after a response to a request that was not read whole: unread bytes would reset it before the response has arrived. */
-	#linger(socket: Socket, {reader}: Connection): void {
-		reader.detach();
+	#linger(socket: Socket, connection: Connection): void {
+		connection.isLingering = true;
+		this.#attach(socket, connection).detach();
 		socket.once('end', () => {
 			socket.destroy();
 		});
--- a/packages/daemon/src/settings/parse-settings.ts
+++ b/packages/daemon/src/settings/parse-settings.ts
@@ -24,8 +24,13 @@
 	headersTimeoutMs: positive.default(10_000),
 	bodyTimeoutMs: positive.default(30_000),
 	maxHeaderBytes: positive.default(16 * 1024),
-	maxConnections: positive.default(10_000),
-	maxBufferedBytes: positive.default(64 * 1024 * 1024),
+	maxConnections: positive.optional(),
+	maxBufferedBytes: positive.optional(),
+}).prefault({});
+
+const machine = z.strictObject({
+	memoryMegabytes: positive.default(178),
+	descriptors: positive.default(4100),
 }).prefault({});
 
 const schema = z.strictObject({
@@ -37,6 +42,7 @@
 	storage: z.strictObject({folder: z.string().min(1)}).optional(),
 	platform: z.strictObject({list: address}).optional(),
 	entry,
+	machine,
 	tracing: z.strictObject({endpoint: z.url({protocol: /^https?$/v})}).optional(),
 	metrics: z.strictObject({host: z.string().min(1), port: z.number().int().min(1).max(65_535)}).optional(),
 	stop: z.strictObject({
@@ -62,14 +68,24 @@
 	/** Longest time for a whole model request's or claimed call's body, in milliseconds. */
 	readonly bodyTimeoutMs: number;
 	readonly maxHeaderBytes: number;
-	readonly maxConnections: number;
-	/** Bytes of bodies read whole that are held at a time. */
-	readonly maxBufferedBytes: number;
+	/** Callers' connections at a time; undefined for what the machine allows. */
+	readonly maxConnections?: number | undefined;
+	/** Bytes of bodies read whole that are held at a time; undefined for what the machine allows. */
+	readonly maxBufferedBytes?: number | undefined;
+};
+
+/** What the machine has for the process. */
+export type MachineSettings = {
+	readonly memoryMegabytes: number;
+	readonly descriptors: number;
 };
 
 /** The defaults of `[entry]`. */
 export const defaultEntrySettings: EntrySettings = entry.parse(undefined);
 
+/** The defaults of `[machine]`. */
+export const defaultMachineSettings: MachineSettings = machine.parse(undefined);
+
 /** Checked settings of a daemon. */
 export type Settings = {
 	readonly id: InstanceId;
@@ -80,6 +96,7 @@
 	readonly storage?: {readonly folder: string} | undefined;
 	readonly platform?: {readonly list: string} | undefined;
 	readonly entry?: EntrySettings | undefined;
+	readonly machine?: MachineSettings | undefined;
 	/** Where spans go by OTLP over HTTP; no tracing without. */
 	readonly tracing?: {readonly endpoint: string} | undefined;
 	/** Where metrics go by StatsD over UDP; no metrics without. */
--- a/packages/daemon/src/transport/coalesced-body.ts
+++ b/packages/daemon/src/transport/coalesced-body.ts
@@ -13,11 +13,11 @@
  * a chunk of one byte while it waits. Chunks are joined until the end of a turn of the event loop, and further while the reader has not taken what came before.
  *
  * @example
- * server.on('request', req => coalesceBody(req, () => {
- * 	chunks += 1;
+ * server.on('request', req => coalesceBody(req, bytes => {
+ * 	received += bytes;
  * }));
  */
-export const coalesceBody = (req: IncomingMessage, onChunk: () => void): void => {
+export const coalesceBody = (req: IncomingMessage, onChunk: (bytes: number) => void): void => {
 	const push = req.push.bind(req);
 	const read = req._read.bind(req);
 	const declaredBytes = Number(req.headers['content-length'] ?? Number.NaN);
@@ -66,7 +66,7 @@
 			return push(null);
 		}
 
-		onChunk();
+		onChunk(chunk.length);
 		if (chunk.length >= minChunkBytes || (size === 0 && chunk.length === declaredBytes)) {
 			flush();
 			mayPush = push(chunk);
--- a/packages/daemon/src/transport/paced-reading.ts
+++ b/packages/daemon/src/transport/paced-reading.ts
@@ -2,10 +2,18 @@
 import type {Socket} from 'node:net';
 import {defaultReadLimits, ReadSchedule} from '@baobabpier/core';
 import type {ReadHandle} from '@baobabpier/core';
+import {createLog} from '../log.js';
+
+const log = createLog('reading');
+/** Time for which connections take turns after the last body of small chunks, in milliseconds: clients come back. */
+const denseMs = 10_000;
 
 /** The listener through which the parser of an HTTP server gets the bytes of a connection. */
 type Parse = (bytes: Uint8Array) => void;
 
+/** What the parser has found on a connection so far. */
+export type ParseCounts = {chunks: number; requests: number};
+
 /** Decides when a connection is read. */
 type ReadOrder = {
 	/** Bytes have arrived. */
@@ -17,22 +25,26 @@
 
 /** Reads one connection in place of its HTTP server. What has arrived stays in the socket, which stops reading at its high-water mark. */
 export class PacedReader {
-	/** Chunks of bodies and requests that the parser has found so far. */
-	chunks = 0;
-	requests = 0;
 	/** Bytes of the socket that the order knows of. */
 	#knownBytes = 0;
+	/** Whether the HTTP server reads: it pauses connections whose bodies or responses have no reader. */
+	#isWanted: boolean;
+	/** Whether requests that wait on the connection have to be served first. */
+	#isHeld = false;
 	#isDetached = false;
 
 	constructor(private readonly socket: Socket, private readonly parse: Parse, private readonly order: ReadOrder) {
-		// The server pauses connections whose bodies or responses have no reader
+		this.#isWanted = !socket.isPaused();
+		this.#applyOrder();
 		socket.pause = () => {
-			order.suspend();
+			this.#isWanted = false;
+			this.#applyOrder();
 			return socket;
 		};
 
 		socket.resume = () => {
-			order.resume();
+			this.#isWanted = true;
+			this.#applyOrder();
 			return socket;
 		};
 
@@ -49,6 +61,12 @@
 		return this.#isDetached ? 0 : this.socket.readableLength;
 	}
 
+	/** Sets whether requests that wait on the connection have to be served before more is parsed. */
+	setHeld(isHeld: boolean): void {
+		this.#isHeld = isHeld;
+		this.#applyOrder();
+	}
+
 	/** Stops parsing for good; what is held is dropped, and so is what still arrives. */
 	detach(): void {
 		if (!this.#isDetached) {
@@ -69,6 +87,14 @@
 		this.#announce();
 	}
 
+	#applyOrder(): void {
+		if (this.#isWanted && !this.#isHeld) {
+			this.order.resume();
+		} else {
+			this.order.suspend();
+		}
+	}
+
 	#announce(): void {
 		const {socket} = this;
 		if (this.#isDetached || socket.readableLength === 0) {
@@ -85,14 +111,18 @@
 }
 
 /**
- * Shares the event loop of a process among the connections of its servers.
+ * Shares the event loop of a process among the connections of its servers. While no client sends bodies of small chunks, HTTP servers read their
+ * connections themselves, which takes less memory.
  *
  * @example
- * server.on('connection', socket => reading.attach(socket));
+ * const teardown = reading.registerTaker(() => attachAll());
+ * if (reading.isNeeded) reading.attach(socket, {chunks: 0, requests: 0});
  */
 export class PacedReading {
 	readonly #schedule = new ReadSchedule(defaultReadLimits);
-	readonly #readers = new Map<ReadHandle, PacedReader>();
+	readonly #readers = new Map<ReadHandle, {readonly reader: PacedReader; readonly counts: ParseCounts}>();
+	readonly #takers = new Set<() => void>();
+	#denseUntil = Number.NEGATIVE_INFINITY;
 	#isParsing = false;
 	#isTurnScheduled = false;
 	#fullTurns = 0;
@@ -107,8 +137,33 @@
 		return this.#fullTurns;
 	}
 
-	/** Takes the reading of a new connection over from its HTTP server. */
-	attach(socket: Socket): PacedReader {
+	/** Whether connections are read in turns for now. */
+	get isNeeded(): boolean {
+		return performance.now() < this.#denseUntil;
+	}
+
+	/** Registers a server whose connections have to be attached as soon as that is needed; returns the teardown. */
+	registerTaker(take: () => void): () => void {
+		this.#takers.add(take);
+		return () => {
+			this.#takers.delete(take);
+		};
+	}
+
+	/** Records that a client sends a body of small chunks. */
+	reportDense(): void {
+		const isNew = !this.isNeeded;
+		this.#denseUntil = performance.now() + denseMs;
+		if (isNew) {
+			log('Clients send bodies of small chunks; connections take turns.');
+			for (const take of this.#takers) {
+				take();
+			}
+		}
+	}
+
+	/** Takes the reading of a connection over from its HTTP server, also while that parses. */
+	attach(socket: Socket, counts: ParseCounts): PacedReader {
 		const [parse] = socket.listeners('data') as Parse[];
 		socket.removeAllListeners('data');
 		const handle = this.#schedule.open();
@@ -129,7 +184,7 @@
 				this.#readers.delete(handle);
 			},
 		});
-		this.#readers.set(handle, reader);
+		this.#readers.set(handle, {reader, counts});
 		return reader;
 	}
 
@@ -143,10 +198,10 @@
 		try {
 			for (let slice = this.#schedule.next(); slice !== undefined; slice = this.#schedule.next()) {
 				const {handle, bytes} = slice;
-				const reader = this.#readers.get(handle)!;
-				const {chunks, requests} = reader;
+				const {reader, counts} = this.#readers.get(handle)!;
+				const {chunks, requests} = counts;
 				reader.parseNext(bytes);
-				this.#schedule.spend(handle, {bytes, chunks: reader.chunks - chunks, requests: reader.requests - requests});
+				this.#schedule.spend(handle, {bytes, chunks: counts.chunks - chunks, requests: counts.requests - requests});
 			}
 		} finally {
 			this.#isParsing = false;
