Calls that their heads rule out are refused before their bodies are read

Seen by callers: a call without a route, with a bad header or key, whose deadline is over, or that a stop does not admit was refused only after its whole body, or with 408 after up to 30 s where that never ended.

Cause: the listener read the body first, though all of this is known from the head.

Change: such a call is refused at once and its connection closed; it was certainly not run. A body of known length up to 16 KiB is read all the same, so that the connection can be kept. Relayed calls are read as before: their routing version is checked first.

--- a/packages/daemon/src/__tests__/unit/caller-listener.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-listener.test.ts
@@ -3,12 +3,14 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import {
-	addMs, createSeededRandom, ok, toId,
+	addMs, createSeededRandom, err, ok, routerError, toId,
 } from '@baobabpier/core';
 import type {
 	RequestId, RouteName, RoutingTable, RoutingVersion, ServiceName,
 } from '@baobabpier/core';
-import {afterEach, expect, test} from 'vitest';
+import {
+	afterEach, describe, expect, test,
+} from 'vitest';
 import {CallerListener} from '../../gateway/caller-listener.js';
 import {GatewayMetrics} from '../../gateway/gateway-metrics.js';
 import type {PlainRoute} from '../../gateway/plain-route.js';
@@ -41,12 +43,12 @@
 let outputs: StreamOutput[] = [];
 let finish: (() => void) | undefined;
 
-const applyTable = (): void => {
-	listener.apply(table);
+const applyTable = (applied = table): void => {
+	listener.apply(applied);
 	gate.open();
 };
 
-const openConnection = async (hasTable = true): Promise<Socket> => {
+const openConnection = async (hasTable = true, applied = table): Promise<Socket> => {
 	const address = '127.0.0.1:0';
 	servedCalls = [];
 	outputs = [];
@@ -58,9 +60,11 @@
 		clock: monotonicClock,
 		random: createSeededRandom(1),
 		dialect: {
-			parseMetadata: headers => ok({
-				requestId: toId<RequestId>(String(headers['x-id'])), callerTimeoutMs: undefined, promptTokens: 0, maxTokens: 0, lastEventId: undefined, sharedSegments: [],
-			}),
+			parseMetadata: headers => headers['x-fault'] === undefined
+				? ok({
+					requestId: toId<RequestId>(String(headers['x-id'])), callerTimeoutMs: headers['x-timeout'] === undefined ? undefined : Number(headers['x-timeout']), promptTokens: 0, maxTokens: 0, lastEventId: undefined, sharedSegments: [],
+				})
+				: err(routerError('malformedRequest', 'x-fault')),
 			errorHeaders: (_id, retryAfterMs): Record<string, string> => retryAfterMs === undefined ? {} : {'retry-after': String(retryAfterMs / 1000)},
 			takeUpHeaders: () => ({names: new Set(), headers: []}),
 		},
@@ -87,7 +91,7 @@
 	});
 	await listener.listen(address);
 	if (hasTable) {
-		applyTable();
+		applyTable(applied);
 	}
 
 	const socket = connect(listener.port, '127.0.0.1');
@@ -165,3 +169,40 @@
 	expect(await receiveUntil(socket, text => text.includes('\r\n\r\n'))).toContain(`HTTP/1.1 ${status} `);
 	expect(servedCalls).toEqual([]);
 });
+
+const stopping = (): void => {
+	listener.startClosing({knownAt: monotonicClock.now(), endsAt: monotonicClock.now()});
+};
+
+/** Calls that can't be served whatever their bodies are. */
+const refusedHeads: ReadonlyArray<{readonly name: string; readonly path?: string; readonly more?: string; readonly applied?: RoutingTable; readonly before?: () => void; readonly status: number}> = [
+	{name: 'a path without a route', path: '/none/1', status: 404},
+	{name: 'a malformed header', more: 'x-fault: 1\r\n', status: 400},
+	{name: 'no key', applied: {...table, teams: []}, status: 401},
+	{name: 'a deadline that is over', more: 'x-timeout: 0\r\n', status: 503},
+	{name: 'a stop that ends before the call does', before: stopping, status: 503},
+];
+
+// Guards against callers that wait, and bodies that take memory, for a call that is refused anyway
+describe.each([
+	{body: 'chunks', header: 'transfer-encoding: chunked', start: '5\r\nbegun\r\n'},
+	{body: 'a length', header: 'content-length: 900000', start: 'begun'},
+])('a body with $body that never ends', ({header, start}) => {
+	test.each(refusedHeads)('is not waited for where the call has $name', async ({path = '/unsafe/1', more = '', applied = {...table, limits: {...table.limits, bodyBytes: 1_000_000}}, before, status}) => {
+		const socket = await openConnection(true, applied);
+		before?.();
+		socket.write(`POST ${path} HTTP/1.1\r\nhost: a.example\r\nx-id: r\r\n${more}${header}\r\n\r\n${start}`);
+		const text = await receiveUntil(socket, received => received.includes('\r\n\r\n'));
+		expect(text).toContain(`HTTP/1.1 ${status} `);
+		expect(text.toLowerCase()).toContain('connection: close');
+		expect(servedCalls).toEqual([]);
+	});
+});
+
+test('a short body of a refused call is read, and its connection kept', async () => {
+	const socket = await openConnection();
+	send(socket, '/none/1', 'r', 'x'.repeat(500));
+	expect(await receiveUntil(socket, text => text.includes('\r\n\r\n'))).toContain('404');
+	send(socket, '/unsafe/1', 'next');
+	expect(await receiveUntil(socket, text => text.includes('done'))).toContain('200 OK');
+});
--- a/packages/daemon/src/gateway/caller-listener.ts
+++ b/packages/daemon/src/gateway/caller-listener.ts
@@ -7,16 +7,17 @@
 	addMs, costOf, defaultResourceLimits, errorResponses, isErrorKind, pickTarget, RouteIndex, routerError, TeamIndex, toErrorBody,
 } from '@baobabpier/core';
 import type {
-	ClientPortBounds, Clock, DrainWindow, ErrorKind, ErrorResponse, RandomSource, RouterError, RoutingTable, ServiceName,
+	ClientPortBounds, Clock, DrainWindow, ErrorKind, ErrorResponse, Instant, RandomSource, RouterError, RoutingTable, ServiceName,
 } from '@baobabpier/core';
 import {listenOn} from '../listen.js';
 import {createLog} from '../log.js';
-import {breakOff, ServerConnections} from '../server-connections.js';
+import {breakOff, isShortBody, ServerConnections} from '../server-connections.js';
 import type {RelayClient} from '../relay/relay-client.js';
 import {declinedHeader, readRelayHeaders, relayHeaderNames} from '../relay/relay-headers.js';
 import type {RelayHeaders} from '../relay/relay-headers.js';
 import type {QuotaOutcome, TeamQuotas} from '../teams/team-quotas.js';
 import {processBuffers} from '../transport/buffer-account.js';
+import {metLimits} from '../transport/client-connections.js';
 import {incomingBodies} from '../transport/incoming-bodies.js';
 import {CallBodyReader} from './call-body-reader.js';
 import {CallDrain} from './call-drain.js';
@@ -60,6 +61,8 @@
 /** Maximum number of connections that wait to be accepted. */
 const backlog = 1024;
 
+const pathOf = (req: IncomingMessage): string => (req.url ?? '/').split('?', 1)[0]!;
+
 /** The reply to a call whose route returned `reply`: every caller gets a response, and one that fits the end of its call. */
 const toFinalReply = (reply: Reply, res: ServerResponse, scope: CallScope): Reply => {
 	if (reply.kind === 'streamed' && !res.headersSent && scope.reason !== 'callerGone') {
@@ -260,6 +263,13 @@
 	async #handle(req: IncomingMessage, res: ServerResponse, waitedMs: number, relay?: RelayHeaders): Promise<void> {
 		const arrivedAt = addMs(this.parts.clock.now(), -waitedMs);
 		try {
+			const refusal = relay === undefined && !isShortBody(req) ? this.#refuseByHead(req, arrivedAt) : undefined;
+			if (refusal !== undefined) {
+				metLimits.unreadBodies.add({kind: refusal.kind});
+				this.#refuse(req, res, refusal);
+				return;
+			}
+
 			const body = await this.#bodies.read(req, res, {maxBytes: this.#index?.table.limits.bodyBytes ?? initialLimits.bodyBytes, timeoutMs: this.#bodyTimeoutMs(req, relay)});
 			if (body === 'gone') {
 				return;
@@ -277,6 +287,44 @@
 		}
 	}
 
+	/** Why a call can't be served whatever its body is; undefined where it may be, or that is not known yet. */
+	#refuseByHead(req: IncomingMessage, arrivedAt: Instant): RouterError | undefined {
+		const index = this.#index;
+		const metadata = this.parts.dialect.parseMetadata(req.headers);
+		if (index === undefined) {
+			return undefined;
+		}
+
+		const route = index.routes.match(req.headers.host ?? '', pathOf(req));
+		if (route === undefined) {
+			return this.#unknownRoute(req);
+		}
+
+		if (metadata.err) {
+			return metadata.val;
+		}
+
+		if (index.teams?.identify(metadata.val.key, route.isOpen === true).kind === 'rejected') {
+			return routerError('unknownKey');
+		}
+
+		const deadlineAt = addMs(arrivedAt, Math.min(route.timeoutMs, metadata.val.callerTimeoutMs ?? route.timeoutMs));
+		if (deadlineAt <= this.parts.clock.now()) {
+			return routerError('queueTimeout');
+		}
+
+		if (this.#isClosed || !this.#drain.admits({route, deadlineAt})) {
+			this.#drain.countEffect('refused', route.kind);
+			return routerError('shuttingDown');
+		}
+
+		return undefined;
+	}
+
+	#unknownRoute(req: IncomingMessage): RouterError {
+		return routerError('unknownService', `no route for ${req.headers.host ?? ''}${pathOf(req)}`);
+	}
+
 	/** Time for the body of a call, in milliseconds: as long as its caller waits for the response. */
 	#bodyTimeoutMs(req: IncomingMessage, relay: RelayHeaders | undefined): number {
 		const metadata = this.parts.dialect.parseMetadata(req.headers);
@@ -295,7 +343,6 @@
 		}
 
 		const target = req.url ?? '/';
-		const path = target.split('?', 1)[0]!;
 		const index = this.#index;
 		if (isOutdated) {
 			this.#decline(req, res, 'the routing configuration is older than the sender\'s');
@@ -307,11 +354,11 @@
 			return;
 		}
 
-		const route = index.routes.match(req.headers.host ?? '', path);
+		const route = index.routes.match(req.headers.host ?? '', pathOf(req));
 		const service = route === undefined ? undefined : pickTarget(route, this.parts.random.next());
 		if (route === undefined || service === undefined) {
 			log('No route matches a call.', {requestId: this.#requestId(req), host: req.headers.host, version: index.table.version});
-			this.#refuse(req, res, routerError('unknownService', `no route for ${req.headers.host ?? ''}${path}`));
+			this.#refuse(req, res, this.#unknownRoute(req));
 			return;
 		}
 
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -57,6 +57,7 @@
 		this.registerGauge('refused_connections', 'New connections that were closed as all others had requests in progress, since the start', () => metLimits.refused.count);
 		this.registerGauge('unread_responses', 'Responses that were broken off as their callers read nothing, since the start', () => metLimits.unread.count);
 		this.registerGauge('requests_ahead', 'Connections that sent too many requests ahead of a response, since the start', () => metLimits.ahead.count);
+		this.registerGauge('unread_bodies', 'Calls refused by their heads, whose bodies were not read, since the start', () => metLimits.unreadBodies.count);
 		this.registerGauge('malformed_requests', 'Connections that sent a malformed request, since the start', () => metLimits.malformed.count);
 	}
 
--- a/packages/daemon/src/transport/client-connections.ts
+++ b/packages/daemon/src/transport/client-connections.ts
@@ -14,5 +14,6 @@
 	refused: new CountedLog(log, 'New connections are closed, as all others have requests in progress.'),
 	unread: new CountedLog(log, 'A caller reads nothing of its response, which is broken off.'),
 	ahead: new CountedLog(log, 'A connection sends too many requests ahead; the further ones are refused.'),
+	unreadBodies: new CountedLog(log, 'A call is refused by its head; its body is not read.'),
 	malformed: new CountedLog(log, 'A connection sent a malformed request.'),
 } as const;
