Up to eight refused connections of a port are read on, and new requests of unread connections count

Found by reading the change, no test failed for it: - where the HTTP server reads a connection itself, a caller that is refused by its head while it sends could have its connection reset before the response arrived, which no longer depends on who reads it.

--- a/packages/daemon/src/__tests__/unit/caller-listener.test.ts
+++ b/packages/daemon/src/__tests__/unit/caller-listener.test.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	addMs, createSeededRandom, err, ok, routerError, toId,
 } from '@baobabpier/core';
@@ -206,3 +207,21 @@
 	send(socket, '/unsafe/1', 'next');
 	expect(await receiveUntil(socket, text => text.includes('done'))).toContain('200 OK');
 });
+
+test('a caller that is refused while it sends a long body gets the response', async () => {
+	const socket = await openConnection();
+	let failure: Error | undefined;
+	socket.on('error', error => {
+		failure = error;
+	});
+	const received = receiveUntil(socket, text => text.includes('unknownService'));
+	socket.write('POST /none/1 HTTP/1.1\r\nhost: a.example\r\nx-id: r\r\ntransfer-encoding: chunked\r\n\r\n');
+	for (let sent = 0; sent < 20; sent++) {
+		socket.write(`10000\r\n${'x'.repeat(0x1_00_00)}\r\n`);
+		// eslint-disable-next-line no-await-in-loop
+		await sleep(5);
+	}
+
+	expect(await received).toContain('HTTP/1.1 404 ');
+	expect(failure).toBeUndefined();
+});
--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -21,6 +21,8 @@
 import type {PacedReader, ParseCounts} from './transport/paced-reading.js';
 
 const log = createLog('connections');
+/** Maximum number of connections of a port that are read on behind their last response: what is read takes memory until the next garbage collection. */
+const maxLingering = 8;
 /** Time that a refused caller has to close its side, in milliseconds. */
 const lingerMs = 2000;
 /** Idle timeout, while the server is closing, of a connection whose last response did not announce that, in milliseconds. */
@@ -156,6 +158,8 @@
 	readonly #port: ConnectionPort;
 	readonly #sockets = new Map<ConnectionHandle, Socket>();
 	#unreadCheckedAt = 0;
+	/** Connections that are read on behind their last response. */
+	#lingering = 0;
 
 	constructor(readonly server: Server, private readonly handler: RequestHandler, bounds = noBounds) {
 		this.#port = clientConnections.openPort(bounds);
@@ -340,8 +344,7 @@
 		const destroySoon = socket.destroySoon.bind(socket);
 		// Node.js calls it when a response that closes its connection is sent
 		socket.destroySoon = () => {
-			// What the HTTP server reads itself has mostly arrived by now
-			if (connection.exchanges[0]?.req.complete === false && connection.reader !== undefined) {
+			if (connection.exchanges[0]?.req.complete === false && this.#lingering < maxLingering) {
 				this.#linger(socket, connection);
 			} else {
 				destroySoon();
@@ -472,6 +475,7 @@
 		}
 
 		connection.isUsed = true;
+		connection.isUnread = false;
 		connection.counts.requests += 1;
 		if (connection.exchanges.length >= maxWaitingRequests) {
 			metLimits.ahead.add({waiting: connection.exchanges.length});
@@ -611,6 +615,10 @@
 	/** Closes a connection after a response to a request that was not read whole: unread bytes would reset it before the response has arrived. */
 	#linger(socket: Socket, connection: Connection): void {
 		connection.isLingering = true;
+		this.#lingering += 1;
+		socket.once('close', () => {
+			this.#lingering -= 1;
+		});
 		this.#attach(socket, connection).detach();
 		socket.once('end', () => {
 			socket.destroy();
