--- a/packages/stand-ins/src/client-crowd.ts
+++ b/packages/stand-ins/src/client-crowd.ts
@@ -80,6 +80,7 @@
 	async #connectOnce(onStarted: () => void): Promise<void> {
 		const [host, port] = this.address.split(':');
 		const socket = connect(Number(port), host);
+		// A connection that fails is closed as well
 		const closed = once(socket, 'close').catch(() => undefined);
 		this.#sockets.add(socket);
 		// Servers may disconnect any of the clients
