--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -163,13 +163,13 @@
 
 	constructor(readonly server: Server, private readonly handler: RequestHandler, bounds = noBounds) {
 		this.#port = clientConnections.openPort(bounds);
-		const stopTaking = pacedReading.registerTaker(() => {
+		const unregister = pacedReading.registerServer(() => {
 			for (const [socket, connection] of this.#connections) {
 				this.#attach(socket, connection);
 			}
 		});
 		server.once('close', () => {
-			stopTaking();
+			unregister();
 			clientConnections.closePort(this.#port);
 		});
 		server.on('connection', socket => {
--- a/packages/daemon/src/transport/paced-reading.ts
+++ b/packages/daemon/src/transport/paced-reading.ts
@@ -115,13 +115,13 @@
  * connections themselves, which takes less memory.
  *
  * @example
- * const teardown = reading.registerTaker(() => attachAll());
+ * const teardown = reading.registerServer(() => attachAll());
  * if (reading.isNeeded) reading.attach(socket, {chunks: 0, requests: 0});
  */
 export class PacedReading {
 	readonly #schedule = new ReadSchedule(defaultReadLimits);
 	readonly #readers = new Map<ReadHandle, {readonly reader: PacedReader; readonly counts: ParseCounts}>();
-	readonly #takers = new Set<() => void>();
+	readonly #servers = new Set<() => void>();
 	#denseUntil = Number.NEGATIVE_INFINITY;
 	#isParsing = false;
 	#isTurnScheduled = false;
@@ -143,10 +143,10 @@
 	}
 
 	/** Registers a server whose connections have to be attached as soon as that is needed; returns the teardown. */
-	registerTaker(take: () => void): () => void {
-		this.#takers.add(take);
+	registerServer(attachAll: () => void): () => void {
+		this.#servers.add(attachAll);
 		return () => {
-			this.#takers.delete(take);
+			this.#servers.delete(attachAll);
 		};
 	}
 
@@ -156,8 +156,8 @@
 		this.#denseUntil = performance.now() + denseMs;
 		if (isNew) {
 			log('Clients send bodies of small chunks; connections take turns.');
-			for (const take of this.#takers) {
-				take();
+			for (const attachAll of this.#servers) {
+				attachAll();
 			}
 		}
 	}
