The heap of a process follows from the memory of its machine

Seen by callers and operators: beside clients that send bodies or heads and come back, processes took more memory than their machine has.

Cause: V8 sizes its heap by the memory of the host. No limit on connections and bodies bounds either.

The heap in use is a gauge.

Why it works: garbage is collected when a fixed part of the machine's memory is full, whatever the host has.

--- a/bench/src/control/replica-group.ts
+++ b/bench/src/control/replica-group.ts
@@ -11,7 +11,7 @@
 import {Pool} from 'undici';
 import {callPeer} from '../demo/call-peer.js';
 import {freePorts} from '../demo/ports.js';
-import {ProcessGroup, programs} from '../demo/processes.js';
+import {ProcessGroup} from '../demo/processes.js';
 import type {RunningProcess} from '../demo/processes.js';
 
 const secret = 'the secret of a measurement';
@@ -82,7 +82,7 @@
 
 	/** Starts a member again. */
 	restart(member: GroupMember): void {
-		member.process = this.#processes.start(member.id, programs.daemon, ['--settings', member.settingsFile]);
+		member.process = this.#processes.startDaemon(member.id, member.settingsFile);
 	}
 
 	/** Ends every process and removes the folder. */
--- a/bench/src/demo/cluster.ts
+++ b/bench/src/demo/cluster.ts
@@ -121,7 +121,7 @@
 
 	/** Starts an instance again, after it ended. */
 	restart(instance: ClusterInstance): void {
-		instance.process = this.group.start(instance.id, programs.daemon, ['--settings', instance.settingsFile]);
+		instance.process = this.group.startDaemon(instance.id, instance.settingsFile);
 	}
 
 	/** Memory pieces held on all engines. */
--- a/bench/src/demo/processes.ts
+++ b/bench/src/demo/processes.ts
@@ -2,17 +2,20 @@
 import {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
-import {createWriteStream} from 'node:fs';
+import {createWriteStream, readFileSync} from 'node:fs';
 import {once} from 'node:events';
 import {join} from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
+import {nodeOptionsOf, parseSettings} from '@baobabpier/daemon';
 
 const root = fileURLToPath(new URL('../../../', import.meta.url));
 
 /** Entry files of the programs. */
 export const programs = {
 	daemon: join(root, 'packages/daemon/dist/main.js'),
+	/** Starts the daemon as operators do. */
+	baobabpierd: join(root, 'packages/daemon/bin/baobabpierd'),
 	cli: join(root, 'packages/cli/dist/main.js'),
 	standIn: join(root, 'packages/stand-ins/dist/main.js'),
 } as const;
@@ -33,16 +36,22 @@
 	 * Starts a program; its standard error goes to `<name>.log`.
 	 *
 	 * @example
-	 * group.start('sk-a1', programs.daemon, ['--settings', file]);
+	 * group.start('desk-1', programs.standIn, ['backend', '--id', 'desk-1']);
 	 */
-	start(name: string, program: string, args: readonly string[]): RunningProcess {
-		const child = spawn(process.execPath, [program, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
+	start(name: string, program: string, args: readonly string[], nodeOptions: readonly string[] = []): RunningProcess {
+		const child = spawn(process.execPath, [...nodeOptions, program, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
 		child.stderr.pipe(createWriteStream(join(this.logFolder, `${name}.log`)));
 		const running = {name, child};
 		this.processes.push(running);
 		return running;
 	}
 
+	/** Starts a daemon with the options of Node.js that `baobabpierd` gives it. */
+	startDaemon(name: string, settingsFile: string): RunningProcess {
+		const settings = parseSettings(readFileSync(settingsFile, 'utf8'));
+		return this.start(name, programs.daemon, ['--settings', settingsFile], settings.ok ? nodeOptionsOf(settings.val) : []);
+	}
+
 	/** Starts a stand-in and waits for the address that it prints. */
 	async startStandIn(name: string, args: readonly string[]): Promise<string> {
 		return this.startListening(name, programs.standIn, args);
--- a/bench/src/demo/single-instance.ts
+++ b/bench/src/demo/single-instance.ts
@@ -101,7 +101,7 @@
 			}],
 			...plan.settings,
 		}));
-		this.daemon = this.group.start('one', programs.daemon, ['--settings', settingsFile]);
+		this.daemon = this.group.startDaemon('one', settingsFile);
 		await this.#waitFor('/healthz');
 		const {code, output} = await runProgram(programs.cli, ['catalogue', 'apply', catalogueFile, '--instance', this.peers, '--secret-file', secretFile]);
 		if (code !== 0) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -361,7 +361,7 @@
 export type {
 	Admission, ConnectionHandle, ConnectionStage, PortBounds,
 } from './transport/connection-account.js';
-export {defaultResourceLimits, resourceLimits} from './transport/resource-limits.js';
+export {defaultResourceLimits, heapLimits, resourceLimits} from './transport/resource-limits.js';
 export type {ClientPortBounds, MachineResources, ResourceLimits} from './transport/resource-limits.js';
 export {judgeResponse} from './transport/response-binding.js';
 export type {ResponseBinding, ResponseVerdict} from './transport/response-binding.js';
--- a/packages/core/src/transport/resource-limits.ts
+++ b/packages/core/src/transport/resource-limits.ts
@@ -28,6 +28,14 @@
 	readonly ports: ClientPortBounds;
 };
 
+/** Bounds of the JavaScript heap of a process, in megabytes. */
+export type HeapLimits = {
+	/** Objects that have outlived a few collections. */
+	readonly oldSpaceMegabytes: number;
+	/** One half of the space for new objects. */
+	readonly semiSpaceMegabytes: number;
+};
+
 const mebibyte = 1024 * 1024;
 /** Memory of a process without clients: 58 to 70 MB were measured at the peak of calm days. */
 const idleBytes = 72 * mebibyte;
@@ -41,6 +49,14 @@
 const otherDescriptors = 200;
 /** Fraction of the file descriptors of sockets for clients: servers need connections too. */
 const descriptorFraction = 0.6;
+/** Fraction of the remaining memory for the old space of the heap: V8 lets garbage fill most of it before a full collection. */
+const oldSpaceFraction = 0.6;
+/** Fraction of the remaining memory for a semi-space of the heap, which V8 keeps at the size that the largest burst of allocations has brought it to. */
+const semiSpaceFraction = 0.02;
+/** Least and most of the heap, in megabytes: the live objects of an instance with a full catalogue, and V8's own maximum. */
+const minOldSpaceMegabytes = 64;
+const minSemiSpaceMegabytes = 2;
+const maxSemiSpaceMegabytes = 16;
 /** Least bounds, so that a small machine still serves a request of the usual limits. */
 const minBodyBytes = 5 * mebibyte;
 const minPortConnections = 128;
@@ -75,3 +91,17 @@
 	const connections = Math.min(2 * portConnections, Math.max(2 * minPortConnections, Math.floor((descriptors - otherDescriptors) * descriptorFraction)));
 	return limitsOf(Math.max(minBodyBytes, Math.floor(freeBytes * bodyFraction)), connections, portConnections);
 };
+
+/**
+ * The bounds of the heap for a machine. V8's own follow from the memory of the host, which a process may not use alone.
+ *
+ * @example
+ * heapLimits(178 * 1024 * 1024); // {oldSpaceMegabytes: 64, semiSpaceMegabytes: 2}
+ */
+export const heapLimits = (memoryBytes: number): HeapLimits => {
+	const freeMegabytes = Math.max(0, memoryBytes - idleBytes) / mebibyte;
+	return {
+		oldSpaceMegabytes: Math.max(minOldSpaceMegabytes, Math.floor(freeMegabytes * oldSpaceFraction)),
+		semiSpaceMegabytes: Math.min(maxSemiSpaceMegabytes, Math.max(minSemiSpaceMegabytes, Math.floor(freeMegabytes * semiSpaceFraction))),
+	};
+};
--- a/packages/daemon/src/entry/entry-app.ts
+++ b/packages/daemon/src/entry/entry-app.ts
@@ -1,5 +1,6 @@
 /** The callers' port: completions, plain services, health and readiness. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {getHeapStatistics} from 'node:v8';
 import {defaultResourceLimits, routerError} from '@baobabpier/core';
 import {SpanKind} from '@opentelemetry/api';
 import {H3} from 'h3';
@@ -95,6 +96,7 @@
 		this.#stopGauges = registerGauges(metrics, {
 			'requests.open': () => this.inFlight,
 			'bodies.buffered': () => bodies.bufferedBytes,
+			'process.heap_used': () => getHeapStatistics().used_heap_size,
 			'clients.unparsed': () => pacedReading.heldBytes,
 			'clients.full_turns': () => pacedReading.fullTurns,
 			'cancels.pending': () => parts.canceller.pending,
--- a/packages/daemon/src/gateway/gateway-metrics.ts
+++ b/packages/daemon/src/gateway/gateway-metrics.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import type {Server, ServerResponse} from 'node:http';
+import {getHeapStatistics} from 'node:v8';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
@@ -50,6 +51,7 @@
 	});
 
 	constructor() {
+		this.registerGauge('heap_used_bytes', 'JavaScript heap in use, garbage that is not collected yet included', () => getHeapStatistics().used_heap_size);
 		this.registerGauge('unparsed_bytes', 'Bytes of clients that have arrived and wait to be parsed', () => pacedReading.heldBytes);
 		this.registerGauge('full_turns', 'Turns of the event loop that left bytes of clients for the next one, since the start', () => pacedReading.fullTurns);
 		this.registerGauge('client_connections', 'Connections of clients, over all ports', () => clientConnections.size);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -11,6 +11,7 @@
 export {RpcServer} from './rpc/rpc-server.js';
 export {parseEngineEstimates} from './settings/engine-estimates.js';
 export type {EngineEstimates} from './settings/engine-estimates.js';
+export {nodeOptionsOf} from './settings/node-options.js';
 export {parseSettings} from './settings/parse-settings.js';
 export type {InstanceEntry, Settings, SettingsFault} from './settings/parse-settings.js';
 export {ClaimedCaller, claimUseMs} from './requests/claimed-call.js';
--- a/packages/daemon/src/observability/metric-table.ts
+++ b/packages/daemon/src/observability/metric-table.ts
@@ -41,6 +41,9 @@
 	'bodies.buffered': {
 		type: 'gauge', unit: 'bytes', tags: [], meaning: 'Bodies held whole.',
 	},
+	'process.heap_used': {
+		type: 'gauge', unit: 'bytes', tags: [], meaning: 'JavaScript heap in use, garbage that is not collected yet included.',
+	},
 	'clients.unparsed': {
 		type: 'gauge', unit: 'bytes', tags: [], meaning: 'Bytes of clients that have arrived and wait to be parsed.',
 	},
