The own interface counts connections that are displaced, refused, unread, ahead or malformed

Operators of the own interface saw such clients only in its log. The counts existed; the platform's program had gauges of them, the own interface had none. metrics-page.test.ts holds the page to the table.

--- a/packages/daemon/src/entry/entry-app.ts
+++ b/packages/daemon/src/entry/entry-app.ts
@@ -14,6 +14,7 @@
 import {noMetrics} from '../observability/metrics.js';
 import type {Metrics} from '../observability/metrics.js';
 import {defaultEntrySettings} from '../settings/parse-settings.js';
+import {clientConnections, metLimits} from '../transport/client-connections.js';
 import {pacedReading} from '../transport/paced-reading.js';
 import {BodyReader} from './body-reader.js';
 import type {BodyReaderLimits} from './body-reader.js';
@@ -97,6 +98,12 @@
 			'requests.open': () => this.inFlight,
 			'bodies.buffered': () => bodies.bufferedBytes,
 			'process.heap_used': () => getHeapStatistics().used_heap_size,
+			'clients.connections': () => clientConnections.size,
+			'clients.displaced': () => metLimits.displaced.count,
+			'clients.refused': () => metLimits.refused.count,
+			'clients.unread': () => metLimits.unread.count,
+			'clients.ahead': () => metLimits.ahead.count,
+			'clients.malformed': () => metLimits.malformed.count,
 			'clients.unparsed': () => pacedReading.heldBytes,
 			'clients.full_turns': () => pacedReading.fullTurns,
 			'cancels.pending': () => parts.canceller.pending,
--- a/packages/daemon/src/observability/metric-table.ts
+++ b/packages/daemon/src/observability/metric-table.ts
@@ -44,6 +44,24 @@
 	'process.heap_used': {
 		type: 'gauge', unit: 'bytes', tags: [], meaning: 'JavaScript heap in use, garbage that is not collected yet included.',
 	},
+	'clients.connections': {
+		type: 'gauge', unit: 'connections', tags: [], meaning: 'Connections of clients, over all ports.',
+	},
+	'clients.displaced': {
+		type: 'gauge', unit: 'connections', tags: [], meaning: 'Connections without a complete request that were closed to make room, since the start.',
+	},
+	'clients.refused': {
+		type: 'gauge', unit: 'connections', tags: [], meaning: 'New connections that were closed as all others had requests in progress, since the start.',
+	},
+	'clients.unread': {
+		type: 'gauge', unit: 'responses', tags: [], meaning: 'Responses that were broken off as their callers read nothing, since the start.',
+	},
+	'clients.ahead': {
+		type: 'gauge', unit: 'connections', tags: [], meaning: 'Connections that sent too many requests ahead of a response, since the start.',
+	},
+	'clients.malformed': {
+		type: 'gauge', unit: 'connections', tags: [], meaning: 'Connections that sent a malformed request, since the start.',
+	},
 	'clients.unparsed': {
 		type: 'gauge', unit: 'bytes', tags: [], meaning: 'Bytes of clients that have arrived and wait to be parsed.',
 	},
