Bodies that find no room are told to come back later while that goes on

Seen by callers: a body that is refused as too many are being read was told 2 s each time, so that a crowd that keeps to it came back together every 2 s, for as long as it lasts.

Cause: the retry delay was a constant of the table of errors.

Change: RefusalBackoff (core) doubles the delay up to 16 s while bodies go on being refused, adds up to half of it at random, and begins with 2 s again after a quiet time of twice the delay. An ordinary caller that is refused by mistake loses 2 to 24 s at most, and is told so.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -363,6 +363,8 @@
 } from './transport/connection-account.js';
 export {defaultResourceLimits, heapLimits, resourceLimits} from './transport/resource-limits.js';
 export type {ClientPortBounds, MachineResources, ResourceLimits} from './transport/resource-limits.js';
+export {defaultBackoffLimits, RefusalBackoff} from './transport/refusal-backoff.js';
+export type {BackoffLimits} from './transport/refusal-backoff.js';
 export {judgeResponse} from './transport/response-binding.js';
 export type {ResponseBinding, ResponseVerdict} from './transport/response-binding.js';
 export {judgeStatus} from './transport/response-status.js';
--- a/packages/daemon/src/__tests__/unit/incoming-bodies.test.ts
+++ b/packages/daemon/src/__tests__/unit/incoming-bodies.test.ts
@@ -6,7 +6,7 @@
 import {connect} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {defaultResourceLimits} from '@baobabpier/core';
+import {defaultResourceLimits, ManualClock} from '@baobabpier/core';
 import {afterEach, expect, test} from 'vitest';
 import {ServerConnections} from '../../server-connections.js';
 import type {RequestHandler} from '../../server-connections.js';
@@ -168,6 +168,29 @@
 	expect(bodies.bytes).toBe(0);
 });
 
+// Guards against a crowd that is told the same delay however long it comes back
+test('bodies without room are told a longer delay while there is none', async () => {
+	const clock = new ManualClock();
+	const bodies = new IncomingBodies(8 * 1024, clock);
+	const delaysMs: number[] = [];
+	const {dial} = await serve((req, res) => {
+		void bodies.read(req, res, {maxBytes: 10_000, timeoutMs: 60_000}).then(body => {
+			delaysMs.push((body as {retryAfterMs: number}).retryAfterMs);
+		});
+	});
+	for (const [refusals, waitMs] of [0, 3000, 4000, 9000].entries()) {
+		clock.advance(waitMs);
+		// eslint-disable-next-line no-await-in-loop
+		const socket = await dial();
+		socket.write(chunkedHead);
+		socket.write(chunked(fill([9000]), false));
+		// eslint-disable-next-line no-await-in-loop
+		await until(() => delaysMs.length === refusals + 1);
+	}
+
+	expect(delaysMs.map(ms => [2000, 4000, 8000, 16_000].findLast(delay => delay <= ms))).toEqual([2000, 4000, 8000, 16_000]);
+});
+
 test('the start of a long body and the rest of it give all its bytes in order', async () => {
 	const bodies = new IncomingBodies(8 * mebibyte);
 	const chunks = fill(repeat([1, 3000, 5000, 10], 40));
--- a/packages/daemon/src/entry/body-reader.ts
+++ b/packages/daemon/src/entry/body-reader.ts
@@ -86,7 +86,7 @@
 			}
 
 			case 'noRoom': {
-				return routerError('overloaded', 'too many bodies are being read');
+				return routerError('overloaded', 'too many bodies are being read', failure.retryAfterMs);
 			}
 
 			case 'late': {
--- a/packages/daemon/src/gateway/call-body-reader.ts
+++ b/packages/daemon/src/gateway/call-body-reader.ts
@@ -30,7 +30,7 @@
 			}
 
 			case 'noRoom': {
-				return routerError('overloaded', 'too many bodies are being read');
+				return routerError('overloaded', 'too many bodies are being read', body.retryAfterMs);
 			}
 
 			case 'late': {
--- a/packages/daemon/src/transport/incoming-bodies.ts
+++ b/packages/daemon/src/transport/incoming-bodies.ts
@@ -1,7 +1,10 @@
 /** Reads request bodies whole, within the memory that all of them may take. */
 import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {BodyBudget, defaultResourceLimits} from '@baobabpier/core';
+import {
+	BodyBudget, createSeededRandom, defaultBackoffLimits, defaultResourceLimits, hashText, RefusalBackoff,
+} from '@baobabpier/core';
 import type {BodyHandle, Clock} from '@baobabpier/core';
 import {monotonicClock} from '../monotonic-clock.js';
 
@@ -19,7 +22,7 @@
 	/** What was read of a body whose bounds keep the start; the request is paused. */
 	| {readonly kind: 'long'; readonly start: Uint8Array}
 	/** The memory for bodies is used up, and others have more right to it. */
-	| {readonly kind: 'noRoom'}
+	| {readonly kind: 'noRoom'; readonly retryAfterMs: number}
 	| {readonly kind: 'late'}
 	/** The connection ended, or its further bytes are no body. */
 	| {readonly kind: 'broken'; readonly error: Error | undefined};
@@ -105,6 +108,7 @@
 export class IncomingBodies {
 	readonly #budget: BodyBudget;
 	readonly #pool: BlockPool;
+	readonly #backoff = new RefusalBackoff(defaultBackoffLimits, createSeededRandom(hashText(randomUUID())));
 	readonly #cancels = new Map<BodyHandle, () => void>();
 
 	constructor(private maxBytes: number, private readonly clock: Clock = monotonicClock) {
@@ -181,7 +185,7 @@
 				finish({kind: 'late'});
 			}, timeoutMs);
 			this.#cancels.set(handle, () => {
-				finish({kind: 'noRoom'});
+				finish({kind: 'noRoom', retryAfterMs: this.#backoff.refuse(this.clock.now())});
 			});
 			req.on('data', take);
 			req.once('end', end);
