--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -1,9 +1,13 @@
 #!/usr/bin/env node
 /** Starts one stand-in as a process. */
+import {readFile} from 'node:fs/promises';
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {startBackend} from './backend-server.js';
+import {ClientCrowd} from './client-crowd.js';
+import type {ClientPlan} from './client-crowd.js';
 import {startEngine} from './engine/engine-server.js';
 import {startPlatformList} from './platform-list.js';
 
@@ -37,6 +41,17 @@
 		const list = await startPlatformList(args.lagMs, args.port);
 		announce(list.address);
 	})
+	.command('crowd', 'Sends a crowd of clients to an address.', command => command
+		.option('address', {type: 'string', demandOption: true})
+		.option('plan', {type: 'string', demandOption: true, describe: 'File with what each client does, in JSON'})
+		.option('for-ms', {type: 'number', demandOption: true}), async ({address, plan, forMs}) => {
+		const crowd = new ClientCrowd(address, JSON.parse(await readFile(plan, 'utf8')) as ClientPlan);
+		void crowd.start();
+		await sleep(forMs);
+		crowd.close();
+		// Clients that are still to connect would keep the process
+		process.exit(0);
+	})
 	.demandCommand(1)
 	.strict()
 	.parseAsync();
