Revert: new connections at a full port look through all others again

Conclusion: a cheaper admission lets newcomers come faster, so that an ordinary connection that waits for a round trip is displaced sooner. What is asked for is fewer admissions while a port is full, or a time in which a new connection is safe.

--- a/packages/daemon/src/server-connections.ts
+++ b/packages/daemon/src/server-connections.ts
@@ -52,8 +52,6 @@
 const unreadMs = 1000;
 /** Interval in which responses are checked for that while connections have to give way, in milliseconds. */
 const unreadCheckMs = 100;
-/** Interval in which the stages of connections are checked while a port is full, in milliseconds: each turn of the event loop accepts a connection. */
-const stageCheckMs = 5;
 /** Bounds of a port that sets none: those of the process hold. */
 const noBounds: PortBounds = {guaranteed: 0, max: Number.POSITIVE_INFINITY};
 
@@ -160,7 +158,6 @@
 	readonly #port: ConnectionPort;
 	readonly #sockets = new Map<ConnectionHandle, Socket>();
 	#unreadCheckedAt = 0;
-	#stagesCheckedAt = Number.NEGATIVE_INFINITY;
 	/** Connections that are read on behind their last response. */
 	#lingering = 0;
 
@@ -367,7 +364,9 @@
 	/** Makes room for a new connection; returns undefined where all others have more right to stay. */
 	#admit(): ConnectionHandle | undefined {
 		if (this.#port.isFull) {
-			this.#updateStages();
+			for (const [socket, connection] of this.#connections) {
+				this.#updateStage(socket, connection);
+			}
 		}
 
 		let admission = this.#port.admit();
@@ -390,19 +389,6 @@
 		return admission.handle;
 	}
 
-	/** Brings the stages of all connections up to date, except where that was done just now: a request that becomes whole meanwhile is told at once. */
-	#updateStages(): void {
-		const now = performance.now();
-		if (now - this.#stagesCheckedAt < stageCheckMs) {
-			return;
-		}
-
-		this.#stagesCheckedAt = now;
-		for (const [socket, connection] of this.#connections) {
-			this.#updateStage(socket, connection);
-		}
-	}
-
 	#forget(socket: Socket, connection: Connection): void {
 		this.#connections.delete(socket);
 		this.#sockets.delete(connection.handle);
@@ -467,23 +453,16 @@
 		const {socket} = req;
 		const connection = this.#connections.get(socket);
 		const body = {chunks: 0, bytes: 0};
-		coalesceBody(req, {
-			onChunk(bytes) {
-				body.chunks += 1;
-				body.bytes += bytes;
-				if (connection !== undefined) {
-					connection.counts.chunks += 1;
-				}
-
-				if (body.chunks % chunksPerCheck === 0 && isDenseBody(body)) {
-					pacedReading.reportDense();
-				}
-			},
-			onEnd: () => {
-				if (connection !== undefined) {
-					this.#updateStage(socket, connection);
-				}
-			},
+		coalesceBody(req, bytes => {
+			body.chunks += 1;
+			body.bytes += bytes;
+			if (connection !== undefined) {
+				connection.counts.chunks += 1;
+			}
+
+			if (body.chunks % chunksPerCheck === 0 && isDenseBody(body)) {
+				pacedReading.reportDense();
+			}
 		});
 		if (connection === undefined || connection.refusal !== undefined || !socket.writable) {
 			return;
@@ -636,7 +615,6 @@
 	/** Closes a connection after a response to a request that was not read whole: unread bytes would reset it before the response has arrived. */
 	#linger(socket: Socket, connection: Connection): void {
 		connection.isLingering = true;
-		this.#updateStage(socket, connection);
 		this.#lingering += 1;
 		socket.once('close', () => {
 			this.#lingering -= 1;
--- a/packages/daemon/src/transport/coalesced-body.ts
+++ b/packages/daemon/src/transport/coalesced-body.ts
@@ -8,26 +8,16 @@
 /** Most bytes that are joined into one chunk. */
 const maxBytes = 16 * 1024;
 
-/** What is told of a body while the parser finds it. */
-export type BodyListener = {
-	readonly onChunk: (bytes: number) => void;
-	/** The body is whole, whether or not it has been read. */
-	readonly onEnd: () => void;
-};
-
 /**
  * Makes a request join small chunks of its body. Node.js emits one object for each chunk of a chunked body, which takes hundreds of times the memory of
  * a chunk of one byte while it waits. Chunks are joined until the end of a turn of the event loop, and further while the reader has not taken what came before.
  *
  * @example
- * server.on('request', req => coalesceBody(req, {
- * 	onChunk: bytes => {
- * 		received += bytes;
- * 	},
- * 	onEnd: () => log('whole'),
+ * server.on('request', req => coalesceBody(req, bytes => {
+ * 	received += bytes;
  * }));
  */
-export const coalesceBody = (req: IncomingMessage, {onChunk, onEnd}: BodyListener): void => {
+export const coalesceBody = (req: IncomingMessage, onChunk: (bytes: number) => void): void => {
 	const push = req.push.bind(req);
 	const read = req._read.bind(req);
 	const declaredBytes = Number(req.headers['content-length'] ?? Number.NaN);
@@ -72,7 +62,6 @@
 
 	req.push = (chunk: Uint8Array | null): boolean => { // eslint-disable-line @typescript-eslint/no-restricted-types
 		if (chunk === null) {
-			onEnd();
 			flush();
 			return push(null);
 		}
