--- a/review/stand-ins-2/servers.mjs
+++ b/review/stand-ins-2/servers.mjs
@@ -82,18 +82,19 @@
 	/** Whether it answers. */
 	isUp = true;
 	reads = 0;
+	/** Entries of other writers, as bytes. */
+	otherEntries = [];
 	#server = createServer((_req, res) => {
 		this.reads += 1;
 		if (!this.isUp) {
 			return;
 		}
 
-		res.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({
-			instances: this.servers().map(({id, service, address, state, slots, stage, models, zone = 'zone-a'}) => ({
-				id, service, address, zone, version: 'v1', slots, state, cold_remaining_ms: 0, stage, models,
-			})),
-			next: null,
-		}));
+		const entries = this.servers().filter(({isListed = true}) => isListed).map(({id, service, address, state, slots, stage, models, zone = 'zone-a'}) => Buffer.from(JSON.stringify({
+			id, service, address, zone, version: 'v1', slots, state, cold_remaining_ms: 0, stage, models,
+		})));
+		const separated = [...entries, ...this.otherEntries].flatMap((entry, index) => index === 0 ? [entry] : [Buffer.from(','), entry]);
+		res.writeHead(200, {'content-type': 'application/json'}).end(Buffer.concat([Buffer.from('{"instances":['), ...separated, Buffer.from('],"next":null}')]));
 	});
 
 	constructor(servers) {
