--- a/review/stand-ins-2/servers.mjs
+++ b/review/stand-ins-2/servers.mjs
@@ -46,6 +46,11 @@
 			return;
 		}
 
+		// A server that leaves says so in all its answers
+		if (this.state === 'draining') {
+			res.setHeader('server-leaving', '1');
+		}
+
 		const headers = {'request-id': id, 'server-load': `${Math.min(this.running, this.slots)},${Math.max(0, this.running - this.slots)},${this.slots}`};
 		if (req.headers['target-instance'] !== undefined && req.headers['target-instance'] !== this.id) {
 			res.writeHead(421, {...headers, 'not-executed': '1'}).end();
@@ -158,6 +163,11 @@
 			return;
 		}
 
+		// An engine that leaves says so in all its answers
+		if (this.state === 'draining') {
+			res.setHeader('server-leaving', '1');
+		}
+
 		const id = String(req.headers['request-id'] ?? '');
 		const reply = (status, value, headers = {}) => {
 			res.writeHead(status, {...headers, 'content-type': 'application/json'}).end(value === undefined ? '' : JSON.stringify(value));
