--- a/review/stand-ins-2/servers.mjs
+++ b/review/stand-ins-2/servers.mjs
@@ -17,7 +17,7 @@
 	/** Answers a request in place of the usual answer where it returns true. */
 	trouble = undefined;
 	running = 0;
-	#server = createServer(async (req, res) => this.#answer(req, res));
+	#server = createServer({maxHeaderSize: 128 * 1024}, async (req, res) => this.#answer(req, res));
 
 	constructor(service, {slots = 6, queue = 24} = {}) {
 		Object.assign(this, {service, slots, queue});
