--- a/review/stand-ins-2/servers.mjs
+++ b/review/stand-ins-2/servers.mjs
@@ -72,7 +72,7 @@
 			this.running -= 1;
 		});
 		this.runs.push({id, at: Date.now()});
-		const answer = {...headers, 'server-stamp': `stamp-${this.id}-${id}`};
+		const answer = {...headers, 'server-stamp': `stamp-${this.id}`};
 		if (this.trouble?.(req, res, answer) === true) {
 			return;
 		}
@@ -129,13 +129,15 @@
 	trouble = undefined;
 	events = 12;
 	eventMs = 30;
+	/** Time until the first event, in milliseconds. */
+	firstMs = 80;
 	running = 0;
 	sequence = 0;
 	slots = 64;
 	#holds = new Set();
 	#handles = new Map();
 	#born = Date.now();
-	#server = createServer(async (req, res) => this.#answer(req, res));
+	#server = createServer({maxHeaderSize: 128 * 1024}, async (req, res) => this.#answer(req, res));
 
 	constructor(service, stage = 'decode') {
 		Object.assign(this, {service, stage});
@@ -229,7 +231,7 @@
 
 	async #run(req, res, id) {
 		const headers = {
-			'request-id': id, 'server-stamp': `stamp-${this.id}-${id}`, 'server-load': `${this.running},0,${this.slots}`, 'weight-versions': '1',
+			'request-id': id, 'server-stamp': `stamp-${this.id}`, 'server-load': `${this.running},0,${this.slots}`, 'weight-versions': '1',
 		};
 		const last = Number(req.headers['last-event-id'] ?? 0);
 		this.runs.push({id, from: last + 1, at: Date.now()});
@@ -241,7 +243,7 @@
 			return;
 		}
 
-		await sleep(80);
+		await sleep(this.firstMs);
 		res.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
 		for (let number = last + 1; number <= this.events && !res.destroyed; number++) {
 			res.write(`id: ${number}\ndata: piece ${number}\n\n`);
