--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,24 +1,15 @@
-/** The platform's list has an entry of another writer that can't be read, while all processes are killed and start again. */
-import {Buffer} from 'node:buffer';
+/** A server runs a part of its requests and then fails them with 503, without saying that it did not run them. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {bounds, Deployment} from '../stand-ins-2/deployment.mjs';
+import {Deployment} from '../stand-ins-2/deployment.mjs';
 import {
 	attempt, hasTrouble, limits, routeOf, runCase, serviceOf,
 } from '../stand-ins-2/load.mjs';
 import {PlainServer, PlatformList} from '../stand-ins-2/servers.mjs';
 
-const arrivalMs = 60;
-/** Time for which requests are counted, before the kill and after the recovery, in milliseconds. */
-const countedMs = 6000;
-/** Time between the entry and the kill, and for which the processes are down, in milliseconds. */
-const entryMs = 2000;
-const downMs = 1000;
-const minShare = 1 / 4;
-
-/** An object whose id is bytes that are no text. */
-const unreadable = Buffer.concat([Buffer.from('{"id":"'), Buffer.from([0x00, 0x01, 0x9F, 0xFE, 0x17]), Buffer.from('","service":"other","state":"ready"}')]);
-
-const share = answers => answers.filter(({status}) => status === 200).length / answers.length;
+const playMs = 10_000;
+/** One in so many requests of the failing server fails. */
+const failureInterval = 4;
+const promises = new Set([408, 421, 429, 503]);
 
 await runCase(import.meta.url, {
 	async start() {
@@ -29,59 +20,54 @@
 		const deployment = new Deployment(list.address);
 		await deployment.start(3, 2);
 		await deployment.change({
-			version: 1, routes: [routeOf('book', 'unsafe', 'hire-desk'), routeOf('stock', 'safe', 'hire-desk')], services: [serviceOf('hire-desk')], limits,
+			version: 1, routes: [routeOf('book', 'unsafe', 'hire-desk')], services: [serviceOf('hire-desk')], limits,
 		});
 		await deployment.waitUntilReady();
-		await sleep(bounds.contact_ms);
 		return {deployment, servers};
 	},
-	async play({deployment, servers}) {
-		const list = servers.at(-1);
-		/** Sends requests at a steady rate, whether or not those before have their answers. */
-		const load = async phase => {
-			const answers = [];
-			const until = Date.now() + countedMs;
-			await Promise.all(deployment.entries.map(async entry => {
-				const calls = [];
-				while (Date.now() < until) {
-					const route = calls.length % 2 === 0 ? 'book' : 'stock';
-					calls.push((async () => {
-						const answer = await attempt({entry, route, body: route === 'book' ? 'one set' : undefined});
-						answers.push(answer);
-						deployment.note(`${phase}: ${answer.entry} ${route} ${answer.id}: ${answer.status} after ${answer.ms} ms`);
-					})());
-					await sleep(arrivalMs); // eslint-disable-line no-await-in-loop
-				}
+	async play({deployment, servers: [failing]}) {
+		let count = 0;
+		failing.trouble = (req, res, headers) => {
+			count += 1;
+			if (!hasTrouble || count % failureInterval !== 0) {
+				return false;
+			}
 
-				await Promise.all(calls);
-			}));
-			return answers;
+			// It has run the request; an answer that names no `Not-Executed` does not say otherwise
+			setTimeout(() => {
+				deployment.note(`${failing.id} ran ${req.headers['request-id']} and fails it with 503`);
+				res.writeHead(503, headers).end('the deposit was charged, the receipt could not be printed');
+			}, failing.workMs);
+			return true;
 		};
 
-		const before = await load('before');
-		if (hasTrouble) {
-			list.otherEntries = [unreadable];
-			deployment.note('the list has an entry that can\'t be read, beside those of three sound servers');
-		}
+		const bookings = [];
+		const until = Date.now() + playMs;
+		/** A client as the pages describe it: it retries an unsafe request only after a promise, once, at any instance. */
+		const book = async name => {
+			for (let number = 1; Date.now() < until; number++) {
+				const booking = `${name}-${number}`;
+				const attempts = [];
+				do {
+					const entry = deployment.entries[(number + attempts.length) % deployment.entries.length];
+					const answer = await attempt({entry, route: 'book', body: booking}); // eslint-disable-line no-await-in-loop
+					attempts.push(answer);
+					deployment.note(`booking ${booking}: ${answer.entry} ${answer.id}: ${answer.status} after ${answer.ms} ms`);
+				} while (promises.has(attempts.at(-1).status) && attempts.length < 2);
 
-		await sleep(entryMs);
-		await Promise.all(deployment.instances.map(async instance => instance.end()));
-		deployment.note('all processes are killed');
-		await sleep(downMs);
-		for (const instance of deployment.instances) {
-			instance.start();
-		}
+				bookings.push({booking, attempts});
+				await sleep(80); // eslint-disable-line no-await-in-loop
+			}
+		};
 
-		deployment.note('all processes are started again');
-		const {reads} = list;
-		await sleep(bounds.recovery_s * 1000);
-		const after = await load('after');
-		const ready = await Promise.all(deployment.entries.map(async entry => entry.isReady()));
-		deployment.note(`the list answered ${list.reads - reads} reads since; instances ready: ${ready.join(', ')}`);
-		return {before, after};
+		await Promise.all(['a', 'b', 'c', 'd'].map(async name => book(name)));
+		return bookings;
 	},
-	judge({deployment, result: {before, after}}) {
-		deployment.note(`served before the kill: ${before.filter(({status}) => status === 200).length} of ${before.length}; later than ${bounds.recovery_s} s after the machines are back: ${after.filter(({status}) => status === 200).length} of ${after.length}`);
-		return share(before) >= minShare && share(after) < minShare;
+	judge({deployment, servers, result: bookings}) {
+		const ran = new Set(servers.flatMap(({runs = []}) => runs.map(({id}) => id)));
+		const refusedAndRan = bookings.flatMap(({attempts}) => attempts).filter(({status, id}) => promises.has(status) && ran.has(id));
+		const runTwice = bookings.filter(({attempts}) => attempts.filter(({id}) => ran.has(id)).length > 1);
+		deployment.note(`${bookings.length} bookings; ${refusedAndRan.length} attempts were answered with a promise that they had not run, and had run; ${runTwice.length} bookings ran twice`);
+		return refusedAndRan.length > 0;
 	},
 });
